--- /dev/null
+++ b/anisefront/__init__.py
@@ -0,0 +1,1 @@
+"""anisefront: the decisions of a quota-keeping gateway for a shared API."""
--- /dev/null
+++ b/anisefront/control.py
@@ -0,0 +1,767 @@
+"""Every decision of the gateway. Its settings, events and actions are the types of interface.py.
+
+Read it top to bottom: FuzzyShare steers each class's share of attempts out by the wait of its requests,
+Window caps the attempts out, Quota keeps the customers' quotas and ceilings, Servers picks where to send,
+and Controller leads each request from its arrival to its one final answer.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from anisefront import messages
+from anisefront.interface import (
+    Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Plan, Probe, Probed, Refuse, Repeat,
+    RequestClass, Result, Scope, Send, Server, Settings, Started, State, Subscribe, Tell, Wake, Woken,
+)
+
+# Fuzzy shares (paper, Tables 6 and 7, absolute delay).
+ERROR_GAIN, CHANGE_GAIN, OUTPUT_GAIN = 0.4, 3.0, 0.01  # per second of error, of its change; share per output
+CENTRES = (-1.0, -0.5, 0.0, 0.5, 1.0)  # five triangles, each as wide as its neighbours' distance
+PERIOD_MS = 100.0  # one step of the shares: short, since one step moves a share by 0.01 at most
+FEW_SAMPLES = 5  # with fewer released in a period, the ages of those still held count as waits too
+LEAST_SHARE = 0.05  # of the window, so that no class is starved for good
+
+# Window.
+START_PER_SERVER = 4.0  # attempts out for each ready server until answers tell more
+FLOOR_PER_SERVER = 1.5  # never fewer, or a few slow answers would close the window for good
+IN_SERVER_PART = 0.45  # of a class's aim that an attempt may spend at a server; the rest is for waiting here
+PEAK_GROWTH = 2.0  # times the recent peak, as the design has it
+FULL_CUT = 0.75  # after full refusals, as the design has it
+CUT_HEAL = 1.05  # per period, how a cut wears off
+RATE_MEMORY_MS = 1000.0  # over which answers are counted
+
+# Quota.
+TELL_MS = 250.0  # between messages; four a second stay far within any inbox
+STALE_MS = 1500.0  # a gateway not heard for so long is no longer believed
+DEMAND_MEMORY_MS = 3000.0  # over which a customer's use is averaged
+RESERVE_MS = 500.0  # of the others' use kept back when spending on what was heard
+SURE_PART = 0.15  # of the store kept back as well
+WORTH_TELLING = 0.05  # of the store: smaller use is not told at once
+
+# Servers.
+SLOW_GAIN, SLOW_MOST = 0.15, 10.0  # how fast a relative slowness is learned; its bound
+FAIL_GAIN, FAIL_WEIGHT = 0.3, 20.0  # one failure in a row of successes is already telling
+FAIL_MEMORY_MS = 4000.0  # a server's failures fade, so that it is tried again a little at a time
+SILENT_TIMES, SILENT_LEAST_MS = 4.0, 400.0  # no answer for so many usual times: it counts as failing
+ZONE_COST = 1.15  # a server of another zone must be so much better
+COLD_SAFETY = 0.6  # of what a warm server carries, times the cold share
+UTIL_LOAD = 2.0  # attempts that a fully busy server counts as holding for others
+REPORT_MEMORY_MS = 1000.0
+
+# Further attempts.
+HEDGE_TIMES, HEDGE_LEAST_MS = 3.0, 150.0  # usual answer times after which a second copy may go out
+RETRY_PART, RETRY_MOST = 0.2, 20.0  # further attempts for each first one; how many may be saved up
+HEDGE_ROOM = 0.7  # of the window: fuller than that, no second copies
+OVER_ROOM = 0.5  # of the window: fuller than that, nothing beyond a quota is sent on
+USUAL_START_MS = 200.0  # a class's answer time before the first answer
+USUAL_GAIN = 0.05
+
+
+class FuzzyShare:
+    """A Mamdani PI-type controller: the wait of one class against its aim moves the class's share."""
+
+    def __init__(self, aim_ms: float, share: float) -> None:
+        self.aim_s, self.share, self.last_error = aim_ms / 1000, share, None
+
+    def step(self, wait_ms: float) -> None:
+        """One period: a late class gains; one under its aim keeps what it has."""
+        error = self.aim_s - wait_ms / 1000
+        change = 0.0 if self.last_error is None else error - self.last_error
+        self.last_error = error
+        move = OUTPUT_GAIN * self.infer(ERROR_GAIN * error, CHANGE_GAIN * change)
+        if move < 0 or error < 0:
+            self.share = min(1.0, max(LEAST_SHARE, self.share - move))
+
+    @staticmethod
+    def infer(error: float, change: float) -> float:
+        """Diagonal table, max-min inference, centre of gravity; all on [-1, 1]."""
+        half = CENTRES[1] - CENTRES[0]
+
+        def grades(x: float) -> list[float]:
+            x = max(-1.0, min(1.0, x))
+            return [max(0.0, 1 - abs(x - centre) / half) for centre in CENTRES]
+
+        strength = [0.0] * len(CENTRES)
+        for i, first in enumerate(grades(error)):
+            for j, second in enumerate(grades(change)):
+                out = max(0, min(len(CENTRES) - 1, i + j - len(CENTRES) // 2))
+                strength[out] = max(strength[out], min(first, second))
+        above = below = 0.0
+        for step in range(-20, 21):
+            x = step / 20
+            height = max(map(min, strength, grades(x)))
+            above, below = above + x * height, below + height
+        return above / below
+
+
+class Window:
+    """The cap on attempts out. It lets answers take a part of their aims: rate times that time are out."""
+
+    def __init__(self) -> None:
+        self.out, self.peak, self.cut, self.full_seen = 0, 0.0, 1.0, False
+        self.room = 0.0  # answers a second x time each may take, summed over classes
+        self.answered_ms = 0.0  # aim parts answered in this period
+        self.answers = 0
+
+    def answered(self, aim_ms: float) -> None:
+        self.answered_ms += aim_ms * IN_SERVER_PART
+        self.answers += 1
+
+    def step(self) -> None:
+        """One period has gone by."""
+        keep = math.exp(-PERIOD_MS / RATE_MEMORY_MS)
+        self.room = self.room * keep + self.answered_ms / PERIOD_MS * (1 - keep)
+        self.peak = max(float(self.out), self.peak * keep)
+        self.cut = max(0.1, self.cut * FULL_CUT) if self.full_seen else min(1.0, self.cut * CUT_HEAL)
+        self.answered_ms, self.full_seen = 0.0, False
+
+    def cap(self, ready: int) -> int:
+        if not self.answers:
+            return max(1, int(START_PER_SERVER * ready * self.cut))
+        least = max(1.0, FLOOR_PER_SERVER * ready * self.cut)
+        return int(max(least, min(self.room * self.cut, PEAK_GROWTH * max(self.peak, START_PER_SERVER * ready))))
+
+
+@dataclass(slots=True)
+class Peer:
+    """What another gateway last told of one customer."""
+
+    boot: int
+    spent: float
+    asked_per_s: float
+    out: int
+
+
+@dataclass(slots=True)
+class Account:
+    """One customer here: the shared store as far as known, our own bucket, and our slice of the ceiling."""
+
+    plan: Plan
+    tag: int
+    members: tuple[int, ...]  # the gateways of its set
+    at_ms: float
+    store: float  # of all gateways together, as far as heard
+    own: float  # our bucket
+    ceiling: float = 0.0
+    spent: float = 0.0  # by us since our start
+    asked: float = 0.0  # fading sum of units asked of us
+    out: int = 0  # attempts out
+    part: float = 1.0
+    told: dict[int, float] = field(default_factory=dict)
+    waiting: list[Request] = field(default_factory=list)
+
+    def asked_per_s(self) -> float:
+        return self.asked * 1000 / DEMAND_MEMORY_MS
+
+
+class Quota:
+    """Each customer's bucket fills at the quota times our part of its recent use."""
+
+    def __init__(self, settings: Settings, boot: int) -> None:
+        self.settings, self.boot = settings, boot
+        self.accounts: dict[str, Account] = {}
+        self.by_tag: dict[int, Account] = {}
+        self.news: dict[int, dict[int, Peer]] = {}  # by tag, then gateway
+        self.heard_ms: dict[int, float] = {}
+        self.tell_from: dict[int, int] = {}
+
+    def account(self, now: float, arrival: Arrival, plan: Plan) -> Account:
+        """The customer's account, brought up to now."""
+        account = self.accounts.get(arrival.customer)
+        if account is None:
+            spread = max(1, min(arrival.spread, self.settings.gateways))
+            members = tuple((arrival.first_gateway + n) % self.settings.gateways for n in range(spread))
+            account = Account(plan, messages.tag_of(arrival.customer), members, now, plan.burst,
+                              plan.burst / spread)
+            # A ceiling is split evenly for good and its slice starts empty: no message is needed to keep it,
+            # and a restarted gateway can't grant again what it spent before.
+            self.accounts[arrival.customer] = self.by_tag[account.tag] = account
+            for peer in self.news.get(account.tag, {}).values():
+                account.store -= min(account.store, peer.asked_per_s * plan.burst / max(plan.rate_per_s, 1e-9))
+        self.refresh(now, account)
+        return account
+
+    def refresh(self, now: float, account: Account) -> None:
+        """Fill the buckets for the time gone by, and follow the customer's demand."""
+        gone_s = max(0.0, now - account.at_ms) / 1000
+        account.at_ms = max(now, account.at_ms)
+        account.asked *= math.exp(-gone_s * 1000 / DEMAND_MEMORY_MS)
+        spread, mine = len(account.members), account.asked_per_s()
+        heard, live = 0.0, 1
+        for member in account.members:
+            if member != self.settings.number and self.believed(now, member):
+                live += 1
+                peer = self.news.get(account.tag, {}).get(member)
+                heard += peer.asked_per_s if peer else 0.0
+        even = 1.0 / spread
+        follow = mine / (mine + heard) if mine + heard > 0 else even
+        account.part = even if live == 1 else max(0.02, follow * live / spread)
+        plan = account.plan
+        account.store = min(plan.burst, account.store + plan.rate_per_s * gone_s)
+        most = max(plan.burst * account.part, self.settings.max_units)
+        account.own = min(most, account.own + plan.rate_per_s * account.part * gone_s)
+        if live == spread:
+            account.own = min(account.own, max(0.0, account.store))
+        slice_burst = plan.ceiling_burst / spread if self.settings.number in account.members else 0.0
+        account.ceiling = min(slice_burst, account.ceiling + plan.ceiling_per_s / spread * gone_s)
+
+    def believed(self, now: float, gateway: int) -> bool:
+        return now - self.heard_ms.get(gateway, -math.inf) <= STALE_MS
+
+    def within(self, now: float, account: Account, units: float) -> bool:
+        """Would a try of so many units be inside the quota, as far as is known here?"""
+        plan = account.plan
+        peers = [self.news.get(account.tag, {}).get(member) for member in account.members
+                 if member != self.settings.number]
+        sure = all(self.believed(now, member) for member in account.members if member != self.settings.number)
+        if plan.max_out:
+            others = sum(peer.out for peer in peers if peer)
+            mine = max(1, round(plan.max_out * account.part))
+            if account.out >= mine and not (sure and account.out + others + 1 < plan.max_out):
+                return False
+        if not plan.rate_per_s or units <= account.own:
+            return True
+        # Departure: while every gateway of the set is heard and the shared store holds plenty, a small part
+        # is no reason to refuse; what the others may spend before we hear of it is kept back.
+        reserve = sum(peer.asked_per_s for peer in peers if peer) * RESERVE_MS / 1000 + SURE_PART * plan.burst
+        return sure and units <= account.store - reserve
+
+    def below_ceiling(self, account: Account, units: float) -> bool:
+        return not account.plan.ceiling_per_s or units <= account.ceiling
+
+    def spend(self, account: Account, units: float, inside: bool) -> None:
+        """A first attempt goes out."""
+        account.ceiling -= units
+        if inside:
+            account.store -= units
+            account.own = max(0.0, account.own - units)
+            account.spent += units
+
+    def settle(self, account: Account, difference: float) -> None:
+        """The true units of an answer differ from the guess."""
+        account.store -= difference
+        account.own -= difference
+        account.spent = max(0.0, account.spent + difference)
+
+    def wait_ms(self, account: Account, units: float) -> float:
+        """How long until the bucket holds so many units more."""
+        rate = account.plan.rate_per_s * account.part
+        return max(0.0, units - account.own) * 1000 / rate if rate else TELL_MS
+
+    def hear(self, now: float, heard: Heard) -> None:
+        """Take in what another gateway has told; bytes that cannot be read change nothing."""
+        news = messages.decode(heard.data)
+        if news is None or heard.sender == self.settings.number or not 0 <= heard.sender < self.settings.gateways:
+            return
+        self.heard_ms[heard.sender] = now
+        for use in news.uses:
+            known = self.news.setdefault(use.tag, {})
+            before = known.get(heard.sender)
+            account = self.by_tag.get(use.tag)
+            if before and before.boot == news.boot:
+                if use.spent < before.spent:
+                    continue  # late or repeated
+                spent = use.spent - before.spent
+            else:  # its first word: no more than a store can have gone since
+                spent = use.spent
+            known[heard.sender] = Peer(news.boot, use.spent, use.asked_per_s, use.out)
+            if account:
+                self.refresh(now, account)
+                account.store = max(-account.plan.burst, account.store - min(spent, account.plan.burst))
+
+    def tell(self, now: float, boot_ms: float) -> list[Tell]:
+        """What the others should know by now, to each gateway that shares the customer."""
+        uses: dict[int, list[tuple[float, Account]]] = {n: [] for n in range(self.settings.gateways)}
+        for account in self.accounts.values():
+            scale = max(1.0, account.plan.burst * WORTH_TELLING)
+            for member in account.members:
+                if member != self.settings.number:
+                    fresh = account.spent - account.told.get(member, 0.0)
+                    weight = (fresh + (account.out if account.plan.max_out else 0)) / scale
+                    if weight >= 1.0 or len(account.waiting) > 0:
+                        uses[member].append((weight, account))
+        actions = []
+        for member, rows in uses.items():
+            if member == self.settings.number:
+                continue
+            rows.sort(key=lambda row: (-row[0], row[1].tag))
+            told = []
+            for _, account in rows[:messages.MAX_ENTRIES]:
+                self.refresh(now, account)
+                account.told[member] = account.spent
+                told.append(messages.Use(account.tag, account.spent, account.asked_per_s(), account.out))
+            actions.append(Tell(member, messages.encode(self.boot, (now - boot_ms) / 1000, told)))
+        return actions
+
+
+@dataclass(slots=True)
+class Backend:
+    """What is known of one server."""
+
+    entry: Server
+    out: int = 0
+    slow: float = 1.0  # answer times against those of the fleet
+    fail: float = 0.0  # fading share of failures
+    fail_ms: float = 0.0
+    answer_ms: float = 0.0  # when it last answered anything
+    sent: deque[float] = field(default_factory=deque)  # times of sends in the last fall window
+    pending: dict[tuple[int, int], float] = field(default_factory=dict)  # attempts out: when sent
+    others: float = 0.0  # load of others, by its last report
+    report_ms: float = -math.inf
+
+
+class Servers:
+    """Which server gets an attempt: the least expected time, by load, speed, failures and zone."""
+
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
+        self.settings, self.rng = settings, rng
+        self.known: dict[str, Backend] = {}
+        self.usual_latency = 0.0  # mean reported service time of the fleet
+
+    def update(self, fleet: Fleet) -> None:
+        if fleet.failed:
+            return
+        if fleet.complete:
+            listed = {server.id for server in fleet.servers}
+            for name, backend in self.known.items():
+                if name not in listed:
+                    old = backend.entry
+                    backend.entry = Server(old.id, old.zone, old.cell, State.GONE, old.weight, old.started_ms)
+        for server in fleet.servers:
+            old = self.known.get(server.id)
+            if old is None or old.entry.started_ms != server.started_ms:
+                fresh = Backend(server)
+                if old is not None:  # restarted: its past says nothing, its attempts still end one by one
+                    fresh.out, fresh.pending, fresh.sent = old.out, old.pending, old.sent
+                self.known[server.id] = fresh
+            else:
+                old.entry = server
+
+    def ready(self) -> int:
+        return sum(backend.entry.state is State.READY for backend in self.known.values())
+
+    def warmth(self, now: float, backend: Backend) -> float:
+        """The share of its capacity that a server surely has by now."""
+        age, warm_up = now - backend.entry.started_ms, self.settings.warm_up_ms
+        if not backend.entry.started_ms or age >= warm_up:
+            return 1.0
+        return self.settings.cold_from + (1 - self.settings.cold_from) * max(0.0, age) / warm_up
+
+    def cold_room(self, now: float, backend: Backend, warm_sent: float) -> bool:
+        """May a cold server be sent one more? It falls over for good when all gateways overdo it.
+
+        Each gateway sends it at most the part of a warm server's sends that its own warmth allows, so the sum
+        of all stays under what it can do however many gateways there are, retries and second copies too.
+        """
+        share = self.warmth(now, backend)
+        if share >= 1.0:
+            return True
+        self.trim(now, backend)
+        most = COLD_SAFETY * share * warm_sent
+        return len(backend.sent) + 1 <= max(1.0, most) and backend.out <= share * 3
+
+    def trim(self, now: float, backend: Backend) -> None:
+        while backend.sent and backend.sent[0] <= now - self.settings.fall_window_ms:
+            backend.sent.popleft()
+
+    def failing(self, now: float, backend: Backend, usual: float) -> float:
+        """The fading share of failures; a server that answers nothing for long counts as failing."""
+        fail = backend.fail * math.exp(-(now - backend.fail_ms) / FAIL_MEMORY_MS)
+        if backend.pending:
+            silent = now - max(backend.answer_ms, next(iter(backend.pending.values())))
+            if silent > max(SILENT_LEAST_MS, SILENT_TIMES * usual * backend.slow):
+                fail = 1.0
+        return fail
+
+    def choose(self, now: float, usual: float, allowed: list[Backend], fragile: bool) -> Backend | None:
+        warm = [backend for backend in self.known.values()
+                if backend.entry.state is State.READY and self.warmth(now, backend) >= 1.0]
+        for backend in warm:
+            self.trim(now, backend)
+        warm_sent = sum(len(backend.sent) for backend in warm) / len(warm) if warm else 0.0
+        best, best_cost = None, math.inf
+        for backend in allowed:
+            if not self.cold_room(now, backend, warm_sent):
+                continue
+            others = backend.others * math.exp(-(now - backend.report_ms) / REPORT_MEMORY_MS)
+            cost = (1 + backend.out + others) * backend.slow / max(0.01, backend.entry.weight)
+            cost *= 1 + FAIL_WEIGHT * (2 if fragile else 1) * self.failing(now, backend, usual)
+            cost *= 1.0 if backend.entry.zone == self.settings.zone else ZONE_COST
+            cost *= self.rng.uniform(1.0, 1.1) / self.warmth(now, backend)
+            if cost < best_cost:
+                best, best_cost = backend, cost
+        return best
+
+    def report(self, now: float, backend: Backend, load: tuple[float, ...]) -> None:
+        values = dict(zip(self.settings.report_fields, load, strict=False))
+        if "inflight" in values:
+            backend.others = max(0.0, values["inflight"] - backend.out)
+        elif "util" in values:
+            backend.others = UTIL_LOAD * max(0.0, min(1.0, values["util"]))
+        backend.report_ms = now
+        latency = values.get("latency_ms", 0.0)
+        if latency > 0:
+            self.usual_latency += (latency - self.usual_latency) * (USUAL_GAIN if self.usual_latency else 1.0)
+            self.learn_speed(backend, latency / self.usual_latency)
+
+    def learn_speed(self, backend: Backend, ratio: float) -> None:
+        """Against the fleet's mean, so that a slowdown of every server makes no single one look bad."""
+        backend.slow += (max(0.1, min(SLOW_MOST, ratio)) - backend.slow) * SLOW_GAIN
+
+    def ended(self, now: float, backend: Backend, result: Result) -> None:
+        if result in (Result.CANCELLED, Result.MOOT):
+            return
+        bad = result not in (Result.OK, Result.FULL)
+        faded = backend.fail * math.exp(-(now - backend.fail_ms) / FAIL_MEMORY_MS)
+        backend.fail, backend.fail_ms = faded + ((1.0 if bad else 0.0) - faded) * FAIL_GAIN, now
+        if result is not Result.TIMEOUT:
+            backend.answer_ms = now
+
+
+@dataclass(slots=True)
+class Request:
+    """One request, from arrival to its final answer."""
+
+    arrival: Arrival
+    kind: RequestClass
+    plan: Plan
+    account: Account
+    came_ms: float
+    aim_ms: float  # clock time
+    rank: float
+    attempts: int = 0
+    out: dict[int, str] = field(default_factory=dict)  # attempts out: the server
+    tried: list[str] = field(default_factory=list)
+    uncertain: int = 0  # attempts out or not proved never to have run
+    anchor: Backend | None = None  # server of the first of these, and when it was sent
+    anchor_ms: float = 0.0
+    inside: bool = True  # inside the quota
+    held: bool = False
+    streaming: bool = False
+
+
+class Controller:
+    """One gateway's decisions. The same events give the same actions."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings, self.rng = settings, random.Random(seed)
+        self.classes = {kind.name: kind for kind in settings.classes}
+        self.plans = {plan.name: plan for plan in settings.plans}
+        self.window = Window()
+        self.quota = Quota(settings, self.rng.randrange(1 << 16))
+        self.servers = Servers(settings, self.rng)
+        parts = 1 / len(settings.classes)
+        self.shares = {kind.name: FuzzyShare(kind.aim_ms * (1 - IN_SERVER_PART), parts)
+                       for kind in settings.classes}
+        self.waits: dict[str, list[float]] = {kind.name: [] for kind in settings.classes}
+        self.class_out = {kind.name: 0 for kind in settings.classes}
+        self.usual = {kind.name: min(USUAL_START_MS, kind.aim_ms / 4) for kind in settings.classes}
+        self.requests: dict[int, Request] = {}
+        self.attempts: dict[tuple[int, int], tuple[Backend, str, float, Account]] = {}
+        self.held: list[Request] = []
+        self.agenda: list[tuple[float, int, str, int]] = []
+        self.serial = 0
+        self.budget = RETRY_MOST / 2
+        self.boot_ms: float | None = None
+        self.now = 0.0
+        self.actions: list[Action] = []
+
+    # ---- the round ----
+
+    def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
+        """Take in what happened at this time and return what to do."""
+        self.now, self.actions = now_ms, []
+        if self.boot_ms is None:
+            self.boot_ms = now_ms
+            self.plan_at(now_ms + PERIOD_MS, "period")
+            if self.settings.may_tell and self.settings.gateways > 1:
+                self.plan_at(now_ms + self.rng.uniform(0, TELL_MS), "tell")
+            if self.settings.must_subscribe:
+                self.actions.append(Subscribe())
+            if self.settings.report_how == "probe" and self.settings.may_probe:
+                self.plan_at(now_ms + REPORT_MEMORY_MS, "probe")
+        for event in events:
+            match event:
+                case Outcome():
+                    self.on_outcome(event)
+                case Arrival():
+                    self.on_arrival(event)
+                case Started():
+                    self.on_started(event)
+                case ClientGone():
+                    if event.id in self.requests:
+                        self.close(self.requests[event.id])
+                case Heard():
+                    self.quota.hear(now_ms, event)
+                case Fleet():
+                    self.servers.update(event)
+                    if event.failed and self.settings.must_subscribe:
+                        self.plan_at(now_ms + self.settings.ask_within_ms / 4, "subscribe")
+                case Probed():
+                    backend = self.servers.known.get(event.server)
+                    if backend:
+                        self.servers.ended(now_ms, backend, event.result)
+                        self.servers.report(now_ms, backend, event.load)
+                case Woken():
+                    pass  # the agenda tells what is due
+        while self.agenda and self.agenda[0][0] <= now_ms:
+            _, _, what, number = heapq.heappop(self.agenda)
+            self.due(what, self.requests.get(number))
+        self.release()
+        return self.actions
+
+    def plan_at(self, at_ms: float, what: str, number: int = -1) -> None:
+        """Put a thing on the agenda; one wake-up each, since they cannot be withdrawn."""
+        self.serial += 1
+        heapq.heappush(self.agenda, (at_ms, self.serial, what, number))
+        self.actions.append(Wake(max(0.0, at_ms - self.now), "agenda"))
+
+    def due(self, what: str, request: Request | None) -> None:
+        if what == "period":
+            self.plan_at(self.now + PERIOD_MS, "period")
+            self.step_shares()
+            self.window.step()
+        elif what == "tell":
+            self.plan_at(self.now + TELL_MS, "tell")
+            self.actions.extend(self.quota.tell(self.now, self.boot_ms or 0.0))
+        elif what == "subscribe":
+            self.actions.append(Subscribe())
+        elif what == "probe":
+            self.plan_at(self.now + REPORT_MEMORY_MS, "probe")
+            self.actions.extend(Probe(name) for name, backend in self.servers.known.items()
+                                if backend.entry.state is State.READY)
+        elif request is None or request.streaming:
+            return
+        elif what == "hopeless":
+            if request.attempts == 0:  # it can no longer be answered in time: say so while a retry may help
+                self.refuse_or_fail(request)
+        elif what == "hedge":
+            self.hedge(request)
+        elif what == "due":  # the guard of rule 1: whatever happened, an answer before the client's time is up
+            self.refuse_or_fail(request)
+
+    def step_shares(self) -> None:
+        """One period of the fuzzy controllers."""
+        for name, share in self.shares.items():
+            waits = self.waits[name]
+            if len(waits) < FEW_SAMPLES:
+                waits = waits + [self.now - held.came_ms for held in self.held if held.kind.name == name]
+            share.step(sum(waits) / len(waits) if waits else 0.0)
+            self.waits[name] = []
+
+    # ---- arrivals and release ----
+
+    def on_arrival(self, arrival: Arrival) -> None:
+        kind, plan = self.classes.get(arrival.class_name), self.plans.get(arrival.plan_name)
+        if kind is None or plan is None or arrival.due_ms <= self.now:
+            self.actions.append(Refuse(arrival.id))
+            return
+        if arrival.id in self.requests:
+            return
+        account = self.quota.account(self.now, arrival, plan)
+        account.asked += arrival.units
+        # An answer just after the aim is worth little or nothing, so waiting must leave time for the answer.
+        request = Request(arrival, kind, plan, account, self.now, self.now + kind.aim_ms, kind.worth * plan.value)
+        self.requests[arrival.id] = request
+        self.plan_at(arrival.due_ms - 2 * self.settings.tick_ms, "due", arrival.id)
+        last = arrival.due_ms if kind.late_worth > 0 else min(arrival.due_ms, request.aim_ms)
+        self.plan_at(last - self.usual[kind.name], "hopeless", arrival.id)
+        account.waiting.append(request)
+        if len(account.waiting) > 1 or not self.admit(account):
+            self.prune(account)
+
+    def admit(self, account: Account) -> bool:
+        """Let in what the quota holds units for, the worthiest first."""
+        self.quota.refresh(self.now, account)
+        while account.waiting:
+            request = max(account.waiting, key=lambda waiter: (waiter.rank, -waiter.came_ms))
+            units = request.arrival.units
+            if not self.quota.below_ceiling(account, units):
+                return False
+            request.inside = self.quota.within(self.now, account, units)
+            pays = request.plan.over_worth > request.plan.over_cost
+            if not request.inside and not pays:
+                return False
+            account.waiting.remove(request)
+            # Drawn now and not at the send: what is held may all go out at once.
+            self.quota.spend(account, units, request.inside)
+            account.out += 1 if request.plan.max_out else 0
+            if not request.inside:
+                request.rank *= request.plan.over_worth
+            request.held = True
+            self.held.append(request)
+        return True
+
+    def prune(self, account: Account) -> None:
+        """Refuse the least worthy of those that the bucket cannot serve within their aims."""
+        rate = account.plan.rate_per_s * account.part
+        while account.waiting and rate:
+            patience = max(waiter.aim_ms - self.usual[waiter.kind.name] - self.now for waiter in account.waiting)
+            if sum(waiter.arrival.units for waiter in account.waiting) <= account.own + rate * patience / 1000:
+                return
+            worst = min(account.waiting, key=lambda waiter: (waiter.rank, -waiter.came_ms))
+            self.refuse_or_fail(worst)
+
+    def release(self) -> None:
+        """Send on what is held: all of it below the cap; at the cap by shares, then by worth alone."""
+        for account in self.quota.accounts.values():
+            if account.waiting:
+                self.admit(account)
+        if not self.held:
+            return
+        cap = self.window.cap(self.servers.ready())
+        self.held.sort(key=lambda request: (not request.inside, -request.rank, request.came_ms))
+        if len(self.held) <= cap - self.window.out:
+            order = self.held
+        else:
+            total = max(1.0, sum(share.share for share in self.shares.values()))
+            left = {name: share.share / total * cap - self.class_out[name] for name, share in self.shares.items()}
+            first, rest = [], []
+            for request in self.held:
+                left[request.kind.name] -= 1
+                (first if left[request.kind.name] >= 0 and request.inside else rest).append(request)
+            order = first + rest
+        kept = []
+        for request in order:
+            room = cap if request.inside else cap * OVER_ROOM
+            if self.window.out >= room or not self.send(request):
+                kept.append(request)
+        self.held = kept
+
+    # ---- attempts ----
+
+    def send(self, request: Request) -> bool:
+        """One more attempt, where a server may take it."""
+        if request.attempts >= self.settings.max_attempts:
+            return False
+        backend = self.servers.choose(self.now, self.usual[request.kind.name], self.allowed(request),
+                                      request.kind.repeat is Repeat.UNSAFE)
+        if backend is None:
+            return False
+        number, name = request.arrival.id, backend.entry.id
+        if request.attempts == 0:
+            self.waits[request.kind.name].append(self.now - request.came_ms)
+            self.budget = min(RETRY_MOST, self.budget + RETRY_PART)
+            request.held = False
+        elif request.plan.max_out:
+            request.account.out += 1
+        self.actions.append(Send(number, name, max(1.0, request.arrival.due_ms - self.now)))
+        self.attempts[number, request.attempts] = (backend, request.kind.name, self.now, request.account)
+        request.out[request.attempts] = name
+        backend.pending[number, request.attempts] = self.now
+        request.tried.append(name)
+        request.attempts += 1
+        if not request.uncertain:
+            request.anchor, request.anchor_ms = backend, self.now
+        request.uncertain += 1
+        backend.out += 1
+        backend.sent.append(self.now)
+        self.window.out += 1
+        self.class_out[request.kind.name] += 1
+        if request.kind.repeat is not Repeat.UNSAFE and self.settings.second_copies:
+            self.plan_at(self.now + max(HEDGE_LEAST_MS, HEDGE_TIMES * self.usual[request.kind.name]), "hedge", number)
+        return True
+
+    def allowed(self, request: Request) -> list[Backend]:
+        """Servers that may be sent this request now: rule 2 (its group and window) and rule 3 (no drains)."""
+        ready = [backend for backend in self.servers.known.values() if backend.entry.state is State.READY]
+        anchor = request.anchor if request.uncertain else None
+        if anchor is not None and request.kind.repeat is Repeat.UNSAFE:
+            return []
+        if anchor is not None and request.kind.repeat is Repeat.KEYED:
+            if self.now - request.anchor_ms >= request.kind.window_ms - self.settings.tick_ms:
+                return []
+            if request.kind.scope is Scope.ZONE:
+                ready = [backend for backend in ready if backend.entry.zone == anchor.entry.zone]
+            elif request.kind.scope is Scope.CELL:
+                ready = [backend for backend in ready if backend.entry.cell == anchor.entry.cell]
+        fresh = [backend for backend in ready if backend.entry.id not in request.tried]
+        return fresh or ready
+
+    def again(self, request: Request) -> bool:
+        """A further attempt, where it can still be in time and the budget allows it."""
+        if self.now + self.usual[request.kind.name] > min(request.aim_ms, request.arrival.due_ms):
+            return False
+        if self.budget < 1 or not self.send(request):
+            return False
+        self.budget -= 1
+        return True
+
+    def hedge(self, request: Request) -> None:
+        """A second copy for an attempt that takes too long, whatever the reason, while there is room."""
+        room = self.window.out < HEDGE_ROOM * self.window.cap(self.servers.ready())
+        if len(request.out) == 1 and room and request.inside:
+            self.again(request)
+
+    def on_started(self, event: Started) -> None:
+        request = self.requests.get(event.id)
+        if request:
+            request.streaming = True
+            self.cancel_others(request, event.attempt)
+
+    def on_outcome(self, event: Outcome) -> None:
+        entry = self.attempts.pop((event.id, event.attempt), None)
+        request = self.requests.get(event.id)
+        if entry is None:
+            return
+        backend, class_name, sent_ms, account = entry
+        backend.out -= 1
+        backend.pending.pop((event.id, event.attempt), None)
+        self.window.out -= 1
+        self.class_out[class_name] -= 1
+        if account.plan.max_out:
+            account.out -= 1
+        self.servers.ended(self.now, backend, event.result)
+        if event.load:
+            self.servers.report(self.now, backend, event.load)
+        usual = self.usual[class_name]
+        if event.result is Result.OK:
+            self.window.answered(self.classes[class_name].aim_ms)
+            self.servers.learn_speed(backend, event.took_ms / usual)
+            self.usual[class_name] = usual + (event.took_ms - usual) * USUAL_GAIN
+        elif event.result is Result.FULL:
+            self.window.full_seen = True
+        if request is None:
+            return
+        request.out.pop(event.attempt, None)
+        if event.result is Result.OK and event.true_units and request.inside:
+            self.quota.settle(account, event.true_units - request.arrival.units)
+        if event.result.never_ran:
+            request.uncertain -= 1
+        if event.final:
+            self.close(request)
+        elif not request.out and not self.again(request):
+            self.refuse_or_fail(request)
+
+    # ---- endings ----
+
+    def refuse_or_fail(self, request: Request) -> None:
+        """The final answer. A refusal says that a retry is harmless, so only where that is certain."""
+        harmless = (request.kind.repeat is Repeat.SAFE
+                    or request.kind.repeat is Repeat.KEYED and request.kind.scope is Scope.ALL)
+        if harmless or not request.uncertain:
+            advice = self.quota.wait_ms(request.account, request.arrival.units) if request.attempts == 0 else 0.0
+            self.actions.append(Refuse(request.arrival.id, min(advice, self.settings.max_retry_after_ms)))
+        else:
+            self.actions.append(Fail(request.arrival.id))
+        self.close(request)
+
+    def close(self, request: Request) -> None:
+        """The request has ended: nothing more goes out for it, and copies still out are called off."""
+        self.requests.pop(request.arrival.id, None)
+        if request in request.account.waiting:
+            request.account.waiting.remove(request)
+        if request.held:
+            self.held.remove(request)
+            if request.plan.max_out:
+                request.account.out -= 1
+        self.cancel_others(request, -1)
+
+    def cancel_others(self, request: Request, keep: int) -> None:
+        if self.settings.may_cancel:
+            self.actions.extend(Cancel(request.arrival.id, n) for n in request.out if n != keep)
--- /dev/null
+++ b/anisefront/simhost.py
@@ -0,0 +1,382 @@
+"""The simulator's wire: reads batches, hosts one Controller an instance, writes the replies.
+
+Nothing here decides anything. What cannot be read ends the process with one plain message.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import sys
+from collections.abc import Callable, Iterator
+from typing import Any, TextIO
+
+from anisefront import interface as face
+from anisefront.control import Controller
+
+_REPEATS = {"retryable": face.Repeat.SAFE, "dedup": face.Repeat.KEYED, "fragile": face.Repeat.UNSAFE}
+_STATES = {"Running": face.State.READY, "Stopping": face.State.DRAINING, "Deleted": face.State.GONE}
+_REPEATED_BIT = 2
+
+
+class WireError(Exception):
+    """A line that cannot be read: names the message and the field."""
+
+
+class ModuleFault(Exception):
+    """The module raised: the instance and what was said."""
+
+
+# ---- values -------------------------------------------------------------------------------------
+
+
+def _number(text: str) -> float:
+    if text == "-":
+        return 0.0
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(text)
+    return value
+
+
+def _whole(text: str) -> int:
+    return 0 if text == "-" else int(text)
+
+
+def _natural(text: str) -> int:
+    value = int(text)
+    if value < 0:
+        raise ValueError(text)
+    return value
+
+
+def _word(text: str) -> str:
+    if not text or text == "-":
+        raise ValueError(text)
+    return text
+
+
+def _text(text: str) -> str:
+    return text
+
+
+def _flag(text: str) -> bool:
+    if text not in ("0", "1", "-"):
+        raise ValueError(text)
+    return text == "1"
+
+
+def _bytes(text: str) -> bytes:
+    return b"" if text == "-" else bytes.fromhex(text)
+
+
+def _row(text: str) -> tuple[float, ...]:
+    return () if text in ("-", "") else tuple(_number(part) for part in text.split(","))
+
+
+def _result(text: str) -> face.Result:
+    return face.Result(text)
+
+
+def _mode(text: str) -> str:
+    if text not in ("delta", "full", "cached", "failed"):
+        raise ValueError(text)
+    return text
+
+
+def _state(text: str) -> face.State:
+    return _STATES[text]
+
+
+Reader = Callable[[str], Any]
+# The fields of each message, in the order of the wire.
+_FIELDS: dict[str, tuple[tuple[str, Reader], ...]] = {
+    "SYNC": (("clock", _number),),
+    "YOUR_TURN": (),
+    "SWITCH_TO": (("gatekeeper", _natural),),
+    "CONFIGURE": (("salt", _whole), ("info", _text)),
+    "KILL": (),
+    "FLEET": (("mode", _mode), ("rev", _whole), ("rows", _whole)),
+    "WORKER": (("worker", _word), ("zone", _text), ("sku", _text), ("pod", _whole), ("health", _state),
+               ("share", _number), ("onlineSinceMs", _number)),
+    "REQUEST": (("requestId", _natural), ("setFrom", _number), ("doors", _number), ("sizeUnits", _number),
+                ("dueMs", _number), ("stateBits", _whole), ("member", _word), ("category", _word),
+                ("gradeOfService", _word)),
+    "ACK_FIRST": (("requestId", _natural), ("worker", _word), ("rttMs", _number), ("roundNo", _natural)),
+    "VERDICT": (("requestId", _natural), ("roundNo", _natural), ("actual", _number), ("worker", _word),
+                ("rttMs", _number), ("result", _result), ("final", _flag), ("quotaUse", _whole),
+                ("load", _row)),
+    "CLIENT_GONE": (("requestId", _natural),),
+    "FIRED": (("name", _word),),
+    "PONG": (("worker", _word), ("rttMs", _number), ("result", _result), ("load", _row)),
+    "FROM_PEER": (("originPeer", _natural), ("data", _bytes)),
+    "LEDGER_REPLY": (("nowAt", _number), ("result", _result), ("rttMs", _number), ("counter", _word)),
+}
+_LAST_IS_TEXT = {"CONFIGURE"}
+
+
+def _values(name: str, parts: list[str]) -> list[Any]:
+    """The values of one message."""
+    fields = _FIELDS[name]
+    if name in _LAST_IS_TEXT and len(parts) > len(fields):
+        parts = [*parts[:len(fields) - 1], "\t".join(parts[len(fields) - 1:])]
+    if len(parts) != len(fields):
+        raise WireError(f"{name}: {len(parts)} fields where {len(fields)} are due")
+    values = []
+    for (field, read), part in zip(fields, parts, strict=True):
+        try:
+            values.append(read(part))
+        except (ValueError, KeyError) as problem:
+            raise WireError(f"{name}: field {field}: cannot read {part[:80]!r}") from problem
+    return values
+
+
+# ---- settings -----------------------------------------------------------------------------------
+
+
+class _Table:
+    """A JSON object of the settings, which names the key that is missing or wrong."""
+
+    def __init__(self, value: Any, path: str) -> None:
+        if not isinstance(value, dict):
+            raise WireError(f"CONFIGURE: field {path}: an object is due")
+        self.value, self.path = value, path
+
+    def _get(self, key: str, kinds: tuple[type, ...], fallback: Any) -> Any:
+        value = self.value.get(key, fallback)
+        if value is None:
+            raise WireError(f"CONFIGURE: field {self.path}.{key} is missing")
+        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
+            raise WireError(f"CONFIGURE: field {self.path}.{key}: cannot read {value!r}")
+        return value
+
+    def number(self, key: str, fallback: float | None = None) -> float:
+        value = float(self._get(key, (int, float), fallback))
+        if not math.isfinite(value):
+            raise WireError(f"CONFIGURE: field {self.path}.{key}: cannot read {value!r}")
+        return value
+
+    def text(self, key: str, fallback: str | None = None) -> str:
+        return self._get(key, (str,), fallback)
+
+    def flag(self, key: str, fallback: bool | None = None) -> bool:
+        return bool(self._get(key, (bool, int), fallback))
+
+    def table(self, key: str, fallback: dict[str, Any] | None = None) -> _Table:
+        return _Table(self._get(key, (dict,), fallback), f"{self.path}.{key}")
+
+    def rows(self, key: str) -> list[_Table]:
+        rows = self._get(key, (list,), None)
+        return [_Table(row, f"{self.path}.{key}[{n}]") for n, row in enumerate(rows)]
+
+    def words(self, key: str) -> tuple[str, ...]:
+        return tuple(str(word) for word in self._get(key, (list,), []))
+
+
+def _request_class(row: _Table) -> face.RequestClass:
+    repeat = row.text("repeat")
+    if repeat not in _REPEATS:
+        raise ValueError(f"{row.path}.repeat: {repeat!r} is no kind of repeat")
+    scope = row.text("keyScope", "all")
+    if scope not in ("all", "zone", "cell"):
+        raise ValueError(f"{row.path}.keyScope: {scope!r} is no group")
+    return face.RequestClass(
+        name=row.text("name"), aim_ms=row.number("aimMs"), deadline_ms=row.number("deadlineMs"),
+        worth=row.number("worth", 1.0), repeat=_REPEATS[repeat], late_worth=row.number("lateWorth", 0.0),
+        scope=face.Scope(scope), window_ms=row.number("dedupWindowMs", 0.0),
+        streamed=row.flag("streamed", False), aim_stretch=row.number("aimStretch", 0.0))
+
+
+def _plan(row: _Table) -> face.Plan:
+    return face.Plan(
+        name=row.text("name"), rate_per_s=row.number("perSecond", 0.0), burst=row.number("storeSize", 0.0),
+        max_out=int(row.number("concurrency", 0.0)), value=row.number("valueFactor", 1.0),
+        over_worth=row.number("overWorth", 0.0), over_cost=row.number("overrunCost", 0.0),
+        ceiling_per_s=row.number("hardRate", 0.0), ceiling_burst=row.number("hardBurst", 0.0),
+        ceiling_slack=row.number("capSlack", 0.0))
+
+
+def settings_from(info: str) -> face.Settings:
+    """The settings in the text of a CONFIGURE message; keys that are not known are skipped."""
+    try:
+        top = _Table(json.loads(info), "info")
+    except ValueError as problem:
+        raise WireError("CONFIGURE: field info: no JSON") from problem
+    rules, limits = top.table("rules"), top.table("limits")
+    domain, report = top.table("domain", {}), top.table("report", {})
+    prices = top.table("penalties", {})
+    return face.Settings(
+        gateways=int(top.number("balancers")), number=int(top.number("myNumber")), zone=top.text("locality", ""),
+        classes=tuple(_request_class(row) for row in top.rows("classes")),
+        plans=tuple(_plan(row) for row in top.rows("packages")),
+        warm_up_ms=rules.number("warmUpMs"), cold_from=rules.number("coldFrom"),
+        fall_multiple=rules.number("fallMultiple"), fall_window_ms=rules.number("tipAfterMs"),
+        ask_within_ms=rules.number("askWithinMs", 10_000.0),
+        max_attempts=int(limits.number("maxAttempts")), tick_ms=top.number("tickMs", 1.0),
+        max_units=domain.number("maxUnits", 1.0), may_cancel=limits.flag("cancel", False),
+        may_tell=limits.flag("mayTell", False), may_probe=limits.flag("probing", False),
+        second_copies=limits.flag("secondCopies", False),
+        must_subscribe=top.text("discovery", "automatic") == "subscribe", settles=domain.flag("postPaid", False),
+        max_retry_after_ms=limits.number("maxRetryAfterMs", 0.0) if limits.flag("retryAfter", False) else 0.0,
+        inbox_per_s=domain.number("inboxPerS", 0.0), report_how=report.text("how", "none"),
+        report_fields=report.words("fields"), cross_zone_price=prices.number("crossZone", 0.0),
+        peer_price=prices.number("peer", 0.0))
+
+
+# ---- batches ------------------------------------------------------------------------------------
+
+
+def _event(name: str, values: list[Any]) -> face.Event:
+    """The module's event for one message of an instance."""
+    if name == "REQUEST":
+        number, first, spread, units, due, bits, customer, category, plan = values
+        return face.Arrival(number, customer, category, plan, due, units, int(first), int(spread),
+                            bool(bits & _REPEATED_BIT))
+    if name == "VERDICT":
+        number, attempt, actual, worker, took, result, final, used, load = values
+        return face.Outcome(number, attempt, worker, took, result, final, actual, used, load)
+    if name == "ACK_FIRST":
+        number, worker, _took, attempt = values
+        return face.Started(number, attempt, worker)
+    if name == "CLIENT_GONE":
+        return face.ClientGone(values[0])
+    if name == "FIRED":
+        return face.Woken(values[0])
+    if name == "FROM_PEER":
+        return face.Heard(values[0], values[1])
+    if name == "PONG":
+        return face.Probed(*values)
+    return face.Counted(values[3])
+
+
+def _reply(action: face.Action) -> str:
+    """The wire's line for one action."""
+    match action:
+        case face.Send(number, server, allow):
+            return f"HAND_OFF\t{number}\t{server}\t{allow:.3f}"
+        case face.Refuse(number, retry):
+            return f"DENY\t{number}\t{retry:.3f}"
+        case face.Fail(number):
+            return f"FINISH_ERROR\t{number}"
+        case face.Cancel(number, attempt):
+            return f"DROP_ATTEMPT\t{number}\t{attempt}"
+        case face.Wake(after, name):
+            return f"SET_ALARM\t{after:.3f}\t{name}"
+        case face.Tell(receiver, data):
+            return f"NOTIFY\t{receiver}\t{data.hex() or '-'}"
+        case face.Probe(server):
+            return f"INSPECT\t{server}"
+        case face.Subscribe():
+            return "TRACK\t1"
+
+
+class Host:
+    """Many instances that share nothing but this process."""
+
+    def __init__(self, source: Iterator[str], sink: TextIO, complaints: TextIO) -> None:
+        self._source, self._sink, self._complaints = source, sink, complaints
+        self._instances: dict[int, Controller] = {}
+        self._reported: set[str] = set()
+
+    def run(self) -> None:
+        """Serve batches until the input ends."""
+        for line in self._source:
+            name, *parts = line.rstrip("\n").split("\t")
+            if name != "SYNC":
+                if name:
+                    self._skip(name)
+                continue
+            if not self._batch(_values("SYNC", parts)[0]):
+                return
+
+    def _skip(self, name: str) -> None:
+        if name in _FIELDS:
+            raise WireError(f"{name}: out of place")
+        if name not in self._reported:
+            self._reported.add(name)
+            print(f"simhost: message {name[:80]!r} is not known and is skipped", file=self._complaints)
+
+    def _batch(self, now: float) -> bool:
+        """Read one batch to its end and answer it; False when the input ends inside it."""
+        events: dict[int, list[face.Event]] = {}
+        replies: list[str] = []
+        current: int | None = None
+        for line in self._source:
+            name, *parts = line.rstrip("\n").split("\t")
+            if name == "YOUR_TURN":
+                for number in events:
+                    self._turn(number, now, events[number], replies)
+                self._sink.write("".join(reply + "\n" for reply in replies) + "FINISHED\n")
+                self._sink.flush()
+                return True
+            if name not in _FIELDS or name in ("SYNC", "WORKER"):
+                self._skip(name)
+                continue
+            values = _values(name, parts)
+            if name == "SWITCH_TO":
+                current = values[0]
+                continue
+            if current is None:
+                raise WireError(f"{name}: no SWITCH_TO before it")
+            if name == "KILL":
+                self._instances.pop(current, None)
+                events.pop(current, None)
+            elif name == "CONFIGURE":
+                events.pop(current, None)
+                self._start(current, values[0], values[1])
+                events[current] = []
+            elif name == "FLEET":
+                events.setdefault(current, []).append(self._fleet(*values))
+            else:
+                events.setdefault(current, []).append(_event(name, values))
+        return False
+
+    def _fleet(self, mode: str, _rev: int, count: int) -> face.Fleet:
+        servers = []
+        while len(servers) < count:
+            line = next(self._source, None)
+            name, *parts = (line or "").rstrip("\n").split("\t")
+            if name != "WORKER":
+                raise WireError(f"FLEET: field rows: {count} told, {len(servers)} came")
+            worker, zone, _sku, cell, state, weight, started = _values("WORKER", parts)
+            servers.append(face.Server(worker, zone, cell, state, weight, started))
+        return face.Fleet(tuple(servers), complete=mode in ("full", "cached"), failed=mode == "failed")
+
+    def _start(self, number: int, salt: int, info: str) -> None:
+        try:
+            self._instances[number] = Controller(settings_from(info), salt)
+        except ValueError as problem:
+            raise WireError(f"CONFIGURE: field {problem}") from problem
+
+    def _turn(self, number: int, now: float, events: list[face.Event], replies: list[str]) -> None:
+        if number not in self._instances:
+            raise WireError(f"SWITCH_TO: field gatekeeper: {number} was not configured")
+        try:
+            actions = self._instances[number].handle(now, events)
+        except Exception as problem:
+            raise ModuleFault(f"FROM\t{number}\nBUG\tinstance {number}: {type(problem).__name__}: "
+                              f"{' '.join(str(problem).split())}") from problem
+        if actions:
+            replies.append(f"FROM\t{number}")
+            replies.extend(_reply(action) for action in actions)
+
+
+def main() -> int:
+    """Serve standard input; the exit code."""
+    sys.stdin.reconfigure(encoding="utf-8", newline="\n")  # type: ignore[union-attr]
+    sys.stdout.reconfigure(encoding="utf-8", newline="\n")  # type: ignore[union-attr]
+    try:
+        Host(iter(sys.stdin.readline, ""), sys.stdout, sys.stderr).run()
+    except (WireError, UnicodeDecodeError) as problem:
+        print(f"simhost: {problem}", file=sys.stderr)
+        return 2
+    except ModuleFault as fault:
+        import traceback
+        traceback.print_exception(fault.__cause__, file=sys.stderr)
+        print(f"{fault}\nFINISHED", flush=True)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
