--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,310 @@
+"""Seeded random event sequences against the module, with an independent check of the five rules."""
+
+import heapq
+import random
+
+import pytest
+
+from anisefront.control import Controller
+from anisefront.interface import (
+    Arrival,
+    Cancel,
+    Fail,
+    Fleet,
+    Heard,
+    Outcome,
+    Plan,
+    Refuse,
+    Repeat,
+    RequestClass,
+    Result,
+    Scope,
+    Send,
+    Server,
+    Settings,
+    Started,
+    State,
+    Tell,
+    Wake,
+    Woken,
+)
+
+TICK, GRACE, SLACK = 4.0, 250.0, 16.0
+
+
+def settings(number=0, gateways=3, **more):
+    """Settings with every kind of repeat and plan."""
+    values = dict(
+        gateways=gateways, number=number, zone="z0", tick_ms=TICK,
+        classes=(
+            RequestClass("look", 600, 1500, 2, Repeat.SAFE),
+            RequestClass("book", 900, 2500, 4, Repeat.KEYED, scope=Scope.CELL, window_ms=1200),
+            RequestClass("hold", 900, 2500, 4, Repeat.KEYED, scope=Scope.ZONE, window_ms=1200),
+            RequestClass("seat", 900, 2500, 4, Repeat.KEYED, scope=Scope.ALL, window_ms=1200),
+            RequestClass("debit", 900, 2500, 3, Repeat.UNSAFE),
+            RequestClass("feed", 900, 2500, 1, Repeat.SAFE, streamed=True),
+        ),
+        plans=(
+            Plan("rated", 4, 12, 0, 1.0, 0.3, 0.1),
+            Plan("capped", 8, 16, 0, 1.5, 0.0, 1.0, ceiling_per_s=16, ceiling_burst=32, ceiling_slack=4),
+            Plan("open", max_out=4, value=1.2, over_cost=1.0),
+        ),
+        warm_up_ms=8000, cold_from=0.25, fall_multiple=3, fall_window_ms=1500, max_attempts=4, max_units=4,
+        may_tell=True, second_copies=True, settles=True, max_retry_after_ms=1000, inbox_per_s=60,
+        report_how="answers", report_fields=("util", "inflight"))
+    values.update(more)
+    return Settings(**values)
+
+
+class Checker:
+    """Keeps its own books of what was sent and answered; raises at the first broken rule."""
+
+    def __init__(self, config):
+        self.config = config
+        self.kinds = {kind.name: kind for kind in config.classes}
+        self.plans = {plan.name: plan for plan in config.plans}
+        self.open, self.sent, self.proved, self.done = {}, {}, {}, set()
+        self.ceilings = {}
+
+    def arrival(self, gateway, arrival):
+        self.open[arrival.id] = (gateway, arrival)
+        self.sent[arrival.id], self.proved[arrival.id] = [], set()
+
+    def killed(self, gateway):
+        for number in [n for n, (owner, _) in self.open.items() if owner == gateway]:
+            del self.open[number]
+            self.done.add(number)
+
+    def unproved(self, number):
+        return [entry for n, entry in enumerate(self.sent[number]) if n not in self.proved[number]]
+
+    def send(self, now, number, server, drained_ms):
+        assert number in self.open, f"rule 1: {number} sent after its end"
+        _, arrival = self.open[number]
+        kind, plan = self.kinds[arrival.class_name], self.plans[arrival.plan_name]
+        assert drained_ms is None or now <= drained_ms + GRACE, "rule 3: sent to a draining server"
+        loose = self.unproved(number)
+        if kind.repeat is Repeat.UNSAFE:
+            assert not loose, "rule 2: an unsafe request went out twice"
+        if kind.repeat is Repeat.KEYED and loose:
+            first_ms, first = loose[0]
+            assert now - first_ms <= kind.window_ms, "rule 2: past the window"
+            if kind.scope is Scope.CELL:
+                assert first.cell == server.cell, "rule 2: another cell"
+            if kind.scope is Scope.ZONE:
+                assert first.zone == server.zone, "rule 2: another zone"
+        if not self.sent[number] and plan.ceiling_per_s:
+            level, at = self.ceilings.get(arrival.customer, (plan.ceiling_burst, now))
+            level = min(plan.ceiling_burst, level + (now - at) / 1000 * plan.ceiling_per_s) - arrival.units
+            assert level >= -plan.ceiling_slack - 1e-6, f"rule 5: {arrival.customer} at {level}"
+            self.ceilings[arrival.customer] = (level, now)
+        self.sent[number].append((now, server))
+
+    def answer(self, now, number, refused):
+        _, arrival = self.open.pop(number)
+        kind = self.kinds[arrival.class_name]
+        assert now <= arrival.due_ms + SLACK, "rule 1: late"
+        if refused and self.unproved(number):
+            all_of_them = kind.repeat is Repeat.KEYED and kind.scope is Scope.ALL
+            assert kind.repeat is Repeat.SAFE or all_of_them, "rule 2: refused though it may have run"
+        self.done.add(number)
+
+
+class Town:
+    """A few gateways, servers that act at random, and a network that loses, delays and repeats."""
+
+    def __init__(self, seed, gateways=3, kill=0.0005, loss=0.3, rate=120):
+        self.rng = random.Random(seed)
+        self.config = settings(gateways=gateways)
+        self.checker = Checker(self.config)
+        self.loss, self.kill, self.rate = loss, kill, rate
+        self.now, self.serial, self.queue, self.log = 1000.0, 0, [], []
+        self.inbox = {n: [] for n in range(gateways)}
+        self.fleet = [Server(f"s{n}", f"z{n % 2}", n % 4, State.READY) for n in range(8)]
+        self.learned = {n: {} for n in range(gateways)}
+        self.life = {n: 0 for n in range(gateways)}
+        self.gateways, self.tries, self.streams = {}, {}, set()
+        self.cold_sent = {}
+        for n in range(gateways):
+            self.start(n)
+
+    def start(self, n):
+        self.life[n] += 1
+        self.gateways[n] = Controller(settings(number=n, gateways=len(self.life)), self.rng.randrange(1 << 30))
+        self.inbox[n] = [Fleet(tuple(self.fleet))]
+        self.learned[n] = {s.id: self.now for s in self.fleet if s.state is not State.READY}
+
+    def later(self, delay, gateway, event):
+        self.serial += 1
+        heapq.heappush(self.queue, (self.now + delay, self.serial, gateway, self.life[gateway], event))
+
+    def change_fleet(self):
+        n = self.rng.randrange(len(self.fleet))
+        old = self.fleet[n]
+        flip = {State.READY: State.DRAINING, State.DRAINING: State.GONE, State.GONE: State.READY}[old.state]
+        started = self.now if flip is State.READY else old.started_ms
+        self.fleet[n] = Server(old.id, old.zone, old.cell, flip, 1.0, started)
+        for gateway in self.gateways:
+            self.inbox[gateway].append(Fleet((self.fleet[n],), complete=False))
+            if flip is State.READY:
+                self.learned[gateway].pop(old.id, None)
+            else:
+                self.learned[gateway].setdefault(old.id, self.now)
+
+    def arrive(self):
+        gateway = self.rng.randrange(len(self.gateways))
+        self.serial += 1
+        kind = self.rng.choice(self.config.classes)
+        plan = self.rng.choice(self.config.plans)
+        spread = self.rng.choice((2, len(self.gateways)))
+        customer = f"{plan.name}-{self.rng.randrange(4)}-{spread}"
+        first = gateway if spread == len(self.gateways) else 0
+        if spread == 2:
+            gateway = self.rng.randrange(2)
+        due = self.now + kind.deadline_ms * self.rng.uniform(0.05, 1)
+        arrival = Arrival(self.serial, customer, kind.name, plan.name, due, self.rng.choice((1, 1, 2, 4)),
+                          0 if spread == 2 else first * 0, spread)
+        self.checker.arrival(gateway, arrival)
+        self.inbox[gateway].append(arrival)
+
+    def act(self, n, action):
+        if isinstance(action, Send):
+            server = next(s for s in self.fleet if s.id == action.server)
+            self.checker.send(self.now, action.id, server, self.learned[n].get(server.id))
+            attempt = len(self.checker.sent[action.id]) - 1
+            result = self.rng.choices(
+                [Result.OK, Result.ERROR, Result.FULL, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET],
+                [70, 8, 8, 6, 4, 4])[0]
+            took = min(self.rng.expovariate(1 / 150), action.allow_ms)
+            took = action.allow_ms if result is Result.TIMEOUT else took
+            self.tries[action.id, attempt] = (n, server, self.now)
+            if self.checker.kinds[self.checker.open[action.id][1].class_name].streamed and result is Result.OK:
+                self.later(took / 2, n, Started(action.id, attempt, server.id))
+            self.later(took, n, (action.id, attempt, result))
+        elif isinstance(action, (Refuse, Fail)):
+            if action.id in self.checker.open:
+                assert action.id not in self.streams, "rule 1: a started stream was ended"
+                self.checker.answer(self.now, action.id, isinstance(action, Refuse))
+        elif isinstance(action, Cancel):
+            self.later(0.5, n, (action.id, action.attempt, Result.CANCELLED))
+        elif isinstance(action, Wake):
+            self.later(max(action.after_ms, 1e-3), n, Woken(action.name))
+        elif isinstance(action, Tell):
+            assert len(action.data) <= 256
+            copies = 0 if self.rng.random() < self.loss else self.rng.choice((1, 1, 1, 2))
+            for _ in range(copies):
+                data = action.data if self.rng.random() > 0.02 else action.data[:self.rng.randrange(20)]
+                self.later(self.rng.expovariate(1 / 60), action.receiver, Heard(n, data))
+
+    def deliver(self, gateway, event):
+        if not isinstance(event, tuple):
+            if isinstance(event, Started):
+                if event.id not in self.checker.open or (event.id, event.attempt) not in self.tries:
+                    return
+                self.streams.add(event.id)
+            self.inbox[gateway].append(event)
+            return
+        number, attempt, result = event
+        entry = self.tries.pop((number, attempt), None)
+        if entry is None:
+            return
+        _, server, sent_ms = entry
+        if result.never_ran:
+            self.checker.proved[number].add(attempt)
+        if number in self.checker.open and (result is Result.OK or number in self.streams):
+            self.streams.discard(number)
+            due = self.checker.open[number][1].due_ms
+            assert self.now <= due + SLACK or self.checker.kinds[
+                self.checker.open[number][1].class_name].streamed, "rule 1: late"
+            self.checker.open.pop(number)
+            self.checker.done.add(number)
+        final = number not in self.checker.open
+        self.inbox[gateway].append(Outcome(number, attempt, server.id, self.now - sent_ms, result, final,
+                                           self.rng.choice((0, 1, 3)), 0, (0.5, 2.0)))
+
+    def run(self, ms):
+        end = self.now + ms
+        while self.now < end or self.checker.open:
+            self.now += TICK
+            if self.now < end:
+                while self.rng.random() < self.rate * TICK / 1000 / (1 + self.rate * TICK / 1000):
+                    self.arrive()
+                if self.rng.random() < 0.002:
+                    self.change_fleet()
+                if self.rng.random() < self.kill:
+                    self.killed(self.rng.randrange(len(self.gateways)))
+            while self.queue and self.queue[0][0] <= self.now:
+                _, _, gateway, life, event = heapq.heappop(self.queue)
+                if isinstance(event, Heard) or life == self.life[gateway]:
+                    self.deliver(gateway, event)
+            for n, controller in self.gateways.items():
+                events, self.inbox[n] = self.inbox[n], []
+                if events:
+                    actions = controller.handle(self.now, events)
+                    self.log.append((n, self.now, actions))
+                    for action in actions:
+                        self.act(n, action)
+            overdue = [n for n, (_, arrival) in self.checker.open.items()
+                       if arrival.due_ms + SLACK < self.now and n not in self.streams]
+            assert not overdue, f"rule 1: no answer for {overdue[:3]}"
+            assert self.now < end + 60_000
+
+    def killed(self, n):
+        self.checker.killed(n)
+        self.tries = {key: entry for key, entry in self.tries.items() if entry[0] != n}
+        self.start(n)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_rules_hold_over_random_days(seed):
+    town = Town(seed, gateways=2 + seed % 3, loss=(0.1, 0.5, 1.0)[seed % 3])
+    town.run(20_000)
+    assert len(town.checker.done) > 1000
+    assert sum(len(sent) > 1 for sent in town.checker.sent.values()) > 20
+
+
+def test_rules_hold_when_gateways_die_all_the_time():
+    town = Town(99, kill=0.01, rate=300)
+    town.run(15_000)
+    assert max(town.life.values()) > 5
+
+
+def test_same_events_give_same_actions():
+    first, second = Town(7), Town(7)
+    first.run(4000)
+    second.run(4000)
+    assert first.log == second.log
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_cold_server_gets_no_more_than_its_warmth_allows(seed):
+    """Rule 4: a server that starts is sent less than a warm one, by all gateways together, from the start."""
+    rng = random.Random(seed)
+    gateways = {n: Controller(settings(number=n), rng.randrange(1 << 30)) for n in range(3)}
+    now, serial, sends, outs = 50_000.0, 0, [], []
+    fleet = [Server(f"s{n}", "z0", 0, State.READY) for n in range(5)]
+    cold = Server("cold", "z0", 0, State.READY, 1.0, 52_000.0)
+    while now < 56_000:
+        now += TICK
+        for n, controller in gateways.items():
+            events = []
+            if now == 50_004.0:
+                events.append(Fleet(tuple(fleet)))
+            if now == 52_000.0:
+                events.append(Fleet((cold,), complete=False))
+            if rng.random() < 0.12:
+                serial += 1
+                events.append(Arrival(serial, f"c{serial % 400}", "look", "rated", now + 1500, 1, 0, 3))
+            while outs and outs[0][0] <= now and outs[0][1] == n:
+                _, _, number, server = heapq.heappop(outs)
+                events.append(Outcome(number, 0, server, 120.0, Result.OK, True))
+            for action in controller.handle(now, events):
+                if isinstance(action, Send):
+                    sends.append((now, action.server))
+                    heapq.heappush(outs, (now + 120, n, action.id, action.server))
+        outs.sort()
+    for start in range(52_000, 54_500, 100):
+        window = [server for at, server in sends if start <= at < start + 1500]
+        share = 0.25 + 0.75 * (start + 1500 - 52_000) / 8000
+        warm = sum(server != "cold" for server in window) / 5
+        assert window.count("cold") <= share * warm * 1.5 + 3
