--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -15,8 +15,32 @@
 
 from anisefront import messages
 from anisefront.interface import (
-    Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Plan, Probe, Probed, Refuse, Repeat,
-    RequestClass, Result, Scope, Send, Server, Settings, Started, State, Subscribe, Tell, Wake, Woken,
+    Action,
+    Arrival,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    Fleet,
+    Heard,
+    Outcome,
+    Plan,
+    Probe,
+    Probed,
+    Refuse,
+    Repeat,
+    RequestClass,
+    Result,
+    Scope,
+    Send,
+    Server,
+    Settings,
+    Started,
+    State,
+    Subscribe,
+    Tell,
+    Wake,
+    Woken,
 )
 
 # Fuzzy shares (paper, Tables 6 and 7, absolute delay).
@@ -124,7 +148,8 @@
         if not self.answers:
             return max(1, int(START_PER_SERVER * ready * self.cut))
         least = max(1.0, FLOOR_PER_SERVER * ready * self.cut)
-        return int(max(least, min(self.room * self.cut, PEAK_GROWTH * max(self.peak, START_PER_SERVER * ready))))
+        most = PEAK_GROWTH * max(self.peak, START_PER_SERVER * ready)
+        return int(max(least, min(self.room * self.cut, most)))
 
 
 @dataclass(slots=True)
@@ -182,7 +207,8 @@
             # and a restarted gateway can't grant again what it spent before.
             self.accounts[arrival.customer] = self.by_tag[account.tag] = account
             for peer in self.news.get(account.tag, {}).values():
-                account.store -= min(account.store, peer.asked_per_s * plan.burst / max(plan.rate_per_s, 1e-9))
+                used = peer.asked_per_s / max(plan.rate_per_s, 1e-9) * plan.burst
+                account.store -= min(account.store, used)
         self.refresh(now, account)
         return account
 
@@ -256,7 +282,8 @@
     def hear(self, now: float, heard: Heard) -> None:
         """Take in what another gateway has told; bytes that cannot be read change nothing."""
         news = messages.decode(heard.data)
-        if news is None or heard.sender == self.settings.number or not 0 <= heard.sender < self.settings.gateways:
+        others = set(range(self.settings.gateways)) - {self.settings.number}
+        if news is None or heard.sender not in others:
             return
         self.heard_ms[heard.sender] = now
         for use in news.uses:
@@ -542,7 +569,7 @@
                 self.refuse_or_fail(request)
         elif what == "hedge":
             self.hedge(request)
-        elif what == "due":  # the guard of rule 1: whatever happened, an answer before the client's time is up
+        elif what == "due":  # the guard of rule 1: an answer before the client's time is up
             self.refuse_or_fail(request)
 
     def step_shares(self) -> None:
@@ -566,11 +593,12 @@
         account = self.quota.account(self.now, arrival, plan)
         account.asked += arrival.units
         # An answer just after the aim is worth little or nothing, so waiting must leave time for the answer.
-        request = Request(arrival, kind, plan, account, self.now, self.now + kind.aim_ms, kind.worth * plan.value)
+        request = Request(arrival, kind, plan, account, self.now, self.now + kind.aim_ms,
+                          kind.worth * plan.value)
         self.requests[arrival.id] = request
         self.plan_at(arrival.due_ms - 2 * self.settings.tick_ms, "due", arrival.id)
         last = arrival.due_ms if kind.late_worth > 0 else min(arrival.due_ms, request.aim_ms)
-        self.plan_at(last - self.usual[kind.name], "hopeless", arrival.id)
+        self.plan_at(last - self.answer_time(kind), "hopeless", arrival.id)
         account.waiting.append(request)
         if len(account.waiting) > 1 or not self.admit(account):
             self.prune(account)
@@ -601,11 +629,11 @@
         """Refuse the least worthy of those that the bucket cannot serve within their aims."""
         rate = account.plan.rate_per_s * account.part
         while account.waiting and rate:
-            patience = max(waiter.aim_ms - self.usual[waiter.kind.name] - self.now for waiter in account.waiting)
-            if sum(waiter.arrival.units for waiter in account.waiting) <= account.own + rate * patience / 1000:
+            queue = account.waiting
+            patience = max(waiter.aim_ms - self.answer_time(waiter.kind) - self.now for waiter in queue)
+            if sum(waiter.arrival.units for waiter in queue) <= account.own + rate * patience / 1000:
                 return
-            worst = min(account.waiting, key=lambda waiter: (waiter.rank, -waiter.came_ms))
-            self.refuse_or_fail(worst)
+            self.refuse_or_fail(min(queue, key=lambda waiter: (waiter.rank, -waiter.came_ms)))
 
     def release(self) -> None:
         """Send on what is held: all of it below the cap; at the cap by shares, then by worth alone."""
@@ -620,7 +648,8 @@
             order = self.held
         else:
             total = max(1.0, sum(share.share for share in self.shares.values()))
-            left = {name: share.share / total * cap - self.class_out[name] for name, share in self.shares.items()}
+            left = {name: share.share / total * cap - self.class_out[name]
+                    for name, share in self.shares.items()}
             first, rest = [], []
             for request in self.held:
                 left[request.kind.name] -= 1
@@ -664,7 +693,8 @@
         self.window.out += 1
         self.class_out[request.kind.name] += 1
         if request.kind.repeat is not Repeat.UNSAFE and self.settings.second_copies:
-            self.plan_at(self.now + max(HEDGE_LEAST_MS, HEDGE_TIMES * self.usual[request.kind.name]), "hedge", number)
+            patience = max(HEDGE_LEAST_MS, HEDGE_TIMES * self.usual[request.kind.name])
+            self.plan_at(self.now + patience, "hedge", number)
         return True
 
     def allowed(self, request: Request) -> list[Backend]:
@@ -683,9 +713,14 @@
         fresh = [backend for backend in ready if backend.entry.id not in request.tried]
         return fresh or ready
 
+    def answer_time(self, kind: RequestClass) -> float:
+        """What an attempt is taken to need. Bounded by its part of the aim: were it not, a bad spell that
+        pushes it past the aim would have all refused on arrival, and no answer would ever bring it down."""
+        return min(self.usual[kind.name], IN_SERVER_PART * kind.aim_ms)
+
     def again(self, request: Request) -> bool:
         """A further attempt, where it can still be in time and the budget allows it."""
-        if self.now + self.usual[request.kind.name] > min(request.aim_ms, request.arrival.due_ms):
+        if self.now + self.answer_time(request.kind) > min(request.aim_ms, request.arrival.due_ms):
             return False
         if self.budget < 1 or not self.send(request):
             return False
@@ -745,7 +780,7 @@
         harmless = (request.kind.repeat is Repeat.SAFE
                     or request.kind.repeat is Repeat.KEYED and request.kind.scope is Scope.ALL)
         if harmless or not request.uncertain:
-            advice = self.quota.wait_ms(request.account, request.arrival.units) if request.attempts == 0 else 0.0
+            advice = self.quota.wait_ms(request.account, request.arrival.units)
             self.actions.append(Refuse(request.arrival.id, min(advice, self.settings.max_retry_after_ms)))
         else:
             self.actions.append(Fail(request.arrival.id))
--- a/anisefront/simhost.py
+++ b/anisefront/simhost.py
@@ -206,7 +206,8 @@
     domain, report = top.table("domain", {}), top.table("report", {})
     prices = top.table("penalties", {})
     return face.Settings(
-        gateways=int(top.number("balancers")), number=int(top.number("myNumber")), zone=top.text("locality", ""),
+        gateways=int(top.number("balancers")), number=int(top.number("myNumber")),
+        zone=top.text("locality", ""),
         classes=tuple(_request_class(row) for row in top.rows("classes")),
         plans=tuple(_plan(row) for row in top.rows("packages")),
         warm_up_ms=rules.number("warmUpMs"), cold_from=rules.number("coldFrom"),
@@ -216,7 +217,8 @@
         max_units=domain.number("maxUnits", 1.0), may_cancel=limits.flag("cancel", False),
         may_tell=limits.flag("mayTell", False), may_probe=limits.flag("probing", False),
         second_copies=limits.flag("secondCopies", False),
-        must_subscribe=top.text("discovery", "automatic") == "subscribe", settles=domain.flag("postPaid", False),
+        must_subscribe=top.text("discovery", "automatic") == "subscribe",
+        settles=domain.flag("postPaid", False),
         max_retry_after_ms=limits.number("maxRetryAfterMs", 0.0) if limits.flag("retryAfter", False) else 0.0,
         inbox_per_s=domain.number("inboxPerS", 0.0), report_how=report.text("how", "none"),
         report_fields=report.words("fields"), cross_zone_price=prices.number("crossZone", 0.0),
