--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -15,32 +15,8 @@
 
 from anisefront import messages
 from anisefront.interface import (
-    Action,
-    Arrival,
-    Cancel,
-    ClientGone,
-    Event,
-    Fail,
-    Fleet,
-    Heard,
-    Outcome,
-    Plan,
-    Probe,
-    Probed,
-    Refuse,
-    Repeat,
-    RequestClass,
-    Result,
-    Scope,
-    Send,
-    Server,
-    Settings,
-    Started,
-    State,
-    Subscribe,
-    Tell,
-    Wake,
-    Woken,
+    Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Plan, Probe, Probed, Refuse,
+    Repeat, RequestClass, Result, Scope, Send, Server, Settings, Started, State, Subscribe, Tell, Wake, Woken,
 )
 
 # Fuzzy shares (paper, Tables 6 and 7, absolute delay).
@@ -51,8 +27,8 @@
 LEAST_SHARE = 0.05  # of the window, so that no class is starved for good
 
 # Window.
-START_PER_SERVER = 4.0  # attempts out for each ready server until answers tell more
-FLOOR_PER_SERVER = 1.5  # never fewer, or a few slow answers would close the window for good
+START_PER_SERVER = 12.0  # attempts out for each ready server, over all gateways, until answers tell more
+FLOOR_PER_SERVER = 4.0  # never fewer, over all gateways, or a few slow answers would close the window for good
 IN_SERVER_PART = 0.45  # of a class's aim that an attempt may spend at a server; the rest is for waiting here
 PEAK_GROWTH = 2.0  # times the recent peak, as the design has it
 FULL_CUT = 0.75  # after full refusals, as the design has it
@@ -126,7 +102,9 @@
 class Window:
     """The cap on attempts out. It lets answers take a part of their aims: rate times that time are out."""
 
-    def __init__(self) -> None:
+    def __init__(self, gateways: int) -> None:
+        # Each gateway has a part of the servers only: a cap that forgets this overdrives a fleet of many.
+        self.gateways = gateways
         self.out, self.peak, self.cut, self.full_seen = 0, 0.0, 1.0, False
         self.room = 0.0  # answers a second x time each may take, summed over classes
         self.answered_ms = 0.0  # aim parts answered in this period
@@ -144,7 +122,8 @@
         self.cut = max(0.1, self.cut * FULL_CUT) if self.full_seen else min(1.0, self.cut * CUT_HEAL)
         self.answered_ms, self.full_seen = 0.0, False
 
-    def cap(self, ready: int) -> int:
+    def cap(self, servers: int) -> int:
+        ready = servers / self.gateways
         if not self.answers:
             return max(1, int(START_PER_SERVER * ready * self.cut))
         least = max(1.0, FLOOR_PER_SERVER * ready * self.cut)
@@ -479,7 +458,7 @@
         self.settings, self.rng = settings, random.Random(seed)
         self.classes = {kind.name: kind for kind in settings.classes}
         self.plans = {plan.name: plan for plan in settings.plans}
-        self.window = Window()
+        self.window = Window(settings.gateways)
         self.quota = Quota(settings, self.rng.randrange(1 << 16))
         self.servers = Servers(settings, self.rng)
         parts = 1 / len(settings.classes)
