Round 3 (incident): weigh the chance that a cap on attempts out is full

Cause: counts heard from the others are older than the attempts themselves, and each of up to four gateways kept one slot whatever the cap: a tenth of all worth went to the over-quota price.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -41,6 +41,9 @@
 DEMAND_MEMORY_MS = 3000.0  # over which a customer's use is averaged
 RESERVE_MS = 500.0  # of the others' use kept back when spending on what was heard
 SURE_PART = 0.15  # of the store kept back as well
+LEAST_PART = 0.02  # of a quota that a gateway keeps, however little it was asked
+OUT_MEMORY_MS = 700.0  # over which a customer's attempts out are averaged
+OPEN_RISK = 0.6  # of the even odds at which one more out costs as much as it brings: waiting is cheaper still
 WORTH_TELLING = 0.05  # of the store: smaller use is not told at once
 
 # Servers.
@@ -131,16 +134,6 @@
         return int(max(least, min(self.room * self.cut, most)))
 
 
-@dataclass(slots=True)
-class Peer:
-    """What another gateway last told of one customer."""
-
-    boot: int
-    spent: float
-    asked_per_s: float
-    out: int
-
-
 @dataclass(slots=True)
 class Account:
     """One customer here: the shared store as far as known, our own bucket, and our slice of the ceiling."""
@@ -154,7 +147,8 @@
     ceiling: float = 0.0
     spent: float = 0.0  # by us since our start
     asked: float = 0.0  # fading sum of units asked of us
-    out: int = 0  # attempts out
+    out: int = 0  # attempts out, and their fading mean
+    mean_out: float = 0.0
     part: float = 1.0
     told: dict[int, float] = field(default_factory=dict)
     waiting: list[Request] = field(default_factory=list)
@@ -170,7 +164,7 @@
         self.settings, self.boot = settings, boot
         self.accounts: dict[str, Account] = {}
         self.by_tag: dict[int, Account] = {}
-        self.news: dict[int, dict[int, Peer]] = {}  # by tag, then gateway
+        self.news: dict[int, dict[int, tuple[int, messages.Use]]] = {}  # by tag, gateway: its boot and word
         self.heard_ms: dict[int, float] = {}
         self.tell_from: dict[int, int] = {}
 
@@ -185,9 +179,8 @@
             # A ceiling is split evenly for good and its slice starts empty: no message is needed to keep it,
             # and a restarted gateway can't grant again what it spent before.
             self.accounts[arrival.customer] = self.by_tag[account.tag] = account
-            for peer in self.news.get(account.tag, {}).values():
-                used = peer.asked_per_s / max(plan.rate_per_s, 1e-9) * plan.burst
-                account.store -= min(account.store, used)
+            used = sum(use.asked_per_s for use in self.others(account))
+            account.store = max(0.0, plan.burst - used / max(plan.rate_per_s, 1e-9) * plan.burst)
         self.refresh(now, account)
         return account
 
@@ -196,16 +189,12 @@
         gone_s = max(0.0, now - account.at_ms) / 1000
         account.at_ms = max(now, account.at_ms)
         account.asked *= math.exp(-gone_s * 1000 / DEMAND_MEMORY_MS)
+        account.mean_out += (account.out - account.mean_out) * (1 - math.exp(-gone_s * 1000 / OUT_MEMORY_MS))
         spread, mine = len(account.members), account.asked_per_s()
-        heard, live = 0.0, 1
-        for member in account.members:
-            if member != self.settings.number and self.believed(now, member):
-                live += 1
-                peer = self.news.get(account.tag, {}).get(member)
-                heard += peer.asked_per_s if peer else 0.0
-        even = 1.0 / spread
-        follow = mine / (mine + heard) if mine + heard > 0 else even
-        account.part = even if live == 1 else max(0.02, follow * live / spread)
+        live = 1 + sum(self.believed(now, member) for member in account.members)
+        heard = sum(use.asked_per_s for use in self.others(account)) if live > 1 else 0.0
+        follow = mine / (mine + heard) if mine + heard > 0 else 1 / spread
+        account.part = 1 / spread if live == 1 else max(LEAST_PART, follow * live / spread)
         plan = account.plan
         account.store = min(plan.burst, account.store + plan.rate_per_s * gone_s)
         most = max(plan.burst * account.part, self.settings.max_units)
@@ -215,27 +204,47 @@
         slice_burst = plan.ceiling_burst / spread if self.settings.number in account.members else 0.0
         account.ceiling = min(slice_burst, account.ceiling + plan.ceiling_per_s / spread * gone_s)
 
+    def others(self, account: Account) -> list[messages.Use]:
+        """What the other gateways of its set last told of this customer."""
+        known = self.news.get(account.tag, {})
+        return [known[member][1] for member in account.members if member in known]
+
     def believed(self, now: float, gateway: int) -> bool:
         return now - self.heard_ms.get(gateway, -math.inf) <= STALE_MS
 
     def within(self, now: float, account: Account, units: float) -> bool:
         """Would a try of so many units be inside the quota, as far as is known here?"""
-        plan = account.plan
-        peers = [self.news.get(account.tag, {}).get(member) for member in account.members
-                 if member != self.settings.number]
+        plan, peers = account.plan, self.others(account)
         sure = all(self.believed(now, member) for member in account.members if member != self.settings.number)
-        if plan.max_out:
-            others = sum(peer.out for peer in peers if peer)
-            mine = max(1, round(plan.max_out * account.part))
-            if account.out >= mine and not (sure and account.out + others + 1 < plan.max_out):
-                return False
+        if plan.max_out and not self.open_slot(account, sum(use.out for use in peers) if sure else None):
+            return False
         if not plan.rate_per_s or units <= account.own:
             return True
         # Departure: while every gateway of the set is heard and the shared store holds plenty, a small part
         # is no reason to refuse; what the others may spend before we hear of it is kept back.
-        reserve = sum(peer.asked_per_s for peer in peers if peer) * RESERVE_MS / 1000 + SURE_PART * plan.burst
+        reserve = sum(use.asked_per_s for use in peers) * RESERVE_MS / 1000 + SURE_PART * plan.burst
         return sure and units <= account.store - reserve
 
+    @staticmethod
+    def open_slot(account: Account, heard: float | None) -> bool:
+        """Is one more out likely inside the cap on attempts out at once?
+
+        News of what the others have out is older than most attempts, so it is read as the mean of a Poisson
+        count: the cap is full with some chance, and what that costs is weighed. Unheard others have their slices.
+        """
+        plan, spread = account.plan, len(account.members)
+        mean = plan.max_out * (1 - 1 / spread) if heard is None else heard
+        free = plan.max_out - account.out
+        chance = term = math.exp(-mean)
+        for n in range(1, free):
+            term *= mean / n
+            chance += term
+        return free > 0 and 1 - chance <= OPEN_RISK / (1 + max(0.0, plan.over_cost - plan.over_worth))
+
+    def count_out(self, now: float, account: Account, change: int) -> None:
+        self.refresh(now, account)
+        account.out += change
+
     def below_ceiling(self, account: Account, units: float) -> bool:
         return not account.plan.ceiling_per_s or units <= account.ceiling
 
@@ -267,15 +276,13 @@
         self.heard_ms[heard.sender] = now
         for use in news.uses:
             known = self.news.setdefault(use.tag, {})
-            before = known.get(heard.sender)
+            boot, before = known.get(heard.sender, (None, use))
             account = self.by_tag.get(use.tag)
-            if before and before.boot == news.boot:
-                if use.spent < before.spent:
-                    continue  # late or repeated
-                spent = use.spent - before.spent
-            else:  # its first word: no more than a store can have gone since
-                spent = use.spent
-            known[heard.sender] = Peer(news.boot, use.spent, use.asked_per_s, use.out)
+            if boot == news.boot and use.spent < before.spent:
+                continue  # late or repeated
+            # A sender's first word: no more than a store can have gone since.
+            spent = use.spent - before.spent if boot == news.boot else use.spent
+            known[heard.sender] = news.boot, use
             if account:
                 self.refresh(now, account)
                 account.store = max(-account.plan.burst, account.store - min(spent, account.plan.burst))
@@ -288,7 +295,7 @@
             for member in account.members:
                 if member != self.settings.number:
                     fresh = account.spent - account.told.get(member, 0.0)
-                    weight = (fresh + (account.out if account.plan.max_out else 0)) / scale
+                    weight = (fresh + account.asked_per_s() * (1 if account.plan.max_out else 0)) / scale
                     if weight >= 1.0 or len(account.waiting) > 0:
                         uses[member].append((weight, account))
         actions = []
@@ -300,7 +307,8 @@
             for _, account in rows[:messages.MAX_ENTRIES]:
                 self.refresh(now, account)
                 account.told[member] = account.spent
-                told.append(messages.Use(account.tag, account.spent, account.asked_per_s(), account.out))
+                told.append(messages.Use(account.tag, account.spent, account.asked_per_s(),
+                                         account.mean_out))
             actions.append(Tell(member, messages.encode(self.boot, (now - boot_ms) / 1000, told)))
         return actions
 
@@ -597,7 +605,7 @@
             account.waiting.remove(request)
             # Drawn now and not at the send: what is held may all go out at once.
             self.quota.spend(account, units, request.inside)
-            account.out += 1 if request.plan.max_out else 0
+            self.quota.count_out(self.now, account, 1)
             if not request.inside:
                 request.rank *= request.plan.over_worth
             request.held = True
@@ -656,8 +664,8 @@
             self.waits[request.kind.name].append(self.now - request.came_ms)
             self.budget = min(RETRY_MOST, self.budget + RETRY_PART)
             request.held = False
-        elif request.plan.max_out:
-            request.account.out += 1
+        else:
+            self.quota.count_out(self.now, request.account, 1)
         self.actions.append(Send(number, name, max(1.0, request.arrival.due_ms - self.now)))
         self.attempts[number, request.attempts] = (backend, request.kind.name, self.now, request.account)
         request.out[request.attempts] = name
@@ -728,8 +736,7 @@
         backend.pending.pop((event.id, event.attempt), None)
         self.window.out -= 1
         self.class_out[class_name] -= 1
-        if account.plan.max_out:
-            account.out -= 1
+        self.quota.count_out(self.now, account, -1)
         self.servers.ended(self.now, backend, event.result)
         if event.load:
             self.servers.report(self.now, backend, event.load)
@@ -772,8 +779,7 @@
             request.account.waiting.remove(request)
         if request.held:
             self.held.remove(request)
-            if request.plan.max_out:
-                request.account.out -= 1
+            self.quota.count_out(self.now, request.account, -1)
         self.cancel_others(request, -1)
 
     def cancel_others(self, request: Request, keep: int) -> None:
--- a/anisefront/messages.py
+++ b/anisefront/messages.py
@@ -9,7 +9,7 @@
 MAX_BYTES = 256
 _VERSION = 1
 _HEAD = struct.Struct("<BHB")  # version, boot number, seconds since the sender's start
-_ENTRY = struct.Struct("<IIHB")  # customer tag, units spent x 8, units asked a second x 16, attempts out
+_ENTRY = struct.Struct("<IIHB")  # customer tag, units spent x 8, asked a second x 16, out x 16
 MAX_ENTRIES = (MAX_BYTES - _HEAD.size) // _ENTRY.size
 _SPENT_RANGE = 1 << 32
 
@@ -20,7 +20,7 @@
     tag: int
     spent: float  # units since the sender's start
     asked_per_s: float
-    out: int
+    out: float  # attempts out, on average
 
 
 class News(NamedTuple):
@@ -41,7 +41,7 @@
     parts = [_HEAD.pack(_VERSION, boot & 0xFFFF, min(255, int(up_s)))]
     for use in uses[:MAX_ENTRIES]:
         parts.append(_ENTRY.pack(use.tag, int(use.spent * 8) % _SPENT_RANGE,
-                                 min(0xFFFF, int(use.asked_per_s * 16)), min(255, use.out)))
+                                 min(0xFFFF, int(use.asked_per_s * 16)), min(255, round(use.out * 16))))
     return b"".join(parts)
 
 
@@ -51,5 +51,5 @@
         return None
     _, boot, up_s = _HEAD.unpack_from(data)
     return News(boot, up_s, tuple(
-        Use(tag, spent / 8, asked / 16, out)
+        Use(tag, spent / 8, asked / 16, out / 16)
         for tag, spent, asked, out in _ENTRY.iter_unpack(data[_HEAD.size:])))
