--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -11,12 +11,12 @@
 import math
 import random
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from anisefront import messages
 from anisefront.interface import (
     Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Plan, Probe, Probed, Refuse,
-    Repeat, RequestClass, Result, Scope, Send, Server, Settings, Started, State, Subscribe, Tell, Wake, Woken,
+    Repeat, RequestClass, Result, Scope, Send, Server, Settings, Started, State, Subscribe, Tell, Wake,
 )
 
 # Fuzzy shares (paper, Tables 6 and 7, absolute delay).
@@ -28,7 +28,7 @@
 
 # Window.
 START_PER_SERVER = 12.0  # attempts out for each ready server, over all gateways, until answers tell more
-FLOOR_PER_SERVER = 4.0  # never fewer, over all gateways, or a few slow answers would close the window for good
+FLOOR_PER_SERVER = 4.0  # over all gateways: never fewer, or slow answers would close it for good
 IN_SERVER_PART = 0.45  # of a class's aim that an attempt may spend at a server; the rest is for waiting here
 PEAK_GROWTH = 2.0  # times the recent peak, as the design has it
 FULL_CUT = 0.75  # after full refusals, as the design has it
@@ -111,11 +111,9 @@
         self.out, self.peak, self.cut, self.full_seen = 0, 0.0, 1.0, False
         self.room = 0.0  # answers a second x time each may take, summed over classes
         self.answered_ms = 0.0  # aim parts answered in this period
-        self.answers = 0
 
     def answered(self, aim_ms: float) -> None:
         self.answered_ms += aim_ms * IN_SERVER_PART
-        self.answers += 1
 
     def step(self) -> None:
         """One period has gone by."""
@@ -127,7 +125,7 @@
 
     def cap(self, servers: int) -> int:
         ready = servers / self.gateways
-        if not self.answers:
+        if not self.room:
             return max(1, int(START_PER_SERVER * ready * self.cut))
         least = max(1.0, FLOOR_PER_SERVER * ready * self.cut)
         most = PEAK_GROWTH * max(self.peak, START_PER_SERVER * ready)
@@ -230,7 +228,7 @@
         """Is one more out likely inside the cap on attempts out at once?
 
         News of what the others have out is older than most attempts, so it is read as the mean of a Poisson
-        count: the cap is full with some chance, and what that costs is weighed. Unheard others have their slices.
+        count: the cap is full with some chance, and that is weighed. Others not heard have their slices.
         """
         plan, spread = account.plan, len(account.members)
         mean = plan.max_out * (1 - 1 / spread) if heard is None else heard
@@ -245,9 +243,6 @@
         self.refresh(now, account)
         account.out += change
 
-    def below_ceiling(self, account: Account, units: float) -> bool:
-        return not account.plan.ceiling_per_s or units <= account.ceiling
-
     def spend(self, account: Account, units: float, inside: bool) -> None:
         """A first attempt goes out."""
         account.ceiling -= units
@@ -270,8 +265,7 @@
     def hear(self, now: float, heard: Heard) -> None:
         """Take in what another gateway has told; bytes that cannot be read change nothing."""
         news = messages.decode(heard.data)
-        others = set(range(self.settings.gateways)) - {self.settings.number}
-        if news is None or heard.sender not in others:
+        if news is None or heard.sender not in set(range(self.settings.gateways)) - {self.settings.number}:
             return
         self.heard_ms[heard.sender] = now
         for use in news.uses:
@@ -292,16 +286,14 @@
         uses: dict[int, list[tuple[float, Account]]] = {n: [] for n in range(self.settings.gateways)}
         for account in self.accounts.values():
             scale = max(1.0, account.plan.burst * WORTH_TELLING)
+            steady = account.asked_per_s() if account.plan.max_out else 0.0
             for member in account.members:
-                if member != self.settings.number:
-                    fresh = account.spent - account.told.get(member, 0.0)
-                    weight = (fresh + account.asked_per_s() * (1 if account.plan.max_out else 0)) / scale
-                    if weight >= 1.0 or len(account.waiting) > 0:
-                        uses[member].append((weight, account))
+                weight = (account.spent - account.told.get(member, 0.0) + steady) / scale
+                if weight >= 1.0 or account.waiting:
+                    uses[member].append((weight, account))
+        del uses[self.settings.number]
         actions = []
         for member, rows in uses.items():
-            if member == self.settings.number:
-                continue
             rows.sort(key=lambda row: (-row[0], row[1].tag))
             told = []
             for _, account in rows[:messages.MAX_ENTRIES]:
@@ -344,8 +336,7 @@
             listed = {server.id for server in fleet.servers}
             for name, backend in self.known.items():
                 if name not in listed:
-                    old = backend.entry
-                    backend.entry = Server(old.id, old.zone, old.cell, State.GONE, old.weight, old.started_ms)
+                    backend.entry = replace(backend.entry, state=State.GONE)
         for server in fleet.servers:
             old = self.known.get(server.id)
             if old is None or old.entry.started_ms != server.started_ms:
@@ -375,29 +366,23 @@
         share = self.warmth(now, backend)
         if share >= 1.0:
             return True
-        self.trim(now, backend)
-        most = COLD_SAFETY * share * warm_sent
-        return len(backend.sent) + 1 <= max(1.0, most) and backend.out <= share * 3
-
-    def trim(self, now: float, backend: Backend) -> None:
-        while backend.sent and backend.sent[0] <= now - self.settings.fall_window_ms:
-            backend.sent.popleft()
+        return len(backend.sent) < max(1.0, COLD_SAFETY * share * warm_sent) and backend.out <= share * 3
 
     def failing(self, now: float, backend: Backend, usual: float) -> float:
         """The fading share of failures; a server that answers nothing for long counts as failing."""
-        fail = backend.fail * math.exp(-(now - backend.fail_ms) / FAIL_MEMORY_MS)
         if backend.pending:
             silent = now - max(backend.answer_ms, next(iter(backend.pending.values())))
             if silent > max(SILENT_LEAST_MS, SILENT_TIMES * usual * backend.slow):
-                fail = 1.0
-        return fail
+                return 1.0
+        return backend.fail * math.exp(-(now - backend.fail_ms) / FAIL_MEMORY_MS)
 
     def choose(self, now: float, usual: float, allowed: list[Backend], fragile: bool) -> Backend | None:
-        warm = [backend for backend in self.known.values()
-                if backend.entry.state is State.READY and self.warmth(now, backend) >= 1.0]
-        for backend in warm:
-            self.trim(now, backend)
-        warm_sent = sum(len(backend.sent) for backend in warm) / len(warm) if warm else 0.0
+        ready = [backend for backend in self.known.values() if backend.entry.state is State.READY]
+        for backend in ready:
+            while backend.sent and backend.sent[0] <= now - self.settings.fall_window_ms:
+                backend.sent.popleft()
+        warm = [len(backend.sent) for backend in ready if self.warmth(now, backend) >= 1.0]
+        warm_sent = sum(warm) / max(1, len(warm))
         best, best_cost = None, math.inf
         for backend in allowed:
             if not self.cold_room(now, backend, warm_sent):
@@ -505,24 +490,21 @@
                     self.on_outcome(event)
                 case Arrival():
                     self.on_arrival(event)
-                case Started():
-                    self.on_started(event)
-                case ClientGone():
-                    if event.id in self.requests:
-                        self.close(self.requests[event.id])
+                case Started() if event.id in self.requests:
+                    self.requests[event.id].streaming = True
+                    self.cancel_others(self.requests[event.id], event.attempt)
+                case ClientGone() if event.id in self.requests:
+                    self.close(self.requests[event.id])
                 case Heard():
                     self.quota.hear(now_ms, event)
                 case Fleet():
                     self.servers.update(event)
                     if event.failed and self.settings.must_subscribe:
                         self.plan_at(now_ms + self.settings.ask_within_ms / 4, "subscribe")
-                case Probed():
-                    backend = self.servers.known.get(event.server)
-                    if backend:
-                        self.servers.ended(now_ms, backend, event.result)
-                        self.servers.report(now_ms, backend, event.load)
-                case Woken():
-                    pass  # the agenda tells what is due
+                case Probed() if event.server in self.servers.known:
+                    backend = self.servers.known[event.server]
+                    self.servers.ended(now_ms, backend, event.result)
+                    self.servers.report(now_ms, backend, event.load)
         while self.agenda and self.agenda[0][0] <= now_ms:
             _, _, what, number = heapq.heappop(self.agenda)
             self.due(what, self.requests.get(number))
@@ -595,19 +577,18 @@
         self.quota.refresh(self.now, account)
         while account.waiting:
             request = max(account.waiting, key=lambda waiter: (waiter.rank, -waiter.came_ms))
-            units = request.arrival.units
-            if not self.quota.below_ceiling(account, units):
+            units, plan = request.arrival.units, request.plan
+            if plan.ceiling_per_s and units > account.ceiling:
                 return False
             request.inside = self.quota.within(self.now, account, units)
-            pays = request.plan.over_worth > request.plan.over_cost
-            if not request.inside and not pays:
+            if not request.inside and plan.over_worth <= plan.over_cost:
                 return False
             account.waiting.remove(request)
             # Drawn now and not at the send: what is held may all go out at once.
             self.quota.spend(account, units, request.inside)
             self.quota.count_out(self.now, account, 1)
             if not request.inside:
-                request.rank *= request.plan.over_worth
+                request.rank *= plan.over_worth
             request.held = True
             self.held.append(request)
         return True
@@ -653,11 +634,9 @@
 
     def send(self, request: Request) -> bool:
         """One more attempt, where a server may take it."""
-        if request.attempts >= self.settings.max_attempts:
-            return False
         backend = self.servers.choose(self.now, self.usual[request.kind.name], self.allowed(request),
                                       request.kind.repeat is Repeat.UNSAFE)
-        if backend is None:
+        if backend is None or request.attempts >= self.settings.max_attempts:
             return False
         number, name = request.arrival.id, backend.entry.id
         if request.attempts == 0:
@@ -687,15 +666,14 @@
     def allowed(self, request: Request) -> list[Backend]:
         """Servers that may be sent this request now: rule 2 (its group and window) and rule 3 (no drains)."""
         ready = [backend for backend in self.servers.known.values() if backend.entry.state is State.READY]
-        anchor = request.anchor if request.uncertain else None
-        if anchor is not None and request.kind.repeat is Repeat.UNSAFE:
-            return []
-        if anchor is not None and request.kind.repeat is Repeat.KEYED:
-            if self.now - request.anchor_ms >= request.kind.window_ms - self.settings.tick_ms:
+        kind, anchor = request.kind, request.anchor
+        if anchor is not None and request.uncertain and kind.repeat is not Repeat.SAFE:
+            left = request.anchor_ms + kind.window_ms - self.settings.tick_ms - self.now
+            if kind.repeat is Repeat.UNSAFE or left <= 0:
                 return []
-            if request.kind.scope is Scope.ZONE:
+            if kind.scope is Scope.ZONE:
                 ready = [backend for backend in ready if backend.entry.zone == anchor.entry.zone]
-            elif request.kind.scope is Scope.CELL:
+            elif kind.scope is Scope.CELL:
                 ready = [backend for backend in ready if backend.entry.cell == anchor.entry.cell]
         fresh = [backend for backend in ready if backend.entry.id not in request.tried]
         return fresh or ready
@@ -707,9 +685,8 @@
 
     def again(self, request: Request) -> bool:
         """A further attempt, where it can still be in time and the budget allows it."""
-        if self.now + self.answer_time(request.kind) > min(request.aim_ms, request.arrival.due_ms):
-            return False
-        if self.budget < 1 or not self.send(request):
+        late = self.now + self.answer_time(request.kind) > min(request.aim_ms, request.arrival.due_ms)
+        if late or self.budget < 1 or not self.send(request):
             return False
         self.budget -= 1
         return True
@@ -720,12 +697,6 @@
         if len(request.out) == 1 and room and request.inside:
             self.again(request)
 
-    def on_started(self, event: Started) -> None:
-        request = self.requests.get(event.id)
-        if request:
-            request.streaming = True
-            self.cancel_others(request, event.attempt)
-
     def on_outcome(self, event: Outcome) -> None:
         entry = self.attempts.pop((event.id, event.attempt), None)
         request = self.requests.get(event.id)
@@ -750,10 +721,9 @@
         if request is None:
             return
         request.out.pop(event.attempt, None)
+        request.uncertain -= event.result.never_ran
         if event.result is Result.OK and event.true_units and request.inside:
             self.quota.settle(account, event.true_units - request.arrival.units)
-        if event.result.never_ran:
-            request.uncertain -= 1
         if event.final:
             self.close(request)
         elif not request.out and not self.again(request):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -130,7 +130,8 @@
 
     def start(self, n):
         self.life[n] += 1
-        self.gateways[n] = Controller(settings(number=n, gateways=len(self.life)), self.rng.randrange(1 << 30))
+        config = settings(number=n, gateways=len(self.life))
+        self.gateways[n] = Controller(config, self.rng.randrange(1 << 30))
         self.inbox[n] = [Fleet(tuple(self.fleet))]
         self.learned[n] = {s.id: self.now for s in self.fleet if s.state is not State.READY}
 
@@ -178,7 +179,8 @@
             took = min(self.rng.expovariate(1 / 150), action.allow_ms)
             took = action.allow_ms if result is Result.TIMEOUT else took
             self.tries[action.id, attempt] = (n, server, self.now)
-            if self.checker.kinds[self.checker.open[action.id][1].class_name].streamed and result is Result.OK:
+            streamed = self.checker.kinds[self.checker.open[action.id][1].class_name].streamed
+            if streamed and result is Result.OK:
                 self.later(took / 2, n, Started(action.id, attempt, server.id))
             self.later(took, n, (action.id, attempt, result))
         elif isinstance(action, (Refuse, Fail)):
