--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -63,6 +63,7 @@
 OVER_ROOM = 0.5  # of the window: fuller than that, nothing beyond a quota is sent on
 USUAL_START_MS = 200.0  # a class's answer time before the first answer
 USUAL_GAIN = 0.05
+CLOCK_GRAIN_MS = 0.001  # a wake-up told in whole microseconds may come so much early
 
 
 class FuzzyShare:
@@ -110,15 +111,12 @@
         self.gateways = gateways
         self.out, self.peak, self.cut, self.full_seen = 0, 0.0, 1.0, False
         self.room = 0.0  # answers a second x time each may take, summed over classes
-        self.answered_ms = 0.0  # aim parts answered in this period
-
-    def answered(self, aim_ms: float) -> None:
-        self.answered_ms += aim_ms * IN_SERVER_PART
+        self.answered_ms = 0.0  # aims answered in this period
 
     def step(self) -> None:
         """One period has gone by."""
         keep = math.exp(-PERIOD_MS / RATE_MEMORY_MS)
-        self.room = self.room * keep + self.answered_ms / PERIOD_MS * (1 - keep)
+        self.room = self.room * keep + self.answered_ms * IN_SERVER_PART / PERIOD_MS * (1 - keep)
         self.peak = max(float(self.out), self.peak * keep)
         self.cut = max(0.1, self.cut * FULL_CUT) if self.full_seen else min(1.0, self.cut * CUT_HEAL)
         self.answered_ms, self.full_seen = 0.0, False
@@ -164,7 +162,6 @@
         self.by_tag: dict[int, Account] = {}
         self.news: dict[int, dict[int, tuple[int, messages.Use]]] = {}  # by tag, gateway: its boot and word
         self.heard_ms: dict[int, float] = {}
-        self.tell_from: dict[int, int] = {}
 
     def account(self, now: float, arrival: Arrival, plan: Plan) -> Account:
         """The customer's account, brought up to now."""
@@ -243,19 +240,12 @@
         self.refresh(now, account)
         account.out += change
 
-    def spend(self, account: Account, units: float, inside: bool) -> None:
-        """A first attempt goes out."""
-        account.ceiling -= units
-        if inside:
-            account.store -= units
-            account.own = max(0.0, account.own - units)
-            account.spent += units
-
-    def settle(self, account: Account, difference: float) -> None:
-        """The true units of an answer differ from the guess."""
-        account.store -= difference
-        account.own -= difference
-        account.spent = max(0.0, account.spent + difference)
+    def spend(self, account: Account, units: float, ceiling_units: float) -> None:
+        """A first attempt goes out, or an answer tells how far its true units differ from the guess."""
+        account.ceiling -= ceiling_units
+        account.store -= units
+        account.own = max(-account.plan.burst, account.own - units)
+        account.spent = max(0.0, account.spent + units)
 
     def wait_ms(self, account: Account, units: float) -> float:
         """How long until the bucket holds so many units more."""
@@ -397,6 +387,7 @@
         return best
 
     def report(self, now: float, backend: Backend, load: tuple[float, ...]) -> None:
+        """Take in a load report."""
         values = dict(zip(self.settings.report_fields, load, strict=False))
         if "inflight" in values:
             backend.others = max(0.0, values["inflight"] - backend.out)
@@ -454,20 +445,16 @@
         self.window = Window(settings.gateways)
         self.quota = Quota(settings, self.rng.randrange(1 << 16))
         self.servers = Servers(settings, self.rng)
-        parts = 1 / len(settings.classes)
-        self.shares = {kind.name: FuzzyShare(kind.aim_ms * (1 - IN_SERVER_PART), parts)
+        self.shares = {kind.name: FuzzyShare(kind.aim_ms * (1 - IN_SERVER_PART), 1 / len(settings.classes))
                        for kind in settings.classes}
         self.waits: dict[str, list[float]] = {kind.name: [] for kind in settings.classes}
         self.class_out = {kind.name: 0 for kind in settings.classes}
         self.usual = {kind.name: min(USUAL_START_MS, kind.aim_ms / 4) for kind in settings.classes}
         self.requests: dict[int, Request] = {}
-        self.attempts: dict[tuple[int, int], tuple[Backend, str, float, Account]] = {}
+        self.attempts: dict[tuple[int, int], tuple[Backend, str, Account]] = {}
         self.held: list[Request] = []
         self.agenda: list[tuple[float, int, str, int]] = []
-        self.serial = 0
-        self.budget = RETRY_MOST / 2
-        self.boot_ms: float | None = None
-        self.now = 0.0
+        self.serial, self.budget, self.now, self.boot_ms = 0, RETRY_MOST / 2, 0.0, -1.0
         self.actions: list[Action] = []
 
     # ---- the round ----
@@ -475,7 +462,7 @@
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
         """Take in what happened at this time and return what to do."""
         self.now, self.actions = now_ms, []
-        if self.boot_ms is None:
+        if self.boot_ms < 0:
             self.boot_ms = now_ms
             self.plan_at(now_ms + PERIOD_MS, "period")
             if self.settings.may_tell and self.settings.gateways > 1:
@@ -505,7 +492,7 @@
                     backend = self.servers.known[event.server]
                     self.servers.ended(now_ms, backend, event.result)
                     self.servers.report(now_ms, backend, event.load)
-        while self.agenda and self.agenda[0][0] <= now_ms:
+        while self.agenda and self.agenda[0][0] <= now_ms + CLOCK_GRAIN_MS:
             _, _, what, number = heapq.heappop(self.agenda)
             self.due(what, self.requests.get(number))
         self.release()
@@ -524,7 +511,7 @@
             self.window.step()
         elif what == "tell":
             self.plan_at(self.now + TELL_MS, "tell")
-            self.actions.extend(self.quota.tell(self.now, self.boot_ms or 0.0))
+            self.actions.extend(self.quota.tell(self.now, self.boot_ms))
         elif what == "subscribe":
             self.actions.append(Subscribe())
         elif what == "probe":
@@ -533,12 +520,12 @@
                                 if backend.entry.state is State.READY)
         elif request is None or request.streaming:
             return
-        elif what == "hopeless":
-            if request.attempts == 0:  # it can no longer be answered in time: say so while a retry may help
-                self.refuse_or_fail(request)
-        elif what == "hedge":
-            self.hedge(request)
-        elif what == "due":  # the guard of rule 1: an answer before the client's time is up
+        elif what == "hedge":  # a second copy for an attempt that takes too long, while there is room
+            if self.window.out < HEDGE_ROOM * self.window.cap(self.servers.ready()) and len(request.out) == 1:
+                self.again(request)
+        elif what == "due" or request.attempts == 0:
+            # The guard of rule 1: an answer before the client's time is up. And what can no longer be
+            # answered in time is refused while a retry may help.
             self.refuse_or_fail(request)
 
     def step_shares(self) -> None:
@@ -585,7 +572,7 @@
                 return False
             account.waiting.remove(request)
             # Drawn now and not at the send: what is held may all go out at once.
-            self.quota.spend(account, units, request.inside)
+            self.quota.spend(account, units if request.inside else 0.0, units)
             self.quota.count_out(self.now, account, 1)
             if not request.inside:
                 request.rank *= plan.over_worth
@@ -612,9 +599,7 @@
             return
         cap = self.window.cap(self.servers.ready())
         self.held.sort(key=lambda request: (not request.inside, -request.rank, request.came_ms))
-        if len(self.held) <= cap - self.window.out:
-            order = self.held
-        else:
+        if len(self.held) > cap - self.window.out:
             total = max(1.0, sum(share.share for share in self.shares.values()))
             left = {name: share.share / total * cap - self.class_out[name]
                     for name, share in self.shares.items()}
@@ -622,13 +607,10 @@
             for request in self.held:
                 left[request.kind.name] -= 1
                 (first if left[request.kind.name] >= 0 and request.inside else rest).append(request)
-            order = first + rest
-        kept = []
-        for request in order:
-            room = cap if request.inside else cap * OVER_ROOM
-            if self.window.out >= room or not self.send(request):
-                kept.append(request)
-        self.held = kept
+            self.held = first + rest
+        self.held = [request for request in self.held
+                     if self.window.out >= cap * (1.0 if request.inside else OVER_ROOM)
+                     or not self.send(request)]
 
     # ---- attempts ----
 
@@ -646,7 +628,7 @@
         else:
             self.quota.count_out(self.now, request.account, 1)
         self.actions.append(Send(number, name, max(1.0, request.arrival.due_ms - self.now)))
-        self.attempts[number, request.attempts] = (backend, request.kind.name, self.now, request.account)
+        self.attempts[number, request.attempts] = (backend, request.kind.name, request.account)
         request.out[request.attempts] = name
         backend.pending[number, request.attempts] = self.now
         request.tried.append(name)
@@ -691,18 +673,11 @@
         self.budget -= 1
         return True
 
-    def hedge(self, request: Request) -> None:
-        """A second copy for an attempt that takes too long, whatever the reason, while there is room."""
-        room = self.window.out < HEDGE_ROOM * self.window.cap(self.servers.ready())
-        if len(request.out) == 1 and room and request.inside:
-            self.again(request)
-
     def on_outcome(self, event: Outcome) -> None:
-        entry = self.attempts.pop((event.id, event.attempt), None)
-        request = self.requests.get(event.id)
-        if entry is None:
+        if (event.id, event.attempt) not in self.attempts:
             return
-        backend, class_name, sent_ms, account = entry
+        backend, class_name, account = self.attempts.pop((event.id, event.attempt))
+        request = self.requests.get(event.id)
         backend.out -= 1
         backend.pending.pop((event.id, event.attempt), None)
         self.window.out -= 1
@@ -713,7 +688,7 @@
             self.servers.report(self.now, backend, event.load)
         usual = self.usual[class_name]
         if event.result is Result.OK:
-            self.window.answered(self.classes[class_name].aim_ms)
+            self.window.answered_ms += self.classes[class_name].aim_ms
             self.servers.learn_speed(backend, event.took_ms / usual)
             self.usual[class_name] = usual + (event.took_ms - usual) * USUAL_GAIN
         elif event.result is Result.FULL:
@@ -723,7 +698,7 @@
         request.out.pop(event.attempt, None)
         request.uncertain -= event.result.never_ran
         if event.result is Result.OK and event.true_units and request.inside:
-            self.quota.settle(account, event.true_units - request.arrival.units)
+            self.quota.spend(account, event.true_units - request.arrival.units, 0.0)
         if event.final:
             self.close(request)
         elif not request.out and not self.again(request):
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -27,7 +27,8 @@
     command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["sim"]
     assert command == "exec .venv/bin/python -m anisefront.simhost"
     command = command.replace(".venv/bin/python", sys.executable)
-    return subprocess.run(["/bin/sh", "-c", command], input=text, cwd=ROOT, text=True, capture_output=True)
+    return subprocess.run(["/bin/sh", "-c", command], input=text, cwd=ROOT, text=True,
+                          capture_output=True)
 
 
 def test_a_request_is_sent_on_and_the_end_of_input_exits_0():
@@ -77,7 +78,8 @@
 @pytest.mark.parametrize("path, value, name", [
     (("balancers",), None, "balancers"), (("rules", "coldFrom"), None, "coldFrom"),
     (("classes", 0, "repeat"), "never", "repeat"), (("packages", 0, "perSecond"), -1, "rate_per_s"),
-    (("classes",), [], "classes"), (("limits", "maxAttempts"), "six", "maxAttempts"), (("rules",), 3, "rules")])
+    (("classes",), [], "classes"), (("limits", "maxAttempts"), "six", "maxAttempts"),
+    (("rules",), 3, "rules")])
 def test_settings_that_cannot_be_right_are_named(path, value, name):
     done = sim(start(changed(path, value)))
     assert done.returncode != 0 and name in done.stderr and "Traceback" not in done.stderr
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -44,14 +44,16 @@
 
 
 def outcome(send, result, attempt=0, took=50.0, final=None):
-    return Outcome(send.id, attempt, send.server, took, result, result is Result.OK if final is None else final)
+    final = result is Result.OK if final is None else final
+    return Outcome(send.id, attempt, send.server, took, result, final)
 
 
 def test_ordinary_request_is_sent_and_ends():
     c = gateway()
     sends = of(Send, c.handle(1000, [FLEET, ask(1)]))
     assert [send.id for send in sends] == [1]
-    assert not of(Fail, c.handle(1050, [outcome(sends[0], Result.OK)])) and not c.requests and not c.window.out
+    assert not of(Fail, c.handle(1050, [outcome(sends[0], Result.OK)]))
+    assert not c.requests and not c.window.out
 
 
 def test_error_is_tried_again_elsewhere_if_safe_and_failed_if_unsafe():
@@ -174,7 +176,7 @@
 def test_window_is_shared_out_over_gateways():
     few, many = Window(1), Window(10)
     assert few.cap(20) > 5 * many.cap(20)
-    few.answered(1000), many.answered(1000)
+    few.answered_ms = many.answered_ms = 1000
     few.step(), many.step()
     assert few.cap(20) > 5 * many.cap(20)
 
@@ -209,8 +211,8 @@
         number, now = number + 1, now + 20
         for send in of(Send, c.handle(now, [ask(number, due=now + 4000, customer=f"c{number}")])):
             sent.append(send.server)
-            bad = send.server == "s1"
-            more = c.handle(now + 5, [outcome(send, Result.ERROR if bad else Result.OK, took=2 if bad else 90)])
+            result, took = (Result.ERROR, 2) if send.server == "s1" else (Result.OK, 90)
+            more = c.handle(now + 5, [outcome(send, result, took=took)])
             for n, retry in enumerate(of(Send, more)):
                 c.handle(now + 10, [outcome(retry, Result.OK, n + 1)])
     assert sent.count("s1") < len(sent) / 15
