--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -63,6 +63,7 @@
 OVER_ROOM = 0.5  # of the window: fuller than that, nothing beyond a quota is sent on
 USUAL_START_MS = 200.0  # a class's answer time before the first answer
 USUAL_GAIN = 0.05
+SAFE_TIMES = 2.5  # usual answer times to leave before the aim: the mean alone lets half come late
 CLOCK_GRAIN_MS = 0.001  # a wake-up told in whole microseconds may come so much early
 
 
@@ -160,7 +161,8 @@
         self.settings, self.boot = settings, boot
         self.accounts: dict[str, Account] = {}
         self.by_tag: dict[int, Account] = {}
-        self.news: dict[int, dict[int, tuple[int, messages.Use]]] = {}  # by tag, gateway: its boot and word
+        # By tag and gateway: its boot, when it was heard, and its word.
+        self.news: dict[int, dict[int, tuple[int, float, messages.Use]]] = {}
         self.heard_ms: dict[int, float] = {}
 
     def account(self, now: float, arrival: Arrival, plan: Plan) -> Account:
@@ -174,7 +176,7 @@
             # A ceiling is split evenly for good and its slice starts empty: no message is needed to keep it,
             # and a restarted gateway can't grant again what it spent before.
             self.accounts[arrival.customer] = self.by_tag[account.tag] = account
-            used = sum(use.asked_per_s for use in self.others(account))
+            used = sum(use.asked_per_s for use in self.others(now, account))
             account.store = max(0.0, plan.burst - used / max(plan.rate_per_s, 1e-9) * plan.burst)
         self.refresh(now, account)
         return account
@@ -187,7 +189,7 @@
         account.mean_out += (account.out - account.mean_out) * (1 - math.exp(-gone_s * 1000 / OUT_MEMORY_MS))
         spread, mine = len(account.members), account.asked_per_s()
         live = 1 + sum(self.believed(now, member) for member in account.members)
-        heard = sum(use.asked_per_s for use in self.others(account)) if live > 1 else 0.0
+        heard = sum(use.asked_per_s for use in self.others(now, account)) if live > 1 else 0.0
         follow = mine / (mine + heard) if mine + heard > 0 else 1 / spread
         account.part = 1 / spread if live == 1 else max(LEAST_PART, follow * live / spread)
         plan = account.plan
@@ -199,17 +201,19 @@
         slice_burst = plan.ceiling_burst / spread if self.settings.number in account.members else 0.0
         account.ceiling = min(slice_burst, account.ceiling + plan.ceiling_per_s / spread * gone_s)
 
-    def others(self, account: Account) -> list[messages.Use]:
-        """What the other gateways of its set last told of this customer."""
-        known = self.news.get(account.tag, {})
-        return [known[member][1] for member in account.members if member in known]
+    def others(self, now: float, account: Account) -> list[messages.Use]:
+        """What the other gateways of its set last told of this customer, fading: a quiet one tells no more."""
+        known = [item for member, item in self.news.get(account.tag, {}).items() if member in account.members]
+        fade = [math.exp((heard_ms - now) / DEMAND_MEMORY_MS) for _, heard_ms, _ in known]
+        return [use._replace(asked_per_s=use.asked_per_s * left, out=use.out * left)
+                for (_, _, use), left in zip(known, fade, strict=True)]
 
     def believed(self, now: float, gateway: int) -> bool:
         return now - self.heard_ms.get(gateway, -math.inf) <= STALE_MS
 
     def within(self, now: float, account: Account, units: float) -> bool:
         """Would a try of so many units be inside the quota, as far as is known here?"""
-        plan, peers = account.plan, self.others(account)
+        plan, peers = account.plan, self.others(now, account)
         sure = all(self.believed(now, member) for member in account.members if member != self.settings.number)
         if plan.max_out and not self.open_slot(account, sum(use.out for use in peers) if sure else None):
             return False
@@ -217,7 +221,8 @@
             return True
         # Departure: while every gateway of the set is heard and the shared store holds plenty, a small part
         # is no reason to refuse; what the others may spend before we hear of it is kept back.
-        reserve = sum(use.asked_per_s for use in peers) * RESERVE_MS / 1000 + SURE_PART * plan.burst
+        others = min(plan.rate_per_s, sum(use.asked_per_s for use in peers))  # they keep to the quota too
+        reserve = others * RESERVE_MS / 1000 + SURE_PART * plan.burst
         return sure and units <= account.store - reserve
 
     @staticmethod
@@ -244,7 +249,7 @@
         """A first attempt goes out, or an answer tells how far its true units differ from the guess."""
         account.ceiling -= ceiling_units
         account.store -= units
-        account.own = max(-account.plan.burst, account.own - units)
+        account.own = max(0.0, account.own - units)
         account.spent = max(0.0, account.spent + units)
 
     def wait_ms(self, account: Account, units: float) -> float:
@@ -260,13 +265,13 @@
         self.heard_ms[heard.sender] = now
         for use in news.uses:
             known = self.news.setdefault(use.tag, {})
-            boot, before = known.get(heard.sender, (None, use))
+            boot, _, before = known.get(heard.sender, (None, now, use))
             account = self.by_tag.get(use.tag)
             if boot == news.boot and use.spent < before.spent:
                 continue  # late or repeated
             # A sender's first word: no more than a store can have gone since.
             spent = use.spent - before.spent if boot == news.boot else use.spent
-            known[heard.sender] = news.boot, use
+            known[heard.sender] = news.boot, now, use
             if account:
                 self.refresh(now, account)
                 account.store = max(-account.plan.burst, account.store - min(spent, account.plan.burst))
@@ -556,7 +561,7 @@
         last = arrival.due_ms if kind.late_worth > 0 else min(arrival.due_ms, request.aim_ms)
         self.plan_at(last - self.answer_time(kind), "hopeless", arrival.id)
         account.waiting.append(request)
-        if len(account.waiting) > 1 or not self.admit(account):
+        if not self.admit(account):
             self.prune(account)
 
     def admit(self, account: Account) -> bool:
@@ -661,9 +666,9 @@
         return fresh or ready
 
     def answer_time(self, kind: RequestClass) -> float:
-        """What an attempt is taken to need. Bounded by its part of the aim: were it not, a bad spell that
-        pushes it past the aim would have all refused on arrival, and no answer would ever bring it down."""
-        return min(self.usual[kind.name], IN_SERVER_PART * kind.aim_ms)
+        """What an attempt is taken to need, with room for a slow one. Bounded by its part of the aim: were it
+        not, a bad spell that pushes it past the aim would have all refused on arrival, and nothing would heal."""
+        return min(SAFE_TIMES * self.usual[kind.name], IN_SERVER_PART * kind.aim_ms)
 
     def again(self, request: Request) -> bool:
         """A further attempt, where it can still be in time and the budget allows it."""
