--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -161,8 +161,7 @@
         self.settings, self.boot = settings, boot
         self.accounts: dict[str, Account] = {}
         self.by_tag: dict[int, Account] = {}
-        # By tag and gateway: its boot, when it was heard, and its word.
-        self.news: dict[int, dict[int, tuple[int, float, messages.Use]]] = {}
+        self.news: dict[int, dict[int, tuple[int, float, messages.Use]]] = {}  # by tag, gateway
         self.heard_ms: dict[int, float] = {}
 
     def account(self, now: float, arrival: Arrival, plan: Plan) -> Account:
@@ -202,11 +201,10 @@
         account.ceiling = min(slice_burst, account.ceiling + plan.ceiling_per_s / spread * gone_s)
 
     def others(self, now: float, account: Account) -> list[messages.Use]:
-        """What the other gateways of its set last told of this customer, fading: a quiet one tells no more."""
-        known = [item for member, item in self.news.get(account.tag, {}).items() if member in account.members]
-        fade = [math.exp((heard_ms - now) / DEMAND_MEMORY_MS) for _, heard_ms, _ in known]
-        return [use._replace(asked_per_s=use.asked_per_s * left, out=use.out * left)
-                for (_, _, use), left in zip(known, fade, strict=True)]
+        """What the others of its set last told; the demand fades, since a quiet one tells no more."""
+        return [use._replace(asked_per_s=use.asked_per_s * math.exp((heard_ms - now) / DEMAND_MEMORY_MS))
+                for member, (_, heard_ms, use) in self.news.get(account.tag, {}).items()
+                if member in account.members]
 
     def believed(self, now: float, gateway: int) -> bool:
         return now - self.heard_ms.get(gateway, -math.inf) <= STALE_MS
@@ -342,8 +340,8 @@
             else:
                 old.entry = server
 
-    def ready(self) -> int:
-        return sum(backend.entry.state is State.READY for backend in self.known.values())
+    def ready(self) -> list[Backend]:
+        return [backend for backend in self.known.values() if backend.entry.state is State.READY]
 
     def warmth(self, now: float, backend: Backend) -> float:
         """The share of its capacity that a server surely has by now."""
@@ -372,12 +370,12 @@
         return backend.fail * math.exp(-(now - backend.fail_ms) / FAIL_MEMORY_MS)
 
     def choose(self, now: float, usual: float, allowed: list[Backend], fragile: bool) -> Backend | None:
-        ready = [backend for backend in self.known.values() if backend.entry.state is State.READY]
+        ready = self.ready()
         for backend in ready:
             while backend.sent and backend.sent[0] <= now - self.settings.fall_window_ms:
                 backend.sent.popleft()
-        warm = [len(backend.sent) for backend in ready if self.warmth(now, backend) >= 1.0]
-        warm_sent = sum(warm) / max(1, len(warm))
+        warm = [len(backend.sent) for backend in ready if self.warmth(now, backend) >= 1.0] or [0]
+        warm_sent = sum(warm) / len(warm)
         best, best_cost = None, math.inf
         for backend in allowed:
             if not self.cold_room(now, backend, warm_sent):
@@ -521,12 +519,12 @@
             self.actions.append(Subscribe())
         elif what == "probe":
             self.plan_at(self.now + REPORT_MEMORY_MS, "probe")
-            self.actions.extend(Probe(name) for name, backend in self.servers.known.items()
-                                if backend.entry.state is State.READY)
+            self.actions.extend(Probe(backend.entry.id) for backend in self.servers.ready())
         elif request is None or request.streaming:
             return
         elif what == "hedge":  # a second copy for an attempt that takes too long, while there is room
-            if self.window.out < HEDGE_ROOM * self.window.cap(self.servers.ready()) and len(request.out) == 1:
+            cap = self.window.cap(len(self.servers.ready()))
+            if self.window.out < HEDGE_ROOM * cap and len(request.out) == 1:
                 self.again(request)
         elif what == "due" or request.attempts == 0:
             # The guard of rule 1: an answer before the client's time is up. And what can no longer be
@@ -546,11 +544,9 @@
 
     def on_arrival(self, arrival: Arrival) -> None:
         kind, plan = self.classes.get(arrival.class_name), self.plans.get(arrival.plan_name)
-        if kind is None or plan is None or arrival.due_ms <= self.now:
+        if kind is None or plan is None or arrival.due_ms <= self.now or arrival.id in self.requests:
             self.actions.append(Refuse(arrival.id))
             return
-        if arrival.id in self.requests:
-            return
         account = self.quota.account(self.now, arrival, plan)
         account.asked += arrival.units
         # An answer just after the aim is worth little or nothing, so waiting must leave time for the answer.
@@ -602,7 +598,7 @@
                 self.admit(account)
         if not self.held:
             return
-        cap = self.window.cap(self.servers.ready())
+        cap = self.window.cap(len(self.servers.ready()))
         self.held.sort(key=lambda request: (not request.inside, -request.rank, request.came_ms))
         if len(self.held) > cap - self.window.out:
             total = max(1.0, sum(share.share for share in self.shares.values()))
@@ -652,7 +648,7 @@
 
     def allowed(self, request: Request) -> list[Backend]:
         """Servers that may be sent this request now: rule 2 (its group and window) and rule 3 (no drains)."""
-        ready = [backend for backend in self.servers.known.values() if backend.entry.state is State.READY]
+        ready = self.servers.ready()
         kind, anchor = request.kind, request.anchor
         if anchor is not None and request.uncertain and kind.repeat is not Repeat.SAFE:
             left = request.anchor_ms + kind.window_ms - self.settings.tick_ms - self.now
@@ -666,8 +662,8 @@
         return fresh or ready
 
     def answer_time(self, kind: RequestClass) -> float:
-        """What an attempt is taken to need, with room for a slow one. Bounded by its part of the aim: were it
-        not, a bad spell that pushes it past the aim would have all refused on arrival, and nothing would heal."""
+        """What an attempt is taken to need, with room for a slow one. Bounded by its part of the aim: else a
+        bad spell that pushes it past the aim would have all refused on arrival, and nothing would heal."""
         return min(SAFE_TIMES * self.usual[kind.name], IN_SERVER_PART * kind.aim_ms)
 
     def again(self, request: Request) -> bool:
