--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -29,7 +29,8 @@
 # Window.
 START_PER_SERVER = 12.0  # attempts out for each ready server, over all gateways, until answers tell more
 FLOOR_PER_SERVER = 4.0  # over all gateways: never fewer, or slow answers would close it for good
-IN_SERVER_PART = 0.45  # of a class's aim that an attempt may spend at a server; the rest is for waiting here
+IN_SERVER_PART = 0.3  # of a class's aim that attempts may spend at servers on average; more thrashes them
+ANSWER_PART = 0.45  # of a class's aim that is kept free for the answer at most
 PEAK_GROWTH = 2.0  # times the recent peak, as the design has it
 FULL_CUT = 0.75  # after full refusals, as the design has it
 CUT_HEAL = 1.05  # per period, how a cut wears off
@@ -110,9 +111,8 @@
     def __init__(self, gateways: int) -> None:
         # Each gateway has a part of the servers only: a cap that forgets this overdrives a fleet of many.
         self.gateways = gateways
-        self.out, self.peak, self.cut, self.full_seen = 0, 0.0, 1.0, False
+        self.out, self.peak, self.cut, self.full_seen, self.answered_ms = 0, 0.0, 1.0, False, 0.0
         self.room = 0.0  # answers a second x time each may take, summed over classes
-        self.answered_ms = 0.0  # aims answered in this period
 
     def step(self) -> None:
         """One period has gone by."""
@@ -448,7 +448,7 @@
         self.window = Window(settings.gateways)
         self.quota = Quota(settings, self.rng.randrange(1 << 16))
         self.servers = Servers(settings, self.rng)
-        self.shares = {kind.name: FuzzyShare(kind.aim_ms * (1 - IN_SERVER_PART), 1 / len(settings.classes))
+        self.shares = {kind.name: FuzzyShare(kind.aim_ms * (1 - ANSWER_PART), 1 / len(settings.classes))
                        for kind in settings.classes}
         self.waits: dict[str, list[float]] = {kind.name: [] for kind in settings.classes}
         self.class_out = {kind.name: 0 for kind in settings.classes}
@@ -664,7 +664,7 @@
     def answer_time(self, kind: RequestClass) -> float:
         """What an attempt is taken to need, with room for a slow one. Bounded by its part of the aim: else a
         bad spell that pushes it past the aim would have all refused on arrival, and nothing would heal."""
-        return min(SAFE_TIMES * self.usual[kind.name], IN_SERVER_PART * kind.aim_ms)
+        return min(SAFE_TIMES * self.usual[kind.name], ANSWER_PART * kind.aim_ms)
 
     def again(self, request: Request) -> bool:
         """A further attempt, where it can still be in time and the budget allows it."""
