--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -28,8 +28,8 @@
 
 # Window.
 START_PER_SERVER = 12.0  # attempts out for each ready server, over all gateways, until answers tell more
-FLOOR_PER_SERVER = 3.0  # over all gateways: never fewer, or slow answers would close it for good
-IN_SERVER_PART = 0.2  # of a class's aim that attempts may spend at servers on average; more thrashes them
+FLOOR_PER_SERVER = 5.0  # over all gateways: never fewer, or slow answers would close it for good
+IN_SERVER_PART = 0.25  # of a class's aim that attempts may spend at servers on average; more thrashes them
 ANSWER_PART = 0.45  # of a class's aim that is kept free for the answer at most
 PEAK_GROWTH = 2.0  # times the recent peak, as the design has it
 FULL_CUT = 0.75  # after full refusals, as the design has it
