--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -28,7 +28,7 @@
 
 # Window.
 START_PER_SERVER = 12.0  # attempts out for each ready server, over all gateways, until answers tell more
-FLOOR_PER_SERVER = 5.0  # over all gateways: never fewer, or slow answers would close it for good
+FLOOR_PER_SERVER = 4.0  # over all gateways: never fewer, or slow answers would close it for good
 IN_SERVER_PART = 0.25  # of a class's aim that attempts may spend at servers on average; more thrashes them
 ANSWER_PART = 0.45  # of a class's aim that is kept free for the answer at most
 PEAK_GROWTH = 2.0  # times the recent peak, as the design has it
@@ -122,7 +122,7 @@
         self.cut = max(0.1, self.cut * FULL_CUT) if self.full_seen else min(1.0, self.cut * CUT_HEAL)
         self.answered_ms, self.full_seen = 0.0, False
 
-    def cap(self, servers: int) -> int:
+    def cap(self, servers: float) -> int:
         ready = servers / self.gateways
         if not self.room:
             return max(1, int(START_PER_SERVER * ready * self.cut))
@@ -247,8 +247,7 @@
         """A first attempt goes out, or an answer tells how far its true units differ from the guess."""
         account.ceiling -= ceiling_units
         account.store -= units
-        account.own = max(0.0, account.own - units)
-        account.spent = max(0.0, account.spent + units)
+        account.own, account.spent = max(0.0, account.own - units), max(0.0, account.spent + units)
 
     def wait_ms(self, account: Account, units: float) -> float:
         """How long until the bucket holds so many units more."""
@@ -446,8 +445,7 @@
         self.classes = {kind.name: kind for kind in settings.classes}
         self.plans = {plan.name: plan for plan in settings.plans}
         self.window = Window(settings.gateways)
-        self.quota = Quota(settings, self.rng.randrange(1 << 16))
-        self.servers = Servers(settings, self.rng)
+        self.quota, self.servers = Quota(settings, self.rng.randrange(1 << 16)), Servers(settings, self.rng)
         self.shares = {kind.name: FuzzyShare(kind.aim_ms * (1 - ANSWER_PART), 1 / len(settings.classes))
                        for kind in settings.classes}
         self.waits: dict[str, list[float]] = {kind.name: [] for kind in settings.classes}
@@ -523,8 +521,7 @@
         elif request is None or request.streaming:
             return
         elif what == "hedge":  # a second copy for an attempt that takes too long, while there is room
-            cap = self.window.cap(len(self.servers.ready()))
-            if self.window.out < HEDGE_ROOM * cap and len(request.out) == 1:
+            if self.window.out < HEDGE_ROOM * self.cap() and len(request.out) == 1:
                 self.again(request)
         elif what == "due" or request.attempts == 0:
             # The guard of rule 1: an answer before the client's time is up. And what can no longer be
@@ -591,6 +588,10 @@
                 return
             self.refuse_or_fail(min(queue, key=lambda waiter: (waiter.rank, -waiter.came_ms)))
 
+    def cap(self) -> int:
+        """The window, for the servers that are ready, cold ones by their warmth."""
+        return self.window.cap(sum(self.servers.warmth(self.now, server) for server in self.servers.ready()))
+
     def release(self) -> None:
         """Send on what is held: all of it below the cap; at the cap by shares, then by worth alone."""
         for account in self.quota.accounts.values():
@@ -598,7 +599,7 @@
                 self.admit(account)
         if not self.held:
             return
-        cap = self.window.cap(len(self.servers.ready()))
+        cap = self.cap()
         self.held.sort(key=lambda request: (not request.inside, -request.rank, request.came_ms))
         if len(self.held) > cap - self.window.out:
             total = max(1.0, sum(share.share for share in self.shares.values()))
@@ -658,8 +659,7 @@
                 ready = [backend for backend in ready if backend.entry.zone == anchor.entry.zone]
             elif kind.scope is Scope.CELL:
                 ready = [backend for backend in ready if backend.entry.cell == anchor.entry.cell]
-        fresh = [backend for backend in ready if backend.entry.id not in request.tried]
-        return fresh or ready
+        return [backend for backend in ready if backend.entry.id not in request.tried] or ready
 
     def answer_time(self, kind: RequestClass) -> float:
         """What an attempt is taken to need, with room for a slow one. Bounded by its part of the aim: else a
