--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -33,6 +33,7 @@
 ANSWER_PART = 0.45  # of a class's aim that is kept free for the answer at most
 PEAK_GROWTH = 2.0  # times the recent peak, as the design has it
 FULL_CUT = 0.75  # after full refusals, as the design has it
+FULL_SHARE, LEAST_CUT = 0.15, 0.3  # of attempts refused as full that cuts; how far cuts may go
 CUT_HEAL = 1.05  # per period, how a cut wears off
 RATE_MEMORY_MS = 1000.0  # over which answers are counted
 
@@ -49,7 +50,7 @@
 
 # Servers.
 SLOW_GAIN, SLOW_MOST = 0.15, 10.0  # how fast a relative slowness is learned; its bound
-FAIL_GAIN, FAIL_WEIGHT = 0.3, 20.0  # one failure in a row of successes is already telling
+FAIL_GAIN, FAIL_WEIGHT = 0.3, 200.0  # of the squared share: one failure soon fades, a row of them does not
 FAIL_MEMORY_MS = 4000.0  # a server's failures fade, so that it is tried again a little at a time
 SILENT_TIMES, SILENT_LEAST_MS = 4.0, 400.0  # no answer for so many usual times: it counts as failing
 ZONE_COST = 1.15  # a server of another zone must be so much better
@@ -111,7 +112,8 @@
     def __init__(self, gateways: int) -> None:
         # Each gateway has a part of the servers only: a cap that forgets this overdrives a fleet of many.
         self.gateways = gateways
-        self.out, self.peak, self.cut, self.full_seen, self.answered_ms = 0, 0.0, 1.0, False, 0.0
+        self.out, self.peak, self.cut, self.answered_ms = 0, 0.0, 1.0, 0.0
+        self.full, self.ended = 0.0, 0.0  # fading counts of attempts refused as full, and of all that ended
         self.room = 0.0  # answers a second x time each may take, summed over classes
 
     def step(self) -> None:
@@ -119,8 +121,9 @@
         keep = math.exp(-PERIOD_MS / RATE_MEMORY_MS)
         self.room = self.room * keep + self.answered_ms * IN_SERVER_PART / PERIOD_MS * (1 - keep)
         self.peak = max(float(self.out), self.peak * keep)
-        self.cut = max(0.1, self.cut * FULL_CUT) if self.full_seen else min(1.0, self.cut * CUT_HEAL)
-        self.answered_ms, self.full_seen = 0.0, False
+        crowded = self.full > FULL_SHARE * self.ended  # one server that refuses all is no crowded fleet
+        self.cut = max(LEAST_CUT, self.cut * FULL_CUT) if crowded else min(1.0, self.cut * CUT_HEAL)
+        self.answered_ms, self.full, self.ended = 0.0, self.full * keep * keep, self.ended * keep * keep
 
     def cap(self, servers: float) -> int:
         ready = servers / self.gateways
@@ -381,7 +384,7 @@
                 continue
             others = backend.others * math.exp(-(now - backend.report_ms) / REPORT_MEMORY_MS)
             cost = (1 + backend.out + others) * backend.slow / max(0.01, backend.entry.weight)
-            cost *= 1 + FAIL_WEIGHT * (2 if fragile else 1) * self.failing(now, backend, usual)
+            cost *= 1 + FAIL_WEIGHT * (2 if fragile else 1) * self.failing(now, backend, usual) ** 2
             cost *= 1.0 if backend.entry.zone == self.settings.zone else ZONE_COST
             cost *= self.rng.uniform(1.0, 1.1) / self.warmth(now, backend)
             if cost < best_cost:
@@ -408,9 +411,9 @@
     def ended(self, now: float, backend: Backend, result: Result) -> None:
         if result in (Result.CANCELLED, Result.MOOT):
             return
-        bad = result not in (Result.OK, Result.FULL)
+        # Full counts too: whatever answers fast without serving looks idle and would draw all there is.
         faded = backend.fail * math.exp(-(now - backend.fail_ms) / FAIL_MEMORY_MS)
-        backend.fail, backend.fail_ms = faded + ((1.0 if bad else 0.0) - faded) * FAIL_GAIN, now
+        backend.fail, backend.fail_ms = faded + ((result is not Result.OK) - faded) * FAIL_GAIN, now
         if result is not Result.TIMEOUT:
             backend.answer_ms = now
 
@@ -452,8 +455,8 @@
         self.class_out = {kind.name: 0 for kind in settings.classes}
         self.usual = {kind.name: min(USUAL_START_MS, kind.aim_ms / 4) for kind in settings.classes}
         self.requests: dict[int, Request] = {}
-        self.attempts: dict[tuple[int, int], tuple[Backend, str, Account]] = {}
         self.held: list[Request] = []
+        self.attempts: dict[tuple[int, int], tuple[Backend, str, Account]] = {}
         self.agenda: list[tuple[float, int, str, int]] = []
         self.serial, self.budget, self.now, self.boot_ms = 0, RETRY_MOST / 2, 0.0, -1.0
         self.actions: list[Action] = []
@@ -603,8 +606,7 @@
         self.held.sort(key=lambda request: (not request.inside, -request.rank, request.came_ms))
         if len(self.held) > cap - self.window.out:
             total = max(1.0, sum(share.share for share in self.shares.values()))
-            left = {name: share.share / total * cap - self.class_out[name]
-                    for name, share in self.shares.items()}
+            left = {name: fuzzy.share / total * cap - self.class_out[name] for name, fuzzy in self.shares.items()}
             first, rest = [], []
             for request in self.held:
                 left[request.kind.name] -= 1
@@ -655,10 +657,9 @@
             left = request.anchor_ms + kind.window_ms - self.settings.tick_ms - self.now
             if kind.repeat is Repeat.UNSAFE or left <= 0:
                 return []
-            if kind.scope is Scope.ZONE:
-                ready = [backend for backend in ready if backend.entry.zone == anchor.entry.zone]
-            elif kind.scope is Scope.CELL:
-                ready = [backend for backend in ready if backend.entry.cell == anchor.entry.cell]
+            same, group = anchor.entry, kind.scope
+            ready = [backend for backend in ready if group is Scope.ALL or backend.entry.zone == same.zone
+                     and (group is Scope.ZONE or backend.entry.cell == same.cell)]
         return [backend for backend in ready if backend.entry.id not in request.tried] or ready
 
     def answer_time(self, kind: RequestClass) -> float:
@@ -681,7 +682,7 @@
         request = self.requests.get(event.id)
         backend.out -= 1
         backend.pending.pop((event.id, event.attempt), None)
-        self.window.out -= 1
+        self.window.out, self.window.ended = self.window.out - 1, self.window.ended + 1
         self.class_out[class_name] -= 1
         self.quota.count_out(self.now, account, -1)
         self.servers.ended(self.now, backend, event.result)
@@ -692,8 +693,7 @@
             self.window.answered_ms += self.classes[class_name].aim_ms
             self.servers.learn_speed(backend, event.took_ms / usual)
             self.usual[class_name] = usual + (event.took_ms - usual) * USUAL_GAIN
-        elif event.result is Result.FULL:
-            self.window.full_seen = True
+        self.window.full += event.result is Result.FULL
         if request is None:
             return
         request.out.pop(event.attempt, None)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -241,3 +241,22 @@
     assert of(Subscribe, c.handle(1000, [FLEET]))
     c.handle(1010, [Fleet((), failed=True)])
     assert of(Subscribe, c.handle(2100, [Woken("agenda")]))
+
+
+def test_a_server_that_refuses_at_once_draws_no_load_and_does_not_close_the_window():
+    """It answers in no time, so it looks idle; and its refusals say nothing of the rest of the fleet."""
+    for result in (Result.FULL, Result.CONNECT_FAILED):
+        c = gateway()
+        now, sent = 1000.0, []
+        c.handle(now, [FLEET])
+        for number in range(1, 300):
+            now += 10
+            sends = of(Send, c.handle(now, [ask(number, due=now + 1400, customer=f"c{number}")]))
+            while sends:
+                send = sends.pop()
+                sent.append(send.server)
+                bad = send.server == "s2"
+                attempt = c.requests[send.id].attempts - 1
+                sends += of(Send, c.handle(now + 2, [outcome(send, result if bad else Result.OK, attempt)]))
+        assert sent.count("s2") < len(sent) / 15
+        assert c.window.cut == 1.0
