--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -54,7 +54,7 @@
 FAIL_MEMORY_MS = 4000.0  # a server's failures fade, so that it is tried again a little at a time
 SILENT_TIMES, SILENT_LEAST_MS = 4.0, 400.0  # no answer for so many usual times: it counts as failing
 ZONE_COST = 1.15  # a server of another zone must be so much better
-COLD_SAFETY = 0.6  # of what a warm server carries, times the cold share
+COLD_SAFETY, COLD_OUT = 1.0, 12.0  # of a warm server's sends times the cold share; out at once, all together
 UTIL_LOAD = 2.0  # attempts that a fully busy server counts as holding for others
 REPORT_MEMORY_MS = 1000.0
 
@@ -361,7 +361,8 @@
         share = self.warmth(now, backend)
         if share >= 1.0:
             return True
-        return len(backend.sent) < max(1.0, COLD_SAFETY * share * warm_sent) and backend.out <= share * 3
+        most_out = share * COLD_OUT / self.settings.gateways
+        return len(backend.sent) < max(1.0, COLD_SAFETY * share * warm_sent) and backend.out <= most_out
 
     def failing(self, now: float, backend: Backend, usual: float) -> float:
         """The fading share of failures; a server that answers nothing for long counts as failing."""
@@ -606,7 +607,7 @@
         self.held.sort(key=lambda request: (not request.inside, -request.rank, request.came_ms))
         if len(self.held) > cap - self.window.out:
             total = max(1.0, sum(share.share for share in self.shares.values()))
-            left = {name: fuzzy.share / total * cap - self.class_out[name] for name, fuzzy in self.shares.items()}
+            left = {name: own.share / total * cap - self.class_out[name] for name, own in self.shares.items()}
             first, rest = [], []
             for request in self.held:
                 left[request.kind.name] -= 1
