--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -62,7 +62,6 @@
 HEDGE_TIMES, HEDGE_LEAST_MS = 3.0, 150.0  # usual answer times after which a second copy may go out
 RETRY_PART, RETRY_MOST = 0.2, 20.0  # further attempts for each first one; how many may be saved up
 HEDGE_ROOM = 0.7  # of the window: fuller than that, no second copies
-FLOW_KEEP, LAG_MOST = 0.97, 4.0  # per period, of the counts of a plan let in and sent; the most that a lag weighs
 OVER_ROOM = 0.5  # of the window: fuller than that, nothing beyond a quota is sent on
 USUAL_START_MS = 200.0  # a class's answer time before the first answer
 USUAL_GAIN = 0.05
@@ -454,7 +453,6 @@
         self.usual = {kind.name: min(USUAL_START_MS, kind.aim_ms / 4) for kind in settings.classes}
         self.requests: dict[int, Request] = {}
         self.held: list[Request] = []
-        self.flow = {plan.name: [1.0, 1.0] for plan in settings.plans}  # fading counts: let in, and sent
         self.attempts: dict[tuple[int, int], tuple[Backend, str, Account]] = {}
         self.agenda: list[tuple[float, int, str, int]] = []
         self.serial, self.budget, self.now, self.boot_ms = 0, RETRY_MOST / 2, 0.0, -1.0
@@ -512,8 +510,6 @@
             self.plan_at(self.now + PERIOD_MS, "period")
             self.step_shares()
             self.window.step()
-            for counts in self.flow.values():
-                counts[:] = [count * FLOW_KEEP for count in counts]
         elif what == "tell":
             self.plan_at(self.now + TELL_MS, "tell")
             self.actions.extend(self.quota.tell(self.now, self.boot_ms))
@@ -579,7 +575,6 @@
             if not request.inside:
                 request.rank *= plan.over_worth
             request.held = True
-            self.flow[plan.name][0] += request.inside
             self.held.append(request)
         return True
 
@@ -597,11 +592,6 @@
         """The window, for the servers that are ready, cold ones by their warmth."""
         return self.window.cap(sum(self.servers.warmth(self.now, server) for server in self.servers.ready()))
 
-    def urgency(self, request: Request) -> float:
-        """Worth; a departure for plans of which less is sent on than of others, so that none is shed alone."""
-        let_in, sent = self.flow[request.plan.name]
-        return request.rank * min(LAG_MOST, (let_in + 1) / (sent + 1))
-
     def release(self) -> None:
         """Send on what is held: all of it below the cap; at the cap by shares, then by worth alone."""
         for account in self.quota.accounts.values():
@@ -610,7 +600,7 @@
         if not self.held:
             return
         cap = self.cap()
-        self.held.sort(key=lambda request: (not request.inside, -self.urgency(request), request.came_ms))
+        self.held.sort(key=lambda request: (not request.inside, -request.rank, -request.came_ms))
         if len(self.held) > cap - self.window.out:
             total = max(1.0, sum(share.share for share in self.shares.values()))
             left = {name: own.share / total * cap - self.class_out[name] for name, own in self.shares.items()}
@@ -636,7 +626,6 @@
             self.waits[request.kind.name].append(self.now - request.came_ms)
             self.budget = min(RETRY_MOST, self.budget + RETRY_PART)
             request.held = False
-            self.flow[request.plan.name][1] += request.inside
         else:
             self.quota.count_out(self.now, request.account, 1)
         self.actions.append(Send(number, name, max(1.0, request.arrival.due_ms - self.now)))
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -260,3 +260,13 @@
                 sends += of(Send, c.handle(now + 2, [outcome(send, result if bad else Result.OK, attempt)]))
         assert sent.count("s2") < len(sent) / 15
         assert c.window.cut == 1.0
+
+
+def test_a_server_that_restarts_under_its_old_id_keeps_its_count_of_attempts_out():
+    c = gateway()
+    send, = of(Send, c.handle(1000, [FLEET, ask(1)]))
+    old = c.servers.known[send.server].entry
+    back = Server(old.id, old.zone, old.cell, State.READY, 1.0, 1005.0)
+    c.handle(1010, [Fleet((back,), complete=False)])
+    c.handle(1020, [outcome(send, Result.RESET)])
+    assert c.servers.known[send.server].out == 0
