--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -561,7 +561,7 @@
         """Let in what the quota holds units for, the worthiest first."""
         self.quota.refresh(self.now, account)
         while account.waiting:
-            request = max(account.waiting, key=lambda waiter: (waiter.rank, -waiter.came_ms))
+            request = max(account.waiting, key=lambda waiter: (waiter.rank, waiter.came_ms))
             units, plan = request.arrival.units, request.plan
             if plan.ceiling_per_s and units > account.ceiling:
                 return False
@@ -586,7 +586,7 @@
             patience = max(waiter.aim_ms - self.answer_time(waiter.kind) - self.now for waiter in queue)
             if sum(waiter.arrival.units for waiter in queue) <= account.own + rate * patience / 1000:
                 return
-            self.refuse_or_fail(min(queue, key=lambda waiter: (waiter.rank, -waiter.came_ms)))
+            self.refuse_or_fail(min(queue, key=lambda waiter: (waiter.rank, waiter.came_ms)))
 
     def cap(self) -> int:
         """The window, for the servers that are ready, cold ones by their warmth."""
