--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -45,7 +45,7 @@
 SURE_PART = 0.15  # of the store kept back as well
 LEAST_PART = 0.02  # of a quota that a gateway keeps, however little it was asked
 OUT_MEMORY_MS = 700.0  # over which a customer's attempts out are averaged
-OPEN_RISK = 0.4  # of the even odds at which one more out costs as much as it brings: waiting is cheaper still
+OPEN_RISK = 0.25  # of the even odds at which one more out costs as much as it brings: waiting is cheaper still
 WORTH_TELLING = 0.05  # of the store: smaller use is not told at once
 
 # Servers.
