--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -45,7 +45,7 @@
 SURE_PART = 0.15  # of the store kept back as well
 LEAST_PART = 0.02  # of a quota that a gateway keeps, however little it was asked
 OUT_MEMORY_MS = 700.0  # over which a customer's attempts out are averaged
-OPEN_RISK = 0.25  # of the even odds at which one more out costs as much as it brings: waiting is cheaper still
+OPEN_RISK = 0.4  # of the even odds at which one more out costs as much as it brings: waiting is cheaper still
 WORTH_TELLING = 0.05  # of the store: smaller use is not told at once
 
 # Servers.
@@ -593,7 +593,10 @@
         return self.window.cap(sum(self.servers.warmth(self.now, server) for server in self.servers.ready()))
 
     def release(self) -> None:
-        """Send on what is held: all of it below the cap; at the cap by shares, then by worth alone."""
+        """Send on what is held: all of it below the cap; at the cap by shares, then by worth alone.
+
+        Of equal worth the newest goes: the oldest first would have all of them near their aims, many late.
+        """
         for account in self.quota.accounts.values():
             if account.waiting:
                 self.admit(account)
