Gateways tell within the inbox limit, however many they are

Danger: at four messages a second to each of forty gateways, most are lost and every gateway looks stale.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -39,7 +39,8 @@
 
 # Quota.
 TELL_MS = 250.0  # between messages; four a second stay far within any inbox
-STALE_MS = 1500.0  # a gateway not heard for so long is no longer believed
+INBOX_PART = 0.5  # of what an inbox takes a second that all others together may send
+STALE_MS, STALE_TELLS = 1500.0, 4.0  # a gateway not heard for so long, or so many tells, is not believed
 DEMAND_MEMORY_MS = 3000.0  # over which a customer's use is averaged
 RESERVE_MS = 500.0  # of the others' use kept back when spending on what was heard
 SURE_PART = 0.15  # of the store kept back as well
@@ -162,6 +163,9 @@
 
     def __init__(self, settings: Settings, boot: int) -> None:
         self.settings, self.boot = settings, boot
+        # Many gateways tell less often: what comes faster than an inbox takes is lost, and all go stale.
+        crowd = 1000 * settings.gateways / (INBOX_PART * settings.inbox_per_s or math.inf)
+        self.tell_ms, self.stale_ms = max(TELL_MS, crowd), max(STALE_MS, STALE_TELLS * crowd)
         self.accounts: dict[str, Account] = {}
         self.by_tag: dict[int, Account] = {}
         self.news: dict[int, dict[int, tuple[int, float, messages.Use]]] = {}  # by tag, gateway
@@ -210,7 +214,7 @@
                 if member in account.members]
 
     def believed(self, now: float, gateway: int) -> bool:
-        return now - self.heard_ms.get(gateway, -math.inf) <= STALE_MS
+        return now - self.heard_ms.get(gateway, -math.inf) <= self.stale_ms
 
     def within(self, now: float, account: Account, units: float) -> bool:
         """Would a try of so many units be inside the quota, as far as is known here?"""
@@ -389,7 +393,6 @@
         return best
 
     def report(self, now: float, backend: Backend, load: tuple[float, ...]) -> None:
-        """Take in a load report."""
         values = dict(zip(self.settings.report_fields, load, strict=False))
         if "inflight" in values:
             backend.others = max(0.0, values["inflight"] - backend.out)
@@ -456,13 +459,12 @@
         self.attempts: dict[tuple[int, int], tuple[Backend, str, Account]] = {}
         self.agenda: list[tuple[float, int, str, int]] = []
         self.serial, self.budget, self.now, self.boot_ms = 0, RETRY_MOST / 2, 0.0, -1.0
-        self.actions: list[Action] = []
 
     # ---- the round ----
 
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
         """Take in what happened at this time and return what to do."""
-        self.now, self.actions = now_ms, []
+        self.now, self.actions = now_ms, list[Action]()
         if self.boot_ms < 0:
             self.boot_ms = now_ms
             self.plan_at(now_ms + PERIOD_MS, "period")
@@ -511,7 +513,7 @@
             self.step_shares()
             self.window.step()
         elif what == "tell":
-            self.plan_at(self.now + TELL_MS, "tell")
+            self.plan_at(self.now + self.quota.tell_ms, "tell")
             self.actions.extend(self.quota.tell(self.now, self.boot_ms))
         elif what == "subscribe":
             self.actions.append(Subscribe())
@@ -593,10 +595,8 @@
         return self.window.cap(sum(self.servers.warmth(self.now, server) for server in self.servers.ready()))
 
     def release(self) -> None:
-        """Send on what is held: all of it below the cap; at the cap by shares, then by worth alone.
-
-        Of equal worth the newest goes: the oldest first would have all of them near their aims, many late.
-        """
+        """Send on what is held: all of it below the cap; at the cap by shares, then by worth alone."""
+        # Of equal worth the newest goes: the oldest first would have all of them near their aims, many late.
         for account in self.quota.accounts.values():
             if account.waiting:
                 self.admit(account)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -236,6 +236,16 @@
     assert not any(messages.decode(tell.data).uses for tell in told if tell.receiver in (2, 3))
 
 
+def test_many_gateways_stay_within_the_inbox():
+    """Faster than an inbox takes, messages are lost and every gateway would look stale."""
+    c = gateway(gateways=40, inbox_per_s=60)
+    told = 0
+    c.handle(0, [FLEET])
+    for now in range(4, 10_000, 4):
+        told += len(of(Tell, c.handle(now, [Woken("agenda")])))
+    assert 39 <= told <= 60 * 10  # what one sends to all, one receives from all
+
+
 def test_discovery_that_must_be_asked_is_asked_and_asked_again():
     c = gateway(must_subscribe=True, ask_within_ms=4000)
     assert of(Subscribe, c.handle(1000, [FLEET]))
