--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -14,6 +14,8 @@
     Heard,
     Outcome,
     Plan,
+    Probe,
+    Probed,
     Refuse,
     Repeat,
     RequestClass,
@@ -280,3 +282,12 @@
     c.handle(1010, [Fleet((back,), complete=False)])
     c.handle(1020, [outcome(send, Result.RESET)])
     assert c.servers.known[send.server].out == 0
+
+
+def test_load_reports_on_probes_are_asked_for_and_used():
+    c = gateway(report_how="probe", may_probe=True)
+    probes = of(Probe, c.handle(1000, [FLEET])) + of(Probe, c.handle(2000, [Woken("agenda")]))
+    assert {probe.server for probe in probes} == {server.id for server in FLEET.servers}
+    c.handle(2005, [Probed("s3", 4.0, Result.OK, (0.9, 30.0)), Probed("never listed", 4.0, Result.OK)])
+    sends = of(Send, c.handle(2010, [ask(n, customer=f"c{n}") for n in range(1, 7)]))
+    assert len(sends) == 6 and "s3" not in {send.server for send in sends}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -46,7 +46,7 @@
         ),
         plans=(
             Plan("rated", 4, 12, 0, 1.0, 0.3, 0.1),
-            Plan("capped", 8, 16, 0, 1.5, 0.0, 1.0, ceiling_per_s=16, ceiling_burst=32, ceiling_slack=4),
+            Plan("capped", 8, 16, 0, 1.5, 0.5, 0.1, ceiling_per_s=16, ceiling_burst=32, ceiling_slack=4),
             Plan("open", max_out=4, value=1.2, over_cost=1.0),
         ),
         warm_up_ms=8000, cold_from=0.25, fall_multiple=3, fall_window_ms=1500, max_attempts=4, max_units=4,
@@ -158,7 +158,7 @@
         kind = self.rng.choice(self.config.classes)
         plan = self.rng.choice(self.config.plans)
         spread = self.rng.choice((2, len(self.gateways)))
-        customer = f"{plan.name}-{self.rng.randrange(4)}-{spread}"
+        customer = f"{plan.name}-{self.rng.randrange(4 if plan.max_out else 1)}-{spread}"
         first = gateway if spread == len(self.gateways) else 0
         if spread == 2:
             gateway = self.rng.randrange(2)
