--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import heapq
 import math
 import random
@@ -93,11 +94,12 @@
         self.last_error = error
         if error >= 0 and change >= 0:
             return  # the output is not below nothing: an idle class need not be inferred
-        move = OUTPUT_GAIN * self.infer(ERROR_GAIN * error, CHANGE_GAIN * change)
+        move = OUTPUT_GAIN * self.infer(round(ERROR_GAIN * error, 2), round(CHANGE_GAIN * change, 2))
         if move < 0 or error < 0:
             self.share = min(1.0, max(LEAST_SHARE, self.share - move))
 
     @staticmethod
+    @functools.cache  # a pure function of few values, and the dearest step of a pressed gateway
     def infer(error: float, change: float) -> float:
         """Diagonal table, max-min inference, centre of gravity; all on [-1, 1]."""
         strength = [0.0] * len(CENTRES)
@@ -172,8 +174,6 @@
         account.ceiling = min(plan.ceiling_burst * rest, account.ceiling + plan.ceiling_per_s * rest * gone_s)
         return account
 
-    # ---- at the gateway that a client asked ----
-
     def request(self, now: float, request: Request) -> bool:
         """May this try go on? Where the bucket here lacks units, its home is asked."""
         account, plan, units = request.account, request.plan, request.arrival.units
@@ -605,7 +605,7 @@
     def release(self) -> None:
         """Send on what is held: all of it below the cap; at the cap by shares, then by worth alone."""
         # Of equal worth the newest goes: the oldest first would have all of them near their aims, many late.
-        if not self.held:
+        if not self.held or self.window.free() < 1:
             return
         cap = self.window.limit
         self.held.sort(key=lambda request: (not request.inside, -request.rank, -request.came_ms))
