--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -42,7 +42,7 @@
 
 # Quota.
 DEMAND_MEMORY_MS = 3000.0  # over which a customer's use is averaged
-OWN_PART = 0.25  # of the burst that all gateways' own buckets hold together; the rest is lent by the home
+OWN_PART = 0.1  # of the burst that all own buckets hold together: what they hold the home may lend as well
 HOME_CEILING = 0.5  # of a ceiling that the home may grant; the rest is split evenly over the set
 ASK_START_MS, ASK_TIMES, ASK_LEAST_MS = 60.0, 2.5, 30.0  # usual time of a home's answer; late is so much
 INBOX_PART, ASK_MOST = 0.5, 2.0  # of a home's inbox that one customer may fill; or so many times its quota
@@ -57,7 +57,7 @@
 SLOW_MEMORY_MS = 15_000.0  # it fades, so that an old spell is no verdict
 FAIL_WEIGHT = 200.0  # of the squared share of failures: one soon fades, a row of them does not
 FAIL_MEMORY_MS = 4000.0  # a server's failures fade, so that it is tried again a little at a time
-HEARD_WEIGHT, SIGHTING_MS = 0.5, 2000.0  # of our own outcomes: what a peer saw; nothing older is told
+SUSPECT, HEARD_WEIGHT, SIGHTING_MS = 0.6, 0.5, 2000.0  # of an own failure: silence; what a peer saw of late
 ZONE_COST = 1.15  # a server of another zone must be so much better
 LEAST_CHOICE, CHOICE_PER_SEND = 2.0, 4.0  # servers compared; more for each recent send of ours to each server
 UTIL_LOAD, REPORT_MEMORY_MS = 2.0, 1000.0  # attempts that full use counts as; a report ages
@@ -439,16 +439,17 @@
         if ratio < math.inf:  # against the fleet's mean: a slowdown of all blames none
             backend.slow += (min(SLOW_MOST, ratio) - backend.slow) * SLOW_GAIN * weight
         backend.seen_ms = now
-        if weight == 1.0:  # first-hand: worth telling
+        if weight > HEARD_WEIGHT:  # first-hand: worth telling
             seen = sighting(backend.entry.id, self.names.index(name), ratio)
             self.sightings = [*self.sightings[1 - MAX_SIGHTINGS:], (now, seen)]
 
     def hear(self, now: float, sightings: tuple[Sighting, ...]) -> None:
-        """What a peer saw weighs less than an own outcome; only first-hand sightings are told on."""
+        """What a peer saw weighs the less the more we see ourselves, or all would flee and crowd alike."""
+        weight = HEARD_WEIGHT / (1 + CHOICE_PER_SEND * self.sends / max(1, len(self.warm)))
         for seen in sightings:
             backend = self.by_tag.get(seen.server)
             if backend is not None and seen.class_index < len(self.names):
-                self.learn(now, backend, self.names[seen.class_index], ratio_of(seen), HEARD_WEIGHT)
+                self.learn(now, backend, self.names[seen.class_index], ratio_of(seen), weight)
 
 
 class Controller:
@@ -538,7 +539,7 @@
                 self.let_in(request)
         elif what == "hedge":  # a second copy for an attempt that takes too long, while there is room
             for backend in request.out.values() if not self.stalled else ():  # silence is a failure too
-                self.servers.learn(self.now, backend, request.kind.name, math.inf, 1.0)
+                self.servers.learn(self.now, backend, request.kind.name, math.inf, SUSPECT)
             room = self.settings.second_copies and self.window.mean_out < HEDGE_ROOM * self.window.limit
             if room and len(request.out) == 1:
                 self.again(request)
@@ -676,10 +677,9 @@
             return
         backend, class_name = self.attempts.pop((event.id, event.attempt))
         request = self.requests.get(event.id)
-        backend.out -= 1
+        backend.out, full = backend.out - 1, event.result is Result.FULL
         self.window.count(self.now, -1)
-        self.window.ended += 1
-        self.window.full += event.result is Result.FULL
+        self.window.full, self.window.ended = self.window.full + full, self.window.ended + 1
         usual, ratio = self.usual[class_name], math.inf
         if event.load:
             self.servers.report(self.now, backend, event.load)
