--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -46,6 +46,7 @@
 HOME_CEILING = 0.5  # of a ceiling that the home may grant; the rest is split evenly over the set
 ASK_START_MS, ASK_TIMES, ASK_LEAST_MS = 60.0, 2.5, 30.0  # usual time of a home's answer; late is so much
 INBOX_PART, ASK_MOST = 0.5, 2.0  # of a home's inbox that one customer may fill; or so many times its quota
+RESERVE = 0.5  # of the burst that what is worth nothing leaves in store, and less the more it is worth
 LEASE_AIMS = 1.5  # a slot whose end is never told is free again after so many aims
 TELL_PART, GAP_MOST_MS = 0.75, 60.0  # of an inbox that all others may fill; what waits for company
 TALKING_MS = 1000.0  # a gateway heard within so long shares our peers' inboxes with us
@@ -159,8 +160,7 @@
         if account is None:
             spread, tag = max(1, min(arrival.spread, self.settings.gateways)), tag_of(arrival.customer)
             home = (arrival.first_gateway + tag % spread) % self.settings.gateways
-            account = Account(plan, tag, spread, home, now, plan.burst * OWN_PART / spread)
-            self.accounts[arrival.customer] = account
+            account = self.accounts[arrival.customer] = Account(plan, tag, spread, home, now)
         gone_s = (now - account.at_ms) / 1000
         account.at_ms = now
         account.asked *= math.exp(-gone_s * 1000 / DEMAND_MEMORY_MS)
@@ -197,10 +197,10 @@
 
     def ask(self, now: float, request: Request) -> None:
         request.asks, request.asked_ms = request.asks + 1, now
-        self.tell_home(now, Kind.ASK, request)
+        self.tell_home(now, Kind.AGAIN if request.arrival.is_repeat else Kind.ASK, request)
         if not request.answered:
-            known = request.account.home not in self.silent
-            self.plan_at(now + max(ASK_LEAST_MS, ASK_TIMES * self.rtt_ms) * known, "ask", request.arrival.id)
+            patience = max(ASK_LEAST_MS, ASK_TIMES * self.rtt_ms) * (request.account.home not in self.silent)
+            self.plan_at(now + patience, "ask", request.arrival.id)
 
     def unanswered(self, now: float, request: Request) -> bool:
         """The home has not answered: ask again, then send on credit. A quiet customer's lone request so goes
@@ -265,19 +265,20 @@
             self.rtt_ms += (now - request.asked_ms - self.rtt_ms) * USUAL_GAIN
         request.answered = True
         if not request.paid:
-            granted = item.kind is Kind.GRANT
-            request.paid = request.arrival.units * granted
-            self.answered(request, granted)
+            request.paid = request.arrival.units * (item.kind is Kind.GRANT)
+            self.answered(request, item.kind is Kind.GRANT)
 
     def at_home(self, now: float, key: tuple[int, int, int], item: Item) -> None:
         plan, kind = self.settings.plans[item.plan_index], self.settings.classes[item.class_index]
         store = self.stores.setdefault(item.tag, Store(plan, plan.burst, now))
         queued = any(ask.key == key for ask in store.queue)
-        if item.kind is Kind.ASK and key in store.done:
+        asked = item.kind in (Kind.ASK, Kind.AGAIN)
+        if asked and key in store.done:
             self.reply(now, Kind.GRANT, key, item, store)  # the first answer was lost
-        elif item.kind is Kind.ASK and not queued:
+        elif asked and not queued:
             store.asked += item.units
-            ask = Ask(key, item, kind.worth, now, now + kind.aim_ms * (1 - ANSWER_PART))
+            worth = kind.worth if item.kind is Kind.ASK else 0.0
+            ask = Ask(key, item, worth, now, now + kind.aim_ms * (1 - ANSWER_PART))
             store.queue.append(ask)
             self.serve(now, item.tag)
             if ask in store.queue:
@@ -293,7 +294,7 @@
 
     def serve(self, now: float, tag: int) -> None:
         """Lend to those that wait, the worthiest first, of equal worth the newest."""
-        store = self.stores[tag]
+        store, top = self.stores[tag], max(kind.worth for kind in self.settings.classes) or 1.0
         gone_s, plan = (now - store.at_ms) / 1000, store.plan
         store.at_ms = now
         store.asked *= math.exp(-gone_s * 1000 / DEMAND_MEMORY_MS)
@@ -307,7 +308,9 @@
         while store.queue:
             ask, wait_s = store.queue[-1], 0.0
             if plan.rate_per_s:
-                wait_s = (ask.item.units - store.level) / plan.rate_per_s
+                # Lesser worth leaves a reserve; a client's repeat, whose aim has mostly gone by, the most.
+                spare = RESERVE * plan.burst * (1 - ask.worth / top)
+                wait_s = (ask.item.units + spare - store.level) / plan.rate_per_s
             if plan.ceiling_per_s:
                 wait_s = max(wait_s, (ask.item.units - store.ceiling) / ceiling_per_s)
             if plan.max_out and len(store.leases) >= plan.max_out:
@@ -561,8 +564,7 @@
         news = decode(event.data)
         if news is None or event.sender == self.settings.number or event.sender >= self.settings.gateways:
             return
-        self.quota.heard_ms[event.sender] = self.now
-        self.quota.heard += 1
+        self.quota.heard_ms[event.sender], self.quota.heard = self.now, self.quota.heard + 1
         self.window.fleet_room += (news.room - self.window.fleet_room) * FLEET_GAIN
         if not self.stalled:
             self.servers.hear(self.now, news.sightings)
@@ -578,14 +580,12 @@
         account = self.quota.account(self.now, arrival, plan)
         account.asked += arrival.units
         # An answer just after the aim is worth little or nothing, so waiting must leave time for the answer.
-        request = Request(arrival, kind, plan, account, self.now, self.now + kind.aim_ms,
-                          kind.worth * plan.value)
-        self.requests[arrival.id] = request
+        aim_ms, worth = self.now + kind.aim_ms, kind.worth * plan.value
+        request = self.requests[arrival.id] = Request(arrival, kind, plan, account, self.now, aim_ms, worth)
         self.plan_at(arrival.due_ms - 2 * self.settings.tick_ms, "due", arrival.id)
         last = arrival.due_ms if kind.late_worth > 0 else min(arrival.due_ms, request.aim_ms)
-        # An impatient client leaves less time than an answer usually takes: it is tried all the same.
-        self.plan_at(max(last - self.answer_time(kind), self.now + ANSWER_PART * (last - self.now)),
-                     "hopeless", arrival.id)
+        impatient = self.now + ANSWER_PART * (last - self.now)  # it leaves less than an answer usually takes
+        self.plan_at(max(last - self.answer_time(kind), impatient), "hopeless", arrival.id)
         if self.quota.request(self.now, request):
             self.let_in(request)
 
--- a/anisefront/messages.py
+++ b/anisefront/messages.py
@@ -25,6 +25,7 @@
     WAIT = 3  # from the home: heard, but not now
     SPENT = 4  # to the home: they went on without a grant
     BACK = 5  # to the home: not needed, or no longer out
+    AGAIN = 6  # an ASK for a client's repeat
 
 
 class Item(NamedTuple):
