Module moved to anisefront/policy/, first room of the layout to grow into

Need: the program that will run around the module needs rooms with arrows one way. The four files moved as they were; only import lines differ.

--- a/anisefront/control.py
+++ b/anisefront/policy/control.py
@@ -12,14 +12,16 @@
 import random
 from dataclasses import replace
 
-from anisefront.interface import (
+from anisefront.policy.interface import (
     Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Plan, Refuse, Repeat,
     RequestClass, Result, Scope, Send, Settings, Started, State, Subscribe, Tell, Wake,
 )
-from anisefront.messages import (
+from anisefront.policy.messages import (
     MAX_ITEMS, MAX_SIGHTINGS, Item, Kind, Sighting, decode, encode, ratio_of, server_tag, sighting, tag_of,
 )
-from anisefront.state import Account, Ask, Backend, QuotaState, Request, ServersState, Store, WindowState
+from anisefront.policy.state import (
+    Account, Ask, Backend, QuotaState, Request, ServersState, Store, WindowState,
+)
 
 # Fuzzy shares (paper, Tables 6 and 7, absolute delay).
 ERROR_GAIN, CHANGE_GAIN, OUTPUT_GAIN = 0.4, 3.0, 0.01  # per second of error, of its change; share per output
--- a/anisefront/state.py
+++ b/anisefront/policy/state.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from anisefront.interface import Arrival, Plan, RequestClass, Server, Settings
-from anisefront.messages import Item, Sighting
+from anisefront.policy.interface import Arrival, Plan, RequestClass, Server, Settings
+from anisefront.policy.messages import Item, Sighting
 
 
 @dataclass(slots=True, eq=False)
--- a/anisefront/simhost.py
+++ b/anisefront/simhost.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, TextIO
 
-from anisefront import interface as face
-from anisefront.control import Controller
+from anisefront.policy import interface as face
+from anisefront.policy.control import Controller
 
 _REPEATS = {"retryable": face.Repeat.SAFE, "dedup": face.Repeat.KEYED, "fragile": face.Repeat.UNSAFE}
 _STATES = {"Running": face.State.READY, "Stopping": face.State.DRAINING, "Deleted": face.State.GONE}
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -89,7 +89,7 @@
     import io
 
     from anisefront import simhost
-    from anisefront.control import Controller
+    from anisefront.policy.control import Controller
     monkeypatch.setattr(Controller, "handle", lambda self, now, events: 1 / 0)
     monkeypatch.setattr(sys, "stdin", io.TextIOWrapper(io.BytesIO(start().encode())))
     out = io.TextIOWrapper(io.BytesIO())
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -3,9 +3,9 @@
 import pytest
 from test_rules import settings
 
-from anisefront import messages
-from anisefront.control import CENTRES, Controller, FuzzyShare, Window
-from anisefront.interface import (
+from anisefront.policy import messages
+from anisefront.policy.control import CENTRES, Controller, FuzzyShare, Window
+from anisefront.policy.interface import (
     Arrival,
     Cancel,
     ClientGone,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from anisefront.control import Controller
-from anisefront.interface import (
+from anisefront.policy.control import Controller
+from anisefront.policy.interface import (
     Arrival,
     Cancel,
     Fail,
