--- a/anisefront/carriers/proxied.py
+++ b/anisefront/carriers/proxied.py
@@ -53,6 +53,8 @@
     reply: Reply | None  # an open check
     attempt: int = -1  # the last one that was sent
     out: bool = False  # its OK has gone to the proxy, its log has not come
+    peer: str = ""  # host of the proxy
+    contested: bool = False  # another check came with the same request id
     parked: tuple[int, str, float, float] | None = None  # a send that no check waits for yet
     final: Answer | None = None
     moment: int = 0  # counts changes, so that an old timer knows that it is old
@@ -81,11 +83,15 @@
     # ---- what a front says ---------------------------------------------------------------------
 
     def ask(self, request_id: str, reply: Reply, customer: str, class_name: str, plan_name: str,
-            due_ms: float, units: float, first_gateway: int, spread: int, is_repeat: bool) -> int | None:
-        """The first check of a request; the number by which `withdraw` names it, None if it was answered."""
+            due_ms: float, units: float, first_gateway: int, spread: int, is_repeat: bool,
+            peer: str = "") -> int | None:
+        """The first check of a request, by the proxy at host `peer`.
+
+        The answer is the number by which `withdraw` names it, None if it was answered at once."""
         if request_id and request_id in self._by_id:
             # Danger: the same try over two proxies would run twice, each way unknown to the other.
             self.counts["same_id_twice"] += 1
+            self.exchanges[self._by_id[request_id]].contested = True
             reply(Answer(Verdict.REFUSED, retry_in_ms=1000.0, reason="in-progress"))
             return None
         number = self._ledger.accept(self, customer, class_name, plan_name, due_ms, units, first_gateway,
@@ -93,7 +99,7 @@
         if number is None:
             reply(Answer(Verdict.REFUSED, retry_in_ms=1000.0, reason="held-requests"))
             return None
-        self.exchanges[number] = Exchange(request_id, number, due_ms, reply)
+        self.exchanges[number] = Exchange(request_id, number, due_ms, reply, peer=peer)
         if request_id:
             self._by_id[request_id] = number
         return number
@@ -156,6 +162,23 @@
             self._after(self.limits.ask_again_ms, exchange, self._not_asked_again)
         return True
 
+    def log_unsent(self, request_id: str, peer: str) -> bool:
+        """A proxy says that it denied a request because its check had failed: our OK never reached it.
+
+        It saw no attempt's name, so the request's id must do; and only from the host that asked, and where no
+        other check came with that id, does it prove that nothing was sent."""
+        exchange = self.exchanges.get(self._by_id.get(request_id, -1)) if request_id else None
+        if exchange is None or exchange.contested or exchange.peer != peer or exchange.attempt > 0:
+            self.counts["logs_unknown"] += 1
+            return False
+        self.counts["unsent"] += 1
+        self._ledger.leave(exchange.number)
+        if exchange.out:
+            exchange.out = False
+            self._ledger.outcome(exchange.number, exchange.attempt, Result.MOOT, 0.0)
+        self._close(exchange)
+        return True
+
     # ---- what the ledger says ------------------------------------------------------------------
 
     def send(self, request: int, attempt: int, worker: str, allow_ms: float) -> None:
--- a/anisefront/cli/main.py
+++ b/anisefront/cli/main.py
@@ -72,3 +72,23 @@
     if not line:
         raise click.ClickException(f"{address}: it closed without an answer")
     click.echo(json.dumps(json.loads(line)["result"], indent=2))
+
+
+@main.command()
+@click.argument("script", type=click.Path(exists=True))
+@click.option("--keep", type=click.Path(), help="Folder for the day's records; else they go with the day.")
+@click.option("--seed", type=int, help="Another seed than the script's.")
+@click.option("--break", "guard", help="Take out one rule's guard (see anisefront/lab/sabotage.py): it must be caught.")
+def day(script: str, keep: str | None, seed: int | None, guard: str | None) -> None:
+    """Play a SCRIPT of troubles (or its folder) against gatekeepers, proxies and workers on loopback, and judge it.
+
+    Exit 0 only if no rule broke and the day itself could be played."""
+    import tempfile
+
+    from anisefront.lab.report import judge
+    path = Path(script)
+    path = path / "day.script" if path.is_dir() else path
+    with tempfile.TemporaryDirectory() as made:
+        folder = Path(keep or made)
+        folder.mkdir(parents=True, exist_ok=True)
+        sys.exit(judge(path, folder, seed, guard))
--- a/anisefront/fronts/accesslog.py
+++ b/anisefront/fronts/accesslog.py
@@ -40,9 +40,13 @@
 
     def _entry(self, entry: object) -> None:
         token = entry.request.request_headers.get(ATTEMPT, "")
-        if not token:  # a request that we denied, or that is not ours
-            return
         common, headers = entry.common_properties, entry.response.response_headers
+        if not token:
+            # Denied by the proxy alone, because its check failed; what we denied is logged as ext_authz_denied.
+            if common.response_flags.HasField("unauthorized_details") \
+                    and entry.response.response_code_details == "ext_authz_error":
+                self._proxied.log_unsent(entry.request.request_id, self._call.peer)
+            return
         names = {field.name for field, _ in common.response_flags.ListFields()}
         end = of_flags(names, entry.response.response_code.value, headers)
         took = None
--- a/anisefront/fronts/authorization.py
+++ b/anisefront/fronts/authorization.py
@@ -70,7 +70,8 @@
         first, spread = gate.gateways_of(mapped.customer)
         self._number = gate.proxied.ask(
             headers.get("x-request-id", "") or http.id, self._reply, mapped.customer, mapped.class_name,
-            mapped.plan, gate.now_ms() + mapped.deadline_ms, mapped.units, first, spread, mapped.is_repeat)
+            mapped.plan, gate.now_ms() + mapped.deadline_ms, mapped.units, first, spread, mapped.is_repeat,
+            self._call.peer)
 
     def half_closed(self) -> None:
         if not self._asked:
--- a/anisefront/fronts/grpcserver.py
+++ b/anisefront/fronts/grpcserver.py
@@ -53,6 +53,11 @@
         self._connection, self._stream, self.headers, self._unpacker = connection, stream, headers, unpacker
         self._headers_sent, self.over, self._timer, self.service = False, False, None, None
 
+    @property
+    def peer(self) -> str:
+        """The host at the other end."""
+        return self._connection.transport.getPeer().host
+
     def reply(self, message: bytes) -> None:
         """Send one message."""
         if not self.over:
--- a/anisefront/lab/proxy.py
+++ b/anisefront/lab/proxy.py
@@ -32,6 +32,7 @@
           Result.CANCELLED: "downstream_connection_termination"}
 _LOGGED = ("endpoint-load-metrics", "endpoint-load-metrics-bin", "x-envoy-overloaded")
 MOST_CHECKS = 8
+MARGIN_MS = 20.0  # a proxy ends a request so long before its client does
 
 
 class LogStream:
@@ -120,6 +121,7 @@
         if flag == "unauthorized_details":
             details = common.response_flags.unauthorized_details
             details.reason = accesslog_pb2.ResponseFlags.Unauthorized.EXTERNAL_SERVICE
+            entry.response.response_code_details = "ext_authz_error"
         elif flag:
             setattr(common.response_flags, flag, True)
         if answer is not None:
@@ -146,8 +148,16 @@
         self._proxy, self._connection, self._message = proxy, connection, message
         self._call, self._exchange, self._token, self._checks = None, None, "", 0
         self._gone, self._sent_ms, self._worker = False, 0.0, ""
+        left_ms = float(message.headers.get("x-envoy-expected-rq-timeout-ms", "15000"))
+        self._timer = proxy.reactor.callLater(max(0.01, (left_ms - MARGIN_MS) / 1000), self._out_of_time)
         self._ask()
 
+    def _out_of_time(self) -> None:
+        """The whole request's time is up: the published proxy answers 504 by itself."""
+        self._gone = True
+        self._connection.answer(504, {"x-proxy-denied": "request_timeout"}, b"")
+        self._give_up()
+
     def _ask(self) -> None:
         self._checks += 1
         self._call = self._proxy.check(self._message, self._token, self._told)
@@ -159,9 +169,7 @@
                 self._log_unsent(answer, "downstream_connection_termination")
             return
         if answer is None:  # the check failed or ran out of time: the proxy denies by itself
-            if self._token == "":
-                self._proxy.record.write("self_denied", proxy=self._proxy.name,
-                                         id=self._message.headers.get("x-request-id", ""))
+            self._proxy.log("", self._message, "", "unauthorized_details", None, 0.0)
             self._finish(403, {"x-proxy-denied": "ext_authz_error"}, b"")
             return
         if answer.HasField("denied_response"):
@@ -204,11 +212,16 @@
             self._finish(502, {"x-proxy-denied": "attempts"}, b"")
 
     def _finish(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        self._timer.cancel()
         self._connection.answer(status, headers, body)
 
     def client_gone(self) -> None:
         """The client left: what is under way is given up."""
         self._gone = True
+        self._timer.cancel()
+        self._give_up()
+
+    def _give_up(self) -> None:
         if self._call is not None:
             self._call.cancel()
         if self._exchange is not None:
--- /dev/null
+++ b/anisefront/lab/report.py
@@ -0,0 +1,50 @@
+"""Plays a script and prints the auditor's verdict."""
+
+from __future__ import annotations
+
+import dataclasses
+import sys
+from pathlib import Path
+
+import click
+
+from anisefront.lab import script as scripts
+from anisefront.lab.audit import Auditor, load
+
+
+def judge(path: Path, folder: Path, seed: int | None, guard: str | None) -> int:
+    """Play the script at `path`, keep its records in `folder`, print the verdict; the exit code."""
+    from anisefront.lab import day
+    script, problems = scripts.read(path.read_text(), str(path))
+    for problem in problems:
+        click.echo(str(problem), err=True)
+    if problems:
+        return 2
+    if seed is not None:
+        script = dataclasses.replace(script, seed=seed)
+    command = [sys.executable, "-m", "anisefront"]
+    if guard is not None:
+        command = [sys.executable, "-m", "anisefront.lab.sabotage", guard]
+    try:
+        faults = day.play(script, (path.parent / script.settings).read_text(), folder, command)
+    except day.Unfit as problem:
+        click.echo(str(problem), err=True)
+        return 2
+    auditor = Auditor(load(folder))
+    verdicts = auditor.judge()
+    click.echo(f"{'rule':30} {'cases':>6} {'broken':>6}  nearest miss (1 is the limit)")
+    for verdict in verdicts:
+        click.echo(f"{verdict.rule:30} {verdict.cases:6} {len(verdict.breaches):6}  {verdict.nearest:.2f} "
+                   f"{verdict.nearest_what}".rstrip())
+        for breach in verdict.breaches[:5]:
+            click.echo(f"    {breach}")
+    click.echo("tries: " + ", ".join(f"{count} {how}" for how, count in auditor.summary().items()))
+    for fault in faults:
+        click.echo(f"the day itself: {fault}")
+    broken = any(verdict.breaches for verdict in verdicts)
+    unseen = [verdict.rule for verdict in verdicts if not verdict.cases]
+    for rule in unseen:
+        click.echo(f"the day itself: no case of {rule!r} was seen, so it proves nothing of it")
+    kept = not broken and not faults and not unseen
+    click.echo("verdict: every rule kept" if kept else "verdict: BROKEN" if broken else "verdict: not proved")
+    return 0 if kept else 1
--- /dev/null
+++ b/anisefront/lab/sabotage.py
@@ -0,0 +1,87 @@
+"""A gatekeeper with the guard of one rule taken out, to show that the auditor sees it.
+
+    python -m anisefront.lab.sabotage GUARD serve FILE
+
+It changes the running program only; nothing of the product knows of it.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+
+from anisefront.core.ledger import Ledger
+from anisefront.fleet import roster
+from anisefront.policy import control, interface
+
+
+def _answers_lost() -> None:
+    """Rule 1: one refusal or failure in three is never told."""
+    kept, count = Ledger._carry_out, [0]
+
+    def carry_out(self: Ledger, now: float, action: object) -> None:
+        if isinstance(action, interface.Refuse | interface.Fail):
+            count[0] += 1
+            if count[0] % 3 == 0:
+                return
+        kept(self, now, action)
+    Ledger._carry_out = carry_out
+
+
+def _repeats_anywhere() -> None:
+    """Rule 2: every class is taken for safe to repeat, and may be refused whatever ran."""
+    control.Controller.allowed = lambda self, request: None
+    made = interface.RequestClass.__post_init__
+
+    def post_init(self: interface.RequestClass) -> None:
+        made(self)
+        object.__setattr__(self, "repeat", interface.Repeat.SAFE)
+    interface.RequestClass.__post_init__ = post_init
+
+
+def _drains_ignored() -> None:
+    """Rule 3: what the list says drains is taken for ready, and what is gone for still there."""
+    parse = roster.parse
+
+    def blind(text: bytes) -> interface.Fleet:
+        servers = {server.id: server for server in parse(text).servers}
+        known.update(servers)
+        return interface.Fleet(tuple(
+            interface.Server(s.id, s.zone, s.cell, interface.State.READY, s.weight, s.started_ms)
+            for s in known.values()))
+    known: dict[str, interface.Server] = {}
+    roster.parse = blind
+
+
+def _cold_as_warm() -> None:
+    """Rule 4: a cold worker counts as the best there is."""
+    def choose(self: control.Servers, now: float, request: object, group: object) -> object:
+        for backend in self.cold:
+            if group is None or backend in group:
+                return backend
+        return kept(self, now, request, group)
+    kept, control.Servers.choose = control.Servers.choose, choose
+
+
+def _ceilings_open() -> None:
+    """Rule 5: no plan has a quota or a ceiling."""
+    made = interface.Plan.__post_init__
+
+    def post_init(self: interface.Plan) -> None:
+        made(self)
+        for name in ("ceiling_per_s", "ceiling_burst"):
+            object.__setattr__(self, name, 0.0)
+        object.__setattr__(self, "rate_per_s", 1e6)
+        object.__setattr__(self, "burst", 1e6)
+    interface.Plan.__post_init__ = post_init
+
+
+GUARDS: dict[str, Callable[[], None]] = {
+    "one-answer": _answers_lost, "no-effect-twice": _repeats_anywhere, "drains": _drains_ignored,
+    "cold": _cold_as_warm, "ceilings": _ceilings_open}
+
+
+if __name__ == "__main__":
+    GUARDS[sys.argv.pop(1)]()
+    from anisefront.cli.main import main
+    main()
