--- a/anisefront/core/ledger.py
+++ b/anisefront/core/ledger.py
@@ -87,9 +87,11 @@
 
     def __init__(self, controller: Controller, now_ms: Callable[[], float], timers: Timers,
                  tell: Callable[[int, bytes], None] = lambda receiver, data: None,
-                 subscribe: Callable[[], None] = lambda: None, most_open: int = 50_000) -> None:
+                 subscribe: Callable[[], None] = lambda: None, most_open: int = 50_000,
+                 on_fault: Callable[[Exception], None] | None = None) -> None:
         self.controller, self.now_ms, self._timers = controller, now_ms, timers
-        self._tell, self._subscribe, self.most_open = tell, subscribe, most_open
+        self._tell, self._subscribe, self.most_open, self._on_fault = tell, subscribe, most_open, on_fault
+        self.stopped = False
         self.entries: dict[int, Entry] = {}
         self.servers: dict[str, State] = {}
         self.counts: Counter[str] = Counter()
@@ -112,7 +114,7 @@
         """Take a request in and return its number; it is owed one final answer by `due_ms`.
 
         None where the ledger holds as many as it may: nothing was counted, and the asker says so at once."""
-        if self.open >= self.most_open:
+        if self.open >= self.most_open or self.stopped:
             self.counts["turned_away"] += 1
             return None
         self._serial += 1
@@ -187,6 +189,8 @@
 
     def _turn(self) -> None:
         """Hand in what has come; afterwards carry out what the module says."""
+        if self.stopped:
+            return
         now = self.now_ms()
         self._turn_due = None
         late = now - min(self._next_wake(), now)
@@ -210,7 +214,7 @@
         events.extend(Woken(name) for name in sorted(names))
         self._turning = True
         try:
-            for action in self.controller.handle(now, events):
+            for action in self._decide(now, events):
                 self._carry_out(now, action)
         finally:
             self._turning = False
@@ -218,6 +222,23 @@
             self._plan_turn()
         self._set_alarm(now)
 
+    def _decide(self, now: float, events: list[Event]) -> list[object]:
+        try:
+            return self.controller.handle(now, events)
+        except Exception as problem:
+            if self._on_fault is None:
+                raise
+            # Danger: a module that raised in the middle of a turn can't be asked again, and all that it held
+            # would stay unanswered. Each gets the answer that promises nothing; then the process is to end.
+            self.stopped = True
+            for request, entry in list(self.entries.items()):
+                if not entry.ended:
+                    self._end(entry)
+                    self.counts["failed"] += 1
+                    entry.carrier.fail(request)
+            self._on_fault(problem)
+            return []
+
     def _next_wake(self) -> float:
         return self._wakes[0][0] if self._wakes else float("inf")
 
--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -37,7 +37,8 @@
 class Gatekeeper:
     """Made, started, drained and stopped once. `clock` gives Unix milliseconds that only move forward."""
 
-    def __init__(self, config: Config, reactor: Any, clock: Callable[[], float] | None = None) -> None:
+    def __init__(self, config: Config, reactor: Any, clock: Callable[[], float] | None = None,
+                 on_fault: Callable[[Exception], None] | None = None) -> None:
         self.config, self.reactor, self.clock = config, reactor, clock or Clock()
         self.log = structlog.get_logger().bind(gatekeeper=config.settings.number)
         self.life = secrets.token_hex(6)
@@ -50,7 +51,7 @@
             self.peer_port = PeerPort(seal, config.peers, lambda sender, data: self.ledger.hear(sender, data))
         self.ledger = Ledger(Controller(settings, seed), self.clock, reactor,
                              self.peer_port.tell if self.peer_port else lambda receiver, data: None,
-                             most_open=config.most_open)
+                             most_open=config.most_open, on_fault=on_fault)
         limits = proxied.Limits(config.log_ms, config.ask_again_ms, park_ms=config.park_ms)
         self.proxied = proxied.Proxied(self.ledger, reactor, self.life, limits)
         self.pool = Pool(reactor)
--- a/anisefront/daemon/logs.py
+++ b/anisefront/daemon/logs.py
@@ -14,3 +14,15 @@
                     structlog.processors.dict_tracebacks, structlog.processors.JSONRenderer()],
         wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.WriteLoggerFactory(sys.stderr), cache_logger_on_first_use=True)
+
+
+def follow_twisted() -> None:
+    """Exceptions that reach the event loop go to the same log: none may pass unseen."""
+    from twisted.logger import globalLogPublisher
+
+    def observe(event: dict) -> None:
+        failure = event.get("log_failure")
+        if failure is not None:
+            structlog.get_logger().error("unhandled", where=event.get("log_format", ""),
+                                         fault=failure.getErrorMessage(), trace=failure.getTraceback()[-2000:])
+    globalLogPublisher.addObserver(observe)
--- a/anisefront/daemon/process.py
+++ b/anisefront/daemon/process.py
@@ -20,13 +20,20 @@
 def serve(config: Config, log_level: str, workers: Callable[[Any], Fleet] | None = None) -> int:
     """Run until it is stopped; the exit code. `workers` starts an embedded fleet on the reactor."""
     logs.set_up(log_level)
+    logs.follow_twisted()
     from twisted.internet import reactor
 
     from anisefront.daemon.gatekeeper import Gatekeeper
     log = structlog.get_logger().bind(gatekeeper=config.settings.number)
-    gatekeeper = Gatekeeper(config, reactor)
     code = [0]
 
+    def module_fault(problem: Exception) -> None:
+        log.critical("module_fault", exc_info=problem, open_failed=gatekeeper.ledger.counts["failed"])
+        code[0] = 3
+        reactor.callLater(0.2, end)  # the failures are being written
+
+    gatekeeper = Gatekeeper(config, reactor, on_fault=module_fault)
+
     def begin() -> None:
         try:
             if workers is not None:
@@ -65,6 +72,6 @@
     started = time.monotonic()
     reactor.run(installSignalHandlers=False)
     log.info("exit", code=code[0], up_s=round(time.monotonic() - started, 1),
-             why="signal" if signals[0] else "could not start")
+             why={0: "drained", 1: "stopped at once" if signals[0] else "could not start", 3: "module fault"}[code[0]])
     sys.stderr.flush()
     return code[0]
--- a/anisefront/lab/audit.py
+++ b/anisefront/lab/audit.py
@@ -102,7 +102,8 @@
             elif late > ANSWER_SLACK_MS and not excused:
                 verdict.breaches.append(f"{name}: answered {late:.0f} ms after its time")
             elif not excused:
-                verdict.near(max(0.0, late) / ANSWER_SLACK_MS, f"{name}: {late:.0f} ms after its time")
+                allowed = each["due"] + ANSWER_SLACK_MS - each["at"]
+                verdict.near((answer["at"] - each["at"]) / allowed, f"{name}: {-late:.0f} ms before its time")
             for arrival in self.arrivals[name]:
                 after = arrival["at"] - answer["at"]
                 if after > WAY_MS and answer["how"] in ("served", "refused", "failed"):
--- a/anisefront/lab/workers.py
+++ b/anisefront/lab/workers.py
@@ -92,13 +92,16 @@
     # ---- work ----------------------------------------------------------------------------------
 
     def arrived(self, connection: _Connection, message: http1.Message) -> None:
-        """One whole request."""
+        """One whole request. What comes while it is frozen has arrived all the same."""
+        self._note("arrive", message)
         if self.frozen:
-            self._thawed.append(lambda: self.arrived(connection, message))
-            return
+            self._thawed.append(lambda: self._take(connection, message))
+        else:
+            self._take(connection, message)
+
+    def _take(self, connection: _Connection, message: http1.Message) -> None:
         headers = message.headers
         size = float(headers.get("x-units", "1")) if headers.get("x-units", "1").replace(".", "").isdigit() else 1.0
-        self._note("arrive", message)
         self._press(size)
         if self.fallen or self.silent:
             return
--- a/anisefront/wire/orca.py
+++ b/anisefront/wire/orca.py
@@ -35,7 +35,9 @@
     return {}
 
 
-def _flat(value: dict) -> dict[str, float]:
+def _flat(value: object) -> dict[str, float]:
+    if not isinstance(value, dict):
+        raise ValueError("no object")
     out: dict[str, float] = {}
     for name, part in value.items():
         if isinstance(part, dict):
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,252 @@
+"""The ledger and its carriers on a clock of the test's own: each hard case of the path, caused by hand."""
+
+import pytest
+from twisted.internet.task import Clock
+
+from anisefront.carriers.outcomes import FLAGS, of_answer, of_flags
+from anisefront.carriers.proxied import Proxied, Verdict
+from anisefront.core.ledger import Ledger
+from anisefront.policy.control import Controller
+from anisefront.policy.interface import (
+    Fleet,
+    Plan,
+    Repeat,
+    RequestClass,
+    Result,
+    Scope,
+    Server,
+    Settings,
+    State,
+)
+
+CLASSES = (RequestClass("safe", 500, 2000, 1.0, Repeat.SAFE),
+           RequestClass("keyed", 500, 2000, 1.0, Repeat.KEYED, scope=Scope.CELL, window_ms=1500),
+           RequestClass("unsafe", 500, 2000, 1.0, Repeat.UNSAFE))
+SERVERS = tuple(Server(f"10.0.0.{n}:80", "a", n % 3, State.READY) for n in range(6))
+
+
+class Desk:
+    """A ledger with the carrier for proxies, and what each check was told."""
+
+    def __init__(self, plan=None, **more):
+        self.clock = Clock()
+        settings = Settings(gateways=1, number=0, zone="a", classes=CLASSES,
+                            plans=(plan or Plan("wide", 1000, 1000),), warm_up_ms=5000, cold_from=0.2,
+                            fall_multiple=3, fall_window_ms=1000, max_attempts=3, tick_ms=5, **more)
+        self.ledger = Ledger(Controller(settings, 7), lambda: 1e6 + self.clock.seconds() * 1000, self.clock)
+        self.proxied = Proxied(self.ledger, self.clock, "life")
+        self.ledger.roster(Fleet(SERVERS))
+        self.told = []
+        self.run(0.01)
+
+    def run(self, seconds):
+        for _ in range(round(seconds * 1000)):
+            self.clock.advance(0.001)
+
+    def ask(self, name="r", kind="safe", due_ms=2000.0, peer="p"):
+        number = self.proxied.ask(name, self.told.append, "c", kind, "wide", self.ledger.now_ms() + due_ms, 1.0, 0,
+                                  1, False, peer)
+        self.run(0.005)
+        return number
+
+    def again(self, token):
+        number = self.proxied.ask_again(token, self.told.append)
+        self.run(0.005)
+        return number
+
+    def log(self, token, result, over=False):
+        taken = self.proxied.log(token, result, 10.0, (), over)
+        self.run(0.005)
+        return taken
+
+    def empty(self):
+        return not self.ledger.entries and not self.ledger.open and not self.proxied.exchanges \
+            and not self.ledger.controller.requests and not self.ledger.controller.window.out
+
+
+def test_served():
+    desk = Desk()
+    desk.ask()
+    assert desk.told[0].verdict is Verdict.GO and desk.told[0].allow_ms < 2000
+    assert desk.log(desk.told[0].attempt, Result.OK)
+    assert desk.empty() and desk.ledger.counts["served"] == 1
+
+
+@pytest.mark.parametrize(("kind", "result", "verdict"), [
+    ("safe", Result.RESET, Verdict.GO), ("safe", Result.CONNECT_FAILED, Verdict.GO),
+    ("keyed", Result.RESET, Verdict.GO), ("keyed", Result.ERROR, Verdict.GO),
+    ("unsafe", Result.CONNECT_FAILED, Verdict.GO), ("unsafe", Result.FULL, Verdict.GO),
+    ("unsafe", Result.RESET, Verdict.FAILED), ("unsafe", Result.ERROR, Verdict.FAILED),
+    ("unsafe", Result.TIMEOUT, Verdict.FAILED)])
+def test_worker_fails_after_the_check_said_yes(kind, result, verdict):
+    desk = Desk()
+    desk.ask(kind=kind)
+    first = desk.told[0]
+    desk.log(first.attempt, result)
+    desk.again(first.attempt)
+    second = desk.told[1]
+    assert second.verdict is verdict
+    if kind == "keyed":  # only where repeats are dropped
+        cells = {server.id: server.cell for server in SERVERS}
+        assert cells[second.worker] == cells[first.worker]
+    if verdict is Verdict.GO:
+        desk.log(second.attempt, Result.OK)
+    assert desk.empty()
+
+
+def test_check_ahead_of_its_log_waits_for_it():
+    desk = Desk()
+    desk.ask(kind="unsafe")
+    desk.again(desk.told[0].attempt)
+    assert len(desk.told) == 1
+    desk.log(desk.told[0].attempt, Result.CONNECT_FAILED)
+    assert desk.told[1].verdict is Verdict.GO and desk.told[1].attempt == "life.1.1"
+
+
+def test_proxy_out_of_time_while_our_ok_is_on_the_wire():
+    desk = Desk()
+    desk.ask("r9")
+    assert desk.told[0].verdict is Verdict.GO  # it was counted, and went out
+    assert not desk.proxied.log_unsent("r9", "another proxy")
+    assert desk.proxied.log_unsent("r9", "p")
+    desk.run(0.01)
+    assert desk.empty() and desk.ledger.counts["attempts_moot"] == 1
+    assert not desk.log(desk.told[0].attempt, Result.OK)
+
+
+def test_unsent_is_no_proof_where_two_asked_with_one_id():
+    desk = Desk()
+    desk.ask("r")
+    desk.ask("r")
+    assert desk.told[1].verdict is Verdict.REFUSED and desk.told[1].reason == "in-progress"
+    assert not desk.proxied.log_unsent("r", "p")
+    desk.log(desk.told[0].attempt, Result.OK)
+    assert desk.empty() and desk.ledger.counts["attempts"] == 1
+
+
+def test_no_log_in_time_may_have_run():
+    desk = Desk()
+    desk.ask(kind="unsafe", due_ms=500)
+    desk.run(2.5)
+    assert desk.empty() and desk.ledger.counts["attempts_timeout"] == 1
+    assert not desk.log(desk.told[0].attempt, Result.OK)
+
+
+def test_late_log_of_a_request_that_has_its_answer_closes_the_books():
+    desk = Desk()
+    desk.ask(kind="safe", due_ms=300)
+    desk.run(0.4)  # the module's guard has answered; the proxy has not asked for it
+    assert desk.ledger.counts["refused"] == 1 and not desk.empty()
+    desk.log(desk.told[0].attempt, Result.OK)
+    assert desk.empty() and desk.ledger.counts["served"] == 0
+
+
+def test_proxy_that_does_not_ask_again_gets_nothing_more():
+    desk = Desk()
+    desk.ask()
+    desk.log(desk.told[0].attempt, Result.RESET)
+    assert not desk.empty()  # the next attempt waits for its check
+    desk.run(0.6)
+    assert desk.empty() and len(desk.told) == 1
+    desk.again(desk.told[0].attempt)
+    assert desk.told[1].verdict is Verdict.FAILED
+
+
+def test_send_that_waited_for_its_check_is_decided_anew_if_its_worker_drains():
+    desk = Desk()
+    desk.ask()
+    desk.log(desk.told[0].attempt, Result.RESET)
+    parked = next(iter(desk.proxied.exchanges.values())).parked[1]
+    desk.ledger.roster(Fleet(tuple(Server(s.id, s.zone, s.cell, State.DRAINING if s.id == parked else s.state)
+                                   for s in SERVERS)))
+    desk.again(desk.told[0].attempt)
+    assert desk.told[1].verdict is Verdict.GO and desk.told[1].worker != parked
+    desk.log(desk.told[1].attempt, Result.OK)
+    assert desk.empty()
+
+
+def test_client_leaves_while_held():
+    desk = Desk(Plan("wide", 1, 1))
+    numbers = [desk.ask(f"r{n}") for n in range(3)]
+    assert [answer.verdict for answer in desk.told] == [Verdict.GO]
+    desk.proxied.withdraw(numbers[1])
+    desk.run(1.0)
+    desk.log(desk.told[0].attempt, Result.OK)
+    desk.run(3.0)
+    assert desk.empty() and desk.ledger.counts["left"] == 1
+
+
+def test_client_gone_midway_ends_the_request():
+    desk = Desk()
+    desk.ask(kind="safe")
+    desk.log(desk.told[0].attempt, Result.CANCELLED, over=True)
+    assert desk.empty() and len(desk.told) == 1
+
+
+def test_full_ledger_turns_away_at_once():
+    desk = Desk(Plan("wide", 0.1, 1))
+    desk.ledger.most_open = 2
+    for number in range(4):
+        desk.ask(f"r{number}")
+    assert [answer.reason for answer in desk.told[-2:]] == ["held-requests"] * 2
+    assert desk.ledger.counts["turned_away"] == 2
+
+
+def test_every_request_is_answered_before_its_time_whatever_is_lost():
+    desk = Desk(Plan("wide", 20, 20))
+    due = {}
+    for number in range(200):
+        desk.ask(f"r{number}", ("safe", "keyed", "unsafe")[number % 3], 300.0 + number % 7 * 100)
+        due[number] = desk.ledger.now_ms()
+    desk.run(5.0)  # no log ever comes
+    assert desk.empty() and len(desk.told) == 200
+    assert desk.ledger.counts["accepted"] == 200
+
+
+class Late(Clock):
+    """A clock whose process stands still: sockets are read only after timers have run."""
+
+    def stand_still(self, seconds, sockets):
+        self.rightNow += seconds
+        self.advance(0)  # timers first, as an event loop does
+        sockets()
+        for _ in range(60):
+            self.advance(0.001)
+
+
+def test_after_a_standstill_the_answers_in_our_sockets_come_before_wake_ups():
+    desk = Desk()
+    late = Late()
+    late.rightNow = desk.clock.seconds()
+    desk.ask(kind="unsafe", due_ms=1000)
+    desk.clock.__class__ = Late
+    desk.clock.stand_still(1.5, lambda: desk.proxied.log(desk.told[0].attempt, Result.OK, 20.0, (), False))
+    assert desk.ledger.counts["served"] == 1 and desk.ledger.counts["failed"] == 0
+    assert desk.ledger.counts["standstills"] == 1
+
+
+@pytest.mark.parametrize("row", FLAGS)
+def test_response_flags(row):
+    name, end = row
+    assert of_flags({name}, 0, {}) == end
+    assert of_flags({name, "unauthorized_details"}, 0, {}).result is Result.MOOT
+
+
+@pytest.mark.parametrize(("status", "headers", "result"), [
+    (200, {}, Result.OK), (404, {}, Result.OK), (500, {}, Result.ERROR), (503, {}, Result.ERROR),
+    (503, {"x-envoy-overloaded": "true"}, Result.FULL), (429, {}, Result.OK), (0, {}, Result.ERROR)])
+def test_statuses(status, headers, result):
+    assert of_answer(status, headers) is result
+
+
+def test_module_that_raises_leaves_nobody_unanswered():
+    desk, faults = Desk(Plan("wide", 0.1, 1)), []
+    desk.ledger._on_fault = faults.append
+    desk.ask("r0")
+    desk.ask("r1")
+    desk.ledger.controller.handle = lambda now, events: 1 / 0
+    desk.ask("r2")
+    assert [answer.verdict for answer in desk.told] == [Verdict.GO, Verdict.FAILED, Verdict.FAILED]
+    assert len(faults) == 1 and desk.ledger.open == 0
+    desk.ask("r3")
+    assert desk.told[-1].reason == "held-requests"
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,108 @@
+"""Datagrams between gatekeepers and the roster file: taken once, from the right one, in full, or not at all."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from anisefront.fleet import roster
+from anisefront.fleet.datagrams import MOST_AGE_MS, REMEMBERED, Seal
+from anisefront.policy.interface import Server, State
+
+SECRET, NOW = b"0123456789abcdef", 1.8e12
+
+
+def pair(incarnation=1):
+    return Seal(SECRET, 0, incarnation), Seal(SECRET, 1, 1)
+
+
+def test_taken_once():
+    a, b = pair()
+    datagram = a.write(1, b"news", NOW)
+    assert b.read(datagram, NOW) == (0, b"news") and b.read(datagram, NOW) is None
+    assert b.counts == {"taken": 1, "repeated": 1}
+
+
+def test_out_of_order_is_taken_within_memory():
+    a, b = pair()
+    datagrams = [a.write(1, bytes((n,)), NOW) for n in range(200)]
+    assert b.read(datagrams[199], NOW) and b.read(datagrams[199 - REMEMBERED + 1], NOW)
+    assert b.read(datagrams[198], NOW) and b.read(datagrams[198], NOW) is None
+    assert b.read(datagrams[199 - REMEMBERED], NOW) is None
+
+
+def test_forged_misdirected_and_cut():
+    a, b = pair()
+    datagram = a.write(1, b"news", NOW)
+    for at in range(len(datagram)):
+        changed = datagram[:at] + bytes((datagram[at] ^ 1,)) + datagram[at + 1:]
+        assert b.read(changed, NOW) is None
+        assert b.read(datagram[:at], NOW) is None
+    assert b.read(a.write(2, b"news", NOW), NOW) is None
+    assert Seal(b"another secret..", 1, 1).read(datagram, NOW) is None
+    assert b.read(datagram, NOW)
+
+
+def test_earlier_life_and_kept_ones_change_nothing():
+    old, b = pair()
+    kept = [old.write(1, b"old", NOW) for _ in range(3)]
+    assert b.read(kept[0], NOW)
+    new, _ = pair(incarnation=2)
+    assert b.read(new.write(1, b"new", NOW), NOW) == (0, b"new")
+    assert b.read(kept[1], NOW) is None and b.counts["earlier_life"] == 1
+    restarted = Seal(SECRET, 1, 9)  # remembers nobody
+    assert restarted.read(kept[2], NOW + MOST_AGE_MS + 1) is None and restarted.counts["too_old"] == 1
+
+
+def test_short_secret_is_refused():
+    with pytest.raises(ValueError, match="secret"):
+        Seal(b"short", 0, 1)
+
+
+@given(st.binary(max_size=300))
+def test_garbage_is_counted_only(data):
+    _, b = pair()
+    assert b.read(data, NOW) is None
+
+
+SERVERS = [Server("127.0.0.1:1", "a", 7, State.READY, 2.0, 1.7e12), Server("127.0.0.1:2", "b", 8, State.DRAINING),
+           Server("127.0.0.1:3", "b", 8, State.GONE)]
+
+
+def test_roster_round():
+    import zlib
+    cells = {zlib.crc32(name.encode()): name for name in ("x", "y")}
+    rows = [Server(s.id, s.zone, cell, s.state, s.weight, s.started_ms)
+            for s, cell in zip(SERVERS, [*cells, next(iter(cells))], strict=True)]
+    fleet = roster.parse(roster.write("c", rows, cells).encode())
+    assert fleet.servers == tuple(rows[:2]) and fleet.complete
+
+
+@pytest.mark.parametrize(("health", "state"), [
+    ("HEALTHY", State.READY), ("DEGRADED", State.READY), ("UNKNOWN", State.READY), ("DRAINING", State.DRAINING),
+    ("UNHEALTHY", State.DRAINING), ("TIMEOUT", State.DRAINING)])
+def test_roster_health(health, state):
+    text = {"endpoints": [{"lbEndpoints": [{"healthStatus": health, "endpoint": {"address": {
+        "socketAddress": {"address": "127.0.0.1", "portValue": 80}}}}]}]}
+    assert roster.parse(json.dumps(text).encode()).servers[0].state is state
+
+
+@pytest.mark.parametrize("text", [
+    b"", b"{", b"{}", b'{"endpoints": []}', b"\xff\xfe", b"[]", b'{"endpoints": [{"lbEndpoints": [{}]}]}',
+    b'{"endpoints": [{"lbEndpoints": [{"endpoint": {"address": {"socketAddress": {"address": "x"}}}}]}]}'])
+def test_rosters_that_are_not_taken(text):
+    with pytest.raises(roster.RosterFault):
+        roster.parse(text)
+
+
+def test_half_a_roster_is_not_taken():
+    text = roster.write("c", SERVERS, {}).encode()
+    for at in range(0, len(text) - 1, 13):
+        with pytest.raises(roster.RosterFault):
+            roster.parse(text[:at])
+
+
+def test_roster_with_a_worker_twice():
+    with pytest.raises(roster.RosterFault, match="stands twice"):
+        roster.parse(roster.write("c", [SERVERS[0], SERVERS[0]], {}).encode())
--- /dev/null
+++ b/tests/test_http2.py
@@ -0,0 +1,263 @@
+"""HTTP/2 and gRPC parsers alone: against `h2`, which nobody here wrote, and against what breaks the rules."""
+
+import struct
+
+import h2.config
+import h2.connection
+import h2.events
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from anisefront.wire import grpc, http2
+from anisefront.wire.http2 import Broken, Code, Connection, DataReceived, Limits, RequestReceived, StreamReset
+
+HEADERS = [(":method", "POST"), (":scheme", "http"), (":path", "/a.B/C"), (":authority", "x"),
+           ("content-type", "application/grpc"), ("te", "trailers")]
+
+
+def frame(kind, flags, stream, payload=b""):
+    return struct.pack(">I", len(payload))[1:] + bytes((kind, flags)) + struct.pack(">I", stream) + payload
+
+
+HELLO = http2.PREFACE + frame(http2.SETTINGS, 0, 0)
+
+
+class Pair:
+    """Our server and an `h2` client with nothing but bytes between them."""
+
+    def __init__(self, limits=Limits()):  # noqa: B008
+        self.server = Connection(limits)
+        self.client = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
+        self.client.initiate_connection()
+        self.turn()
+
+    def turn(self):
+        """Bytes both ways until nothing moves; our events, then the client's."""
+        ours, theirs = [], []
+        while True:
+            out = self.client.data_to_send()
+            ours += self.server.receive(out)
+            back = self.server.data_to_send()
+            if back:
+                theirs += self.client.receive_data(back)
+            if not out and not back:
+                return ours, theirs
+
+    def ask(self, stream=1, body=b"", ended=True):
+        self.client.send_headers(stream, HEADERS, end_stream=ended and not body)
+        if body:
+            self.client.send_data(stream, body, end_stream=ended)
+        return self.turn()
+
+
+def started():
+    server = Connection()
+    server.receive(HELLO)
+    server.data_to_send()
+    return server
+
+
+def raw_headers(server, stream=1, ended=True, flags=http2.END_HEADERS):
+    block = http2.literal_block(*HEADERS)
+    return server.receive(frame(http2.HEADERS, flags | http2.END_STREAM * ended, stream, block))
+
+
+def broken(server, data):
+    last = server.receive(data)[-1]
+    assert isinstance(last, Broken), last
+    assert server.closed and server.receive(HELLO) == []
+    assert server.data_to_send()[-200:].find(bytes((http2.GOAWAY,))) >= 0
+    return last.code
+
+
+def test_request_and_answer_with_trailers_by_an_independent_client():
+    pair = Pair()
+    ours, _ = pair.ask(body=b"hello")
+    assert isinstance(ours[0], RequestReceived) and (b":path", b"/a.B/C") in ours[0].headers
+    assert ours[1] == DataReceived(1, b"hello", True)
+    pair.server.send_headers(1, grpc.ANSWER_HEADERS)
+    pair.server.send_data(1, grpc.pack(b"yes"), grpc.OK_TRAILERS)
+    _, theirs = pair.turn()
+    kinds = [type(event) for event in theirs]
+    assert kinds == [h2.events.ResponseReceived, h2.events.DataReceived, h2.events.TrailersReceived,
+                     h2.events.StreamEnded]
+    assert (b"grpc-status", b"0") in theirs[2].headers and not pair.server.streams
+
+
+def test_flow_control_holds_answers_back_and_lets_them_go():
+    pair = Pair()
+    pair.ask()
+    pair.server.send_headers(1, grpc.ANSWER_HEADERS)
+    pair.server.send_data(1, b"x" * 200_000, grpc.OK_TRAILERS)
+    got = 0
+    for _ in range(20):
+        _, theirs = pair.turn()
+        for event in theirs:
+            if isinstance(event, h2.events.DataReceived):
+                assert got + len(event.data) <= 200_000
+                got += len(event.data)
+                pair.client.acknowledge_received_data(event.flow_controlled_length, 1)
+        if any(isinstance(event, h2.events.StreamEnded) for event in theirs):
+            break
+    assert got == 200_000 and not pair.server.streams
+
+
+def test_large_uploads_are_given_window_as_they_are_read():
+    pair = Pair()
+    pair.client.send_headers(1, HEADERS)
+    pair.turn()
+    sent = 0
+    while sent < 3_000_000:
+        room = min(pair.client.local_flow_control_window(1), 16384)
+        assert room > 0, sent
+        pair.client.send_data(1, b"y" * room)
+        sent += room
+        pair.turn()
+
+
+def test_smaller_initial_window_reaches_open_streams():
+    pair = Pair()
+    pair.ask()
+    pair.client.update_settings({4: 10})
+    pair.turn()
+    pair.server.send_headers(1, grpc.ANSWER_HEADERS)
+    pair.server.send_data(1, b"z" * 30)
+    _, theirs = pair.turn()
+    assert sum(len(event.data) for event in theirs if isinstance(event, h2.events.DataReceived)) == 10
+
+
+def test_padding_priority_and_continuation_are_read():
+    server = started()
+    block = http2.literal_block(*HEADERS)
+    padded = bytes((3,)) + struct.pack(">IB", 0, 16) + block[:10] + b"\0\0\0"
+    flags = http2.PADDED | http2.HAS_PRIORITY
+    events = server.receive(frame(http2.HEADERS, flags, 1, padded)
+                            + frame(http2.CONTINUATION, 0, 1, block[10:30])
+                            + frame(http2.CONTINUATION, http2.END_HEADERS, 1, block[30:])
+                            + frame(http2.DATA, http2.PADDED | http2.END_STREAM, 1, b"\x02ab\0\0"))
+    assert isinstance(events[0], RequestReceived) and events[1] == DataReceived(1, b"ab", True)
+
+
+def test_bytes_one_by_one_are_the_same():
+    data = HELLO + frame(http2.HEADERS, http2.END_HEADERS, 1, http2.literal_block(*HEADERS)) \
+        + frame(http2.DATA, http2.END_STREAM, 1, b"abc")
+    server, events = Connection(), []
+    for at in range(len(data)):
+        events += server.receive(data[at:at + 1])
+    assert events == Connection().receive(data) and len(events) == 2
+
+
+@pytest.mark.parametrize(("data", "code"), [
+    (b"GET / HTTP/1.1\r\n\r\n" + b" " * 20, Code.PROTOCOL_ERROR),
+    (http2.PREFACE + frame(http2.PING, 0, 0, b"12345678"), Code.PROTOCOL_ERROR),
+    (HELLO + frame(http2.DATA, 0, 1, b"x"), Code.PROTOCOL_ERROR),
+    (HELLO + frame(http2.HEADERS, http2.END_HEADERS, 2, b""), Code.PROTOCOL_ERROR),
+    (HELLO + frame(http2.CONTINUATION, 0, 1, b""), Code.PROTOCOL_ERROR),
+    (HELLO + frame(http2.HEADERS, 0, 1, b"") + frame(http2.PING, 0, 0, b"12345678"), Code.PROTOCOL_ERROR),
+    (HELLO + frame(http2.HEADERS, http2.END_HEADERS, 1, b"\xff\xff\xff\xff\xff\xff\xff"), Code.COMPRESSION_ERROR),
+    (HELLO + frame(http2.PING, 0, 0, b"123"), Code.FRAME_SIZE_ERROR),
+    (HELLO + frame(http2.PING, 0, 3, b"12345678"), Code.PROTOCOL_ERROR),
+    (HELLO + frame(http2.SETTINGS, 0, 0, b"12345"), Code.FRAME_SIZE_ERROR),
+    (HELLO + frame(http2.SETTINGS, 0, 0, struct.pack(">HL", 4, 2**31)), Code.FLOW_CONTROL_ERROR),
+    (HELLO + frame(http2.SETTINGS, 0, 0, struct.pack(">HL", 5, 100)), Code.PROTOCOL_ERROR),
+    (HELLO + frame(http2.PUSH_PROMISE, 0, 1, b"1234"), Code.PROTOCOL_ERROR),
+    (HELLO + frame(http2.RST_STREAM, 0, 9, b"1234"), Code.PROTOCOL_ERROR),
+    (HELLO + frame(http2.WINDOW_UPDATE, 0, 0, struct.pack(">L", 2**31 - 1)), Code.FLOW_CONTROL_ERROR),
+    (HELLO + frame(http2.WINDOW_UPDATE, 0, 0, struct.pack(">L", 0)), Code.PROTOCOL_ERROR),
+    (HELLO + frame(http2.DATA, 0, 1, b"x" * 20000), Code.FRAME_SIZE_ERROR),
+])
+def test_breaches_end_the_connection_with_the_code_of_the_rfc(data, code):
+    assert broken(Connection(), data) is code
+
+
+@pytest.mark.parametrize("flood", [
+    frame(http2.PING, 0, 0, b"12345678"), frame(http2.SETTINGS, 0, 0),
+    frame(http2.PRIORITY, 0, 7, b"\0\0\0\0\1"), frame(http2.DATA, 0, 1, b"")])
+def test_floods_cost_their_sender_the_connection(flood):
+    server = started()
+    raw_headers(server, ended=False)
+    assert broken(server, flood * 3000) is Code.ENHANCE_YOUR_CALM
+
+
+def test_resets_by_the_thousand_cost_their_sender_the_connection():
+    server, block = started(), http2.literal_block(*HEADERS)
+    data = b"".join(frame(http2.HEADERS, 5, n, block) + frame(http2.RST_STREAM, 0, n, struct.pack(">L", 8))
+                    for n in range(1, 6001, 2))
+    assert broken(server, data) is Code.ENHANCE_YOUR_CALM
+
+
+def test_endless_continuation_costs_its_sender_the_connection():
+    data = frame(http2.HEADERS, 0, 1, b"") + frame(http2.CONTINUATION, 0, 1, b"") * 20
+    assert broken(started(), data) is Code.ENHANCE_YOUR_CALM
+    large = frame(http2.HEADERS, 0, 1, b"\0" * 16000) + frame(http2.CONTINUATION, 0, 1, b"\0" * 16000)
+    assert broken(started(), large) is Code.ENHANCE_YOUR_CALM
+
+
+def test_calm_comes_back_with_time_and_with_work():
+    server = started()
+    for second in range(40):
+        server.receive(frame(http2.PING, 0, 0, b"12345678") * 90, second * 1000.0)
+    assert not server.closed
+    assert server.data_to_send().count(frame(http2.PING, http2.ACK, 0, b"12345678")) == 3600
+
+
+def test_streams_beyond_the_limit_are_refused_and_the_rest_goes_on():
+    server = Connection(Limits(streams=2))
+    server.receive(HELLO)
+    for number in (1, 3, 5):
+        raw_headers(server, number, ended=False)
+    out = server.data_to_send()
+    assert frame(http2.RST_STREAM, 0, 5, struct.pack(">L", Code.REFUSED_STREAM)) in out
+    assert set(server.streams) == {1, 3} and not server.closed
+
+
+def test_headers_that_are_not_http_reset_their_stream_only():
+    server = started()
+    for number, extra in enumerate([("Upper", "x"), ("connection", "close"), (":late", "x"), ("x", "a\r\nb")]):
+        block = http2.literal_block(*HEADERS, extra)
+        assert server.receive(frame(http2.HEADERS, 5, 2 * number + 1, block)) == []
+    assert not server.closed and isinstance(raw_headers(server, 99)[0], RequestReceived)
+
+
+def test_a_peer_that_reads_nothing_loses_its_stream():
+    pair = Pair(Limits(queued=100_000))
+    pair.ask()
+    pair.server.send_headers(1, grpc.ANSWER_HEADERS)
+    pair.server.send_data(1, b"x" * 300_000)
+    assert 1 not in pair.server.streams
+
+
+def test_reset_by_the_peer_is_told_and_late_frames_for_it_are_let_by():
+    server = started()
+    raw_headers(server, ended=False)
+    assert server.receive(frame(http2.RST_STREAM, 0, 1, struct.pack(">L", 8))) == [StreamReset(1, 8)]
+    assert server.receive(frame(http2.DATA, 0, 1, b"x") + frame(http2.WINDOW_UPDATE, 0, 1, b"\0\0\0\1")) == []
+    assert not server.closed
+
+
+@given(st.binary(max_size=400))
+def test_garbage_never_raises(data):
+    Connection().receive(data)
+    server = started()
+    server.receive(data)
+    server.data_to_send()
+
+
+@given(st.lists(st.binary(max_size=50), max_size=8), st.integers(1, 7))
+def test_messages_come_out_whole_however_they_are_cut(messages, step):
+    data, unpacker, out = b"".join(map(grpc.pack, messages)), grpc.Unpacker(100), []
+    for at in range(0, len(data), step):
+        out += unpacker.feed(data[at:at + step])
+    assert out == messages and not unpacker.partial
+
+
+@pytest.mark.parametrize(("text", "ms"), [(b"5S", 5000), (b"100m", 100), (b"1H", 3.6e6), (b"7u", 0.007), (b"", None)])
+def test_time_outs(text, ms):
+    assert grpc.timeout_ms(text) == ms
+
+
+@pytest.mark.parametrize("text", [b"5", b"S", b"123456789S", b"-1S", b"1x", b"\xff"])
+def test_time_outs_that_cannot_be_read(text):
+    with pytest.raises(grpc.CallFault):
+        grpc.timeout_ms(text)
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,152 @@
+"""Attempts over our own connections, in memory: reuse, dead connections, cancels, time-outs, faults."""
+
+import pytest
+from twisted.internet import error
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from anisefront.carriers.pool import Pool, PoolLimits
+from anisefront.policy.interface import Result
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Handle:
+    """A socket that says whether its other side has closed."""
+
+    def __init__(self):
+        self.closed = False
+
+    def recv(self, size, flags):
+        if self.closed:
+            return b""
+        raise BlockingIOError
+
+
+class Transport(StringTransport):
+    def __init__(self):
+        super().__init__()
+        self.handle, self.aborted = Handle(), False
+
+    def getHandle(self):
+        return self.handle
+
+    def abortConnection(self):
+        self.aborted = True
+        self.protocol.connectionLost(Failure(error.ConnectionAborted()))
+
+    def setTcpNoDelay(self, on):
+        pass
+
+
+class Line:
+    """A pool and its connections, made by hand."""
+
+    def __init__(self, **limits):
+        self.reactor = MemoryReactorClock()
+        self.pool, self.ends, self.made = Pool(self.reactor, PoolLimits(**limits)), [], []
+
+    def ask(self, allow=1.0):
+        return self.pool.request("127.0.0.1:80", b"GET / HTTP/1.1\r\n\r\n", allow,
+                                 lambda result, message: self.ends.append((result, message and message.body)))
+
+    def connect(self):
+        factory = self.reactor.tcpClients[-1][2]
+        transport = Transport()
+        transport.protocol = factory.buildProtocol(None)
+        transport.protocol.makeConnection(transport)
+        self.made.append(transport)
+        return transport
+
+
+def test_connection_is_used_again():
+    line = Line()
+    line.ask()
+    first = line.connect()
+    first.protocol.dataReceived(ANSWER)
+    line.ask()
+    assert len(line.reactor.tcpClients) == 1
+    first.protocol.dataReceived(ANSWER)
+    assert line.ends == [(None, b"ok")] * 2 and first.value().count(b"GET") == 2
+
+
+def test_dead_idle_connection_is_no_failed_request():
+    line = Line()
+    line.ask()
+    first = line.connect()
+    first.protocol.dataReceived(ANSWER)
+    first.handle.closed = True
+    line.ask()
+    assert len(line.reactor.tcpClients) == 2 and len(line.ends) == 1
+    line.connect().protocol.dataReceived(ANSWER)
+    assert line.ends[1] == (None, b"ok")
+
+
+def test_idle_connections_are_closed_and_capped():
+    line = Line(idle_each=1, idle_s=2.0)
+    for _ in range(2):
+        line.ask()
+        line.connect()
+    for transport in line.made:
+        transport.protocol.dataReceived(ANSWER)
+    assert [transport.disconnecting for transport in line.made] == [False, True]
+    line.reactor.advance(2.1)
+    assert line.made[0].disconnecting and line.pool.take("127.0.0.1:80") is None
+
+
+def test_cancel_closes_the_connection_and_ends_once():
+    line = Line()
+    exchange = line.ask()
+    transport = line.connect()
+    exchange.cancel()
+    exchange.cancel()
+    assert transport.aborted and line.ends == [(Result.CANCELLED, None)]
+
+
+def test_time_out_and_what_it_proves():
+    line = Line()
+    line.ask(0.5)
+    line.reactor.advance(0.6)  # nothing was written
+    line.ask(0.5)
+    line.connect()
+    line.reactor.advance(0.6)
+    assert [result for result, _ in line.ends] == [Result.CONNECT_FAILED, Result.TIMEOUT]
+
+
+def test_refused_connection_never_ran():
+    line = Line()
+    line.ask()
+    factory = line.reactor.tcpClients[-1][2]
+    factory.clientConnectionFailed(None, Failure(error.ConnectionRefusedError()))
+    assert line.ends == [(Result.CONNECT_FAILED, None)]
+
+
+@pytest.mark.parametrize(("data", "end"), [
+    (b"", (Result.RESET, None)), (ANSWER[:20], (Result.RESET, None)), (ANSWER[:-1], (Result.RESET, None)),
+    (b"HTTP/1.0 200 OK\r\n\r\nall", (None, b"all"))])
+def test_connection_lost_before_headers_in_them_and_in_the_body(data, end):
+    line = Line()
+    line.ask()
+    transport = line.connect()
+    if data:
+        transport.protocol.dataReceived(data)
+    transport.protocol.connectionLost(Failure(error.ConnectionLost()))
+    assert line.ends == [end]
+
+
+def test_garbage_is_an_error_and_closes():
+    line = Line()
+    line.ask()
+    transport = line.connect()
+    transport.protocol.dataReceived(b"SSH-2.0\r\n\r\n")
+    assert transport.aborted and line.ends == [(Result.ERROR, None)]
+
+
+def test_interim_answers_are_passed_over_and_unasked_bytes_close():
+    line = Line()
+    line.ask()
+    transport = line.connect()
+    transport.protocol.dataReceived(b"HTTP/1.1 103 Early Hints\r\n\r\n" + ANSWER)
+    assert line.ends == [(None, b"ok")]
+    transport.protocol.dataReceived(ANSWER)
+    assert transport.aborted
