--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -88,7 +88,8 @@
     assert fault.value.status == status
 
 
-@pytest.mark.parametrize(("text", "units"), [("3", 3), ("", 1), ("0", 1), ("99", 8), ("many", 8), ("nan", 8), ("-1", 8)])
+@pytest.mark.parametrize(("text", "units"), [
+    ("3", 3), ("", 1), ("0", 1), ("99", 8), ("many", 8), ("nan", 8), ("-1", 8)])
 def test_units_that_cannot_be_read_count_as_the_most(text, units):
     assert ROUTER.map("PUT", "h", "/a", {"x-key": "k", "x-units": text}).units == units
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -250,3 +250,12 @@
     assert len(faults) == 1 and desk.ledger.open == 0
     desk.ask("r3")
     assert desk.told[-1].reason == "held-requests"
+
+
+def test_outcome_table_of_the_operators_page_is_the_code():
+    import pathlib
+    import re
+    page = (pathlib.Path(__file__).parent.parent / "docs/operators/outcomes.md").read_text()
+    rows = re.findall(r"^\| `(\w+)` \| `(\w+)` \| (yes|no) \| (yes|no) \|$", page, re.M)
+    assert rows == [(name, end.result.value, "no" if end.result.never_ran else "yes", "yes" if end.over else "no")
+                    for name, end in FLAGS]
