--- a/anisefront/fronts/jsonrpc.py
+++ b/anisefront/fronts/jsonrpc.py
@@ -141,6 +141,9 @@
             self.factory.counts["lines_too_long"] += 1
             self._refuse(str(problem))
             return
+        self._take(lines)
+
+    def _take(self, lines: list[bytes]) -> None:
         for line in lines:
             many, calls = jsonrpc.read(line)
             batch = _Batch(self, many, len(calls))
@@ -194,6 +197,8 @@
 
     def readConnectionLost(self) -> None:
         """The client sends no more, but still reads: what is open is answered first."""
+        if not self._done_reading:
+            self._take(self._lines.last())
         self._done_reading = True
         if not self._waiting:
             self.transport.loseConnection()
--- a/anisefront/wire/http1.py
+++ b/anisefront/wire/http1.py
@@ -13,7 +13,7 @@
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 _NO_BODY = (204, 304)
 REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 409: "Conflict",
-           429: "Too Many Requests", 500: "Internal Server Error", 502: "Bad Gateway",
+           426: "Upgrade Required", 429: "Too Many Requests", 500: "Internal Server Error", 502: "Bad Gateway",
            503: "Service Unavailable", 504: "Gateway Timeout"}
 
 
@@ -62,8 +62,8 @@
         """True while a message has begun and not ended."""
         return bool(self._in) or self._start is not None
 
-    def feed(self, data: bytes) -> list[Message | Head]:
-        """What these bytes complete; raises `MessageFault`."""
+    def feed(self, data: bytes, only_first: bool = False) -> list[Message | Head]:
+        """What these bytes complete; raises `MessageFault`. `only_first` leaves what follows a message alone."""
         self._in += data
         out: list[Message | Head] = []
         while True:
@@ -75,6 +75,12 @@
             if not self._read_body():
                 return out
             out.append(self._finish())
+            if only_first:
+                return out
+
+    def rest(self) -> bytearray:
+        """Bytes after the last message: the next one's, or another protocol's after an upgrade."""
+        return self._in
 
     def close(self) -> list[Message]:
         """The peer has closed: the message that this ends, if it is whole; raises where one is cut off."""
--- a/anisefront/wire/http2.py
+++ b/anisefront/wire/http2.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+import base64
+import binascii
 import struct
 from collections import deque
 from dataclasses import dataclass, field
@@ -17,11 +19,15 @@
 
 import hpack
 
+from anisefront.wire import http1
+
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 DATA, HEADERS, PRIORITY, RST_STREAM, SETTINGS, PUSH_PROMISE, PING, GOAWAY, WINDOW_UPDATE, CONTINUATION = range(10)
 END_STREAM, ACK, END_HEADERS, PADDED, HAS_PRIORITY = 0x1, 0x1, 0x4, 0x8, 0x20
 _TABLE_SIZE, _PUSH, _STREAMS, _WINDOW, _FRAME, _HEADER_LIST = 1, 2, 3, 4, 5, 6
 _MOST_WINDOW, _DEFAULT_WINDOW = 2**31 - 1, 65535
+_UPGRADED = b"HTTP/1.1 101 Switching Protocols\r\nconnection: Upgrade\r\nupgrade: h2c\r\n\r\n"
+_OF_HTTP1 = ("host", "connection", "upgrade", "http2-settings", "transfer-encoding", "keep-alive")
 _HEAD = struct.Struct(">HBBBL")  # length in two parts, type, flags, stream
 _LONG = struct.Struct(">L")
 _SETTING = struct.Struct(">HL")
@@ -61,6 +67,7 @@
     streams: int = 4096
     frame: int = 16384
     header_block: int = 16384  # compressed, all CONTINUATION frames together
+    upgrade_body: int = 256 << 10  # of a request that comes by HTTP/1.1 and asks for h2c
     header_list: int = 32768  # as RFC 9113 counts it, 32 bytes for each field besides
     continuations: int = 8
     connection_window: int = 1 << 20
@@ -159,6 +166,7 @@
         self._seen: dict[bytes, list[tuple[bytes, bytes]]] = {}
         self._seen_at = 0
         self._in, self._out, self._need_preface, self._settled = bytearray(), list[bytes](), True, False
+        self._first: http1.Reader | None = http1.Reader(True, limits.header_block, limits.upgrade_body)
         self._block: tuple[int, bool, list[bytes]] | None = None  # headers that CONTINUATION goes on with
         self._window, self._first_window, self._peer_frame = _DEFAULT_WINDOW, _DEFAULT_WINDOW, 16384
         self._unacknowledged, self._queued, self._calm, self._calm_ms = 0, 0, limits.calm, None
@@ -181,6 +189,8 @@
         self._calm_ms = now_ms
         self._in += data
         try:
+            if self._first is not None and not self._begin(events):
+                return events
             if self._need_preface and not self._preface():
                 return events
             self._frames(events)
@@ -188,6 +198,51 @@
             self._break(fault.code, str(fault), events)
         return events
 
+    def _begin(self, events: list[Event]) -> bool:
+        """Prior knowledge, or HTTP/1.1 that asks for h2c (RFC 7540, 3.2): true once it is known which."""
+        if self._in[:4] == PREFACE[:min(4, len(self._in))]:
+            if len(self._in) < 4:
+                return False
+            self._first = None
+            return True
+        try:
+            messages = self._first.feed(bytes(self._in), only_first=True)
+        except http1.MessageFault as fault:
+            raise RemoteFault(Code.PROTOCOL_ERROR, "no HTTP/2 preface") from fault
+        self._in.clear()
+        if not messages:
+            return False
+        request, self._in = messages[0], self._first.rest()
+        self._first = None
+        self._upgrade(request, events)
+        return not self.closed
+
+    def _upgrade(self, request: http1.Message, events: list[Event]) -> None:
+        wanted = request.headers.get("upgrade", "").lower().split(",")
+        text = request.headers.get("http2-settings", "")
+        if "h2c" not in [each.strip() for each in wanted] or not text:
+            self._out = [http1.response(426, {"upgrade": "h2c", "connection": "close"},
+                                        b"HTTP/2 is spoken here: gRPC by prior knowledge, or Upgrade: h2c\n")]
+            self.closed = True
+            events.append(Broken(Code.HTTP_1_1_REQUIRED, "HTTP/1.1 without Upgrade: h2c"))
+            return
+        try:
+            settings = base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+        except (ValueError, binascii.Error) as problem:
+            raise RemoteFault(Code.PROTOCOL_ERROR, "HTTP2-Settings can't be read") from problem
+        self._out.insert(0, _UPGRADED)
+        self._settings(settings)
+        self.last_id = 1
+        self.streams[1] = _Stream(self._first_window, False)
+        headers = [(b":method", request.method.encode()), (b":scheme", b"http"),
+                   (b":path", request.target.encode("latin-1")),
+                   (b":authority", request.headers.get("host", "").encode("latin-1"))]
+        headers += [(name.encode(), value.encode("latin-1")) for name, value in request.headers.items()
+                    if name not in _OF_HTTP1]
+        events.append(RequestReceived(1, headers, not request.body))
+        if request.body:
+            events.append(DataReceived(1, request.body, True))
+
     def _preface(self) -> bool:
         size = min(len(self._in), len(PREFACE))
         if self._in[:size] != PREFACE[:size]:
@@ -357,10 +412,15 @@
             if payload:
                 raise RemoteFault(Code.FRAME_SIZE_ERROR, "an acknowledgement with settings in it")
             return
-        if len(payload) % 6:
-            raise RemoteFault(Code.FRAME_SIZE_ERROR, "SETTINGS not of whole settings")
         self._spend_calm(1, "SETTINGS")
         self._settled = True
+        self._settings(payload)
+        self._out.append(_frame(SETTINGS, ACK, 0))
+        self._flush_queues()
+
+    def _settings(self, payload: bytes) -> None:
+        if len(payload) % 6:
+            raise RemoteFault(Code.FRAME_SIZE_ERROR, "SETTINGS not of whole settings")
         for key, value in _SETTING.iter_unpack(payload):
             if key == _WINDOW:
                 if value > _MOST_WINDOW:
@@ -374,8 +434,6 @@
                 self._peer_frame = value
             elif key == _PUSH and value > 1:
                 raise RemoteFault(Code.PROTOCOL_ERROR, "ENABLE_PUSH is 0 or 1")
-        self._out.append(_frame(SETTINGS, ACK, 0))
-        self._flush_queues()
 
     def _on_push(self, flags: int, number: int, payload: bytes, events: list[Event]) -> None:
         raise RemoteFault(Code.PROTOCOL_ERROR, "a client can't push")
--- a/anisefront/wire/jsonrpc.py
+++ b/anisefront/wire/jsonrpc.py
@@ -47,6 +47,11 @@
         self._rest = rest
         return [line for line in lines if line.strip()]
 
+    def last(self) -> list[bytes]:
+        """The line that the end of the connection ends."""
+        rest, self._rest = self._rest, b""
+        return [rest] if rest.strip() else []
+
 
 def read(line: bytes) -> tuple[bool, list[Call | Invalid]]:
     """Whether the line is a batch, and its calls."""
--- /dev/null
+++ b/tests/test_listeners.py
@@ -0,0 +1,167 @@
+"""Every listener of a running gatekeeper against garbage, floods and idlers: one plain refusal, no other disturbed."""
+
+import pathlib
+import socket
+import threading
+import time
+
+import h2.config
+import h2.connection
+import h2.events
+import pytest
+from envoy.service.auth.v3 import external_auth_pb2
+from test_path import Running, call, told
+
+from anisefront.wire import grpc as wire_grpc
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+@pytest.fixture(scope="module")
+def gatekeeper(tmp_path_factory):
+    path = tmp_path_factory.mktemp("conf") / "few.conf"
+    text = (ROOT / "examples/loopback.conf").read_text()
+    path.write_text(text.replace("gatekeeper 0 of 1", "gatekeeper 0 of 2") + "limits connections 40\n"
+                    "listen peers 127.0.0.1:0\nsecret 0123456789abcdef\npeer 1 127.0.0.1:9\n")
+    running = Running(path)
+    yield running
+    running.stop()
+
+
+def link(where):
+    host, port = where.split(":")
+    return socket.create_connection((host, int(port)), 5)
+
+
+def read_all(connection):
+    data = b""
+    try:
+        while part := connection.recv(65536):
+            data += part
+    except ConnectionResetError:
+        pass
+    return data
+
+
+def works(gatekeeper):
+    """Both fronts answer as ever."""
+    token = told(gatekeeper.check(x_request_id=str(time.monotonic())))["x-anisefront-attempt"]
+    gatekeeper.log(token)
+    assert gatekeeper.rpc(call(1))[0]["result"]["status"] == 200
+    return True
+
+
+GARBAGE = [b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", b"\0" * 3000, b"PRI * HTTP/1.1\r\n\r\nNO\r\n\r\n",
+           b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", bytes(range(256)) * 20]
+
+
+@pytest.mark.parametrize("data", GARBAGE)
+@pytest.mark.parametrize("front", ["grpc", "jsonrpc"])
+def test_garbage(gatekeeper, front, data):
+    with link(gatekeeper.where[front]) as connection:
+        connection.sendall(data)
+        connection.shutdown(socket.SHUT_WR)
+        assert read_all(connection)
+    assert works(gatekeeper)
+
+
+def test_garbage_datagrams(gatekeeper):
+    host, port = gatekeeper.where["peers"].split(":")
+    before = gatekeeper.state()["peers"].get("unreadable", 0) + gatekeeper.state()["peers"].get("forged", 0)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for data in [*GARBAGE, b"\x01" + b"x" * 60, b""]:
+            sender.sendto(data[:1400], (host, int(port)))
+    gatekeeper.wait_for(lambda state: state["peers"].get("unreadable", 0) + state["peers"].get("forged", 0)
+                        >= before + 6)
+    assert works(gatekeeper)
+
+
+def test_line_without_end(gatekeeper):
+    with link(gatekeeper.where["jsonrpc"]) as connection:
+        try:
+            for _ in range(40):
+                connection.sendall(b"x" * 65536)
+        except (ConnectionResetError, BrokenPipeError):
+            pass
+        assert b"over 1048576 bytes" in read_all(connection)
+    assert works(gatekeeper)
+
+
+def test_more_connections_than_allowed(gatekeeper):
+    for front in ("grpc", "jsonrpc"):
+        many = [link(gatekeeper.where[front]) for _ in range(60)]
+        time.sleep(0.3)
+        refused = 0
+        for connection in many:
+            connection.settimeout(0.02)
+            try:
+                data = connection.recv(65536)
+                refused += b"too many connections" in data
+            except TimeoutError:
+                pass
+        assert 15 <= refused <= 25, (front, refused)
+        for connection in many:
+            connection.close()
+        gatekeeper.wait_for(lambda state, front=front: state["connections"][front] <= 3)
+    assert works(gatekeeper)
+
+
+def test_one_that_never_speaks_is_closed_and_a_slow_writer_is_served(gatekeeper):
+    silent = link(gatekeeper.where["grpc"])
+    silent.settimeout(8)
+    answers = []
+
+    def slowly():
+        with link(gatekeeper.where["jsonrpc"]) as connection:
+            for byte in b'{"jsonrpc":"2.0","id":7,"method":"state"}\n':
+                connection.sendall(bytes((byte,)))
+                time.sleep(0.02)
+            answers.append(connection.recv(65536))
+
+    thread = threading.Thread(target=slowly)
+    thread.start()
+    assert works(gatekeeper)
+    thread.join()
+    assert b'"id":7' in answers[0]
+    began = time.monotonic()
+    read_all(silent)
+    assert time.monotonic() - began < 7
+    silent.close()
+
+
+def test_one_that_never_reads_is_cut_off_alone(gatekeeper):
+    with link(gatekeeper.where["jsonrpc"]) as connection:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.settimeout(0.5)
+        try:
+            for _ in range(3000):
+                connection.sendall(b'{"jsonrpc":"2.0","id":7,"method":"state"}\n' * 20)
+        except TimeoutError:
+            pass  # we are not read from while we do not read
+        assert works(gatekeeper)
+
+
+def test_check_by_an_independent_http2(gatekeeper):
+    request = external_auth_pb2.CheckRequest()
+    http = request.attributes.request.http
+    http.method, http.path = "GET", "/stock-view"
+    http.headers["x-api-key"] = "h2"
+    client = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
+    client.initiate_connection()
+    client.send_headers(1, [(":method", "POST"), (":scheme", "http"), (":authority", "x"),
+                            (":path", "/envoy.service.auth.v3.Authorization/Check"),
+                            ("content-type", "application/grpc"), ("te", "trailers")])
+    client.send_data(1, wire_grpc.pack(request.SerializeToString()), end_stream=True)
+    body, trailers = b"", None
+    with link(gatekeeper.where["grpc"]) as connection:
+        connection.sendall(client.data_to_send())
+        while trailers is None:
+            for event in client.receive_data(connection.recv(65536)):
+                if isinstance(event, h2.events.DataReceived):
+                    body += event.data
+                elif isinstance(event, h2.events.TrailersReceived):
+                    trailers = dict(event.headers)
+            connection.sendall(client.data_to_send())
+    assert trailers[b"grpc-status"] == b"0"
+    answer = external_auth_pb2.CheckResponse.FromString(wire_grpc.Unpacker(9999).feed(body)[0])
+    assert told(answer)["x-envoy-original-dst-host"].startswith("127.0.0.1:")
