--- a/anisefront/core/ledger.py
+++ b/anisefront/core/ledger.py
@@ -92,6 +92,7 @@
         self.controller, self.now_ms, self._timers = controller, now_ms, timers
         self._tell, self._subscribe, self.most_open, self._on_fault = tell, subscribe, most_open, on_fault
         self.stopped = False
+        self.after_turn: list[Callable[[], None]] = []  # fronts that write all answers of a turn at once
         self.entries: dict[int, Entry] = {}
         self.servers: dict[str, State] = {}
         self.counts: Counter[str] = Counter()
@@ -218,6 +219,8 @@
                 self._carry_out(now, action)
         finally:
             self._turning = False
+        for call in self.after_turn:
+            call()
         if self._events:  # carriers may have answered at once
             self._plan_turn()
         self._set_alarm(now)
--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -66,6 +66,7 @@
             authorization.PATH: self.gate.method(),
             accesslog.PATH: accesslog.method(self.proxied, settings.report_fields),
             **self.health.methods()}, ServerLimits(config.most_connections))
+        self.ledger.after_turn.append(self.grpc.flush)
         self.jsonrpc = JsonRpcFactory(reactor, self.desk, config.most_connections)
         self._ports: list[Any] = []
         self._roster_mark: tuple[int, ...] | None = None
--- a/anisefront/fronts/grpcserver.py
+++ b/anisefront/fronts/grpcserver.py
@@ -210,7 +210,7 @@
         """Write what has collected at the end of this turn of the loop, once for all answers of it."""
         if not self._flush_due:
             self._flush_due = True
-            self.factory.reactor.callLater(0, self._flush)
+            self.factory.flush_soon(self)
 
     def _flush(self) -> None:
         self._flush_due = False
@@ -260,10 +260,23 @@
         self.reactor, self.methods, self.limits = reactor, dict(methods), limits or ServerLimits()
         self.connections: set[GrpcConnection] = set()
         self.counts: Counter[str] = Counter()
+        self._unwritten: list[GrpcConnection] = []
 
     def buildProtocol(self, address: object) -> GrpcConnection:
         return GrpcConnection(self)
 
+    def flush_soon(self, connection: GrpcConnection) -> None:
+        """Write a connection's answers at the end of the turn, or at the next moment where no turn is on."""
+        if not self._unwritten:
+            self.reactor.callLater(0, self.flush)
+        self._unwritten.append(connection)
+
+    def flush(self) -> None:
+        """Write what has collected for every connection."""
+        unwritten, self._unwritten = self._unwritten, []
+        for connection in unwritten:
+            connection._flush()
+
     def leave(self) -> None:
         """GOAWAY on every connection."""
         for connection in list(self.connections):
--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -397,6 +397,7 @@
     def choose(self, now: float, request: Request, group: list[Backend] | None) -> Backend | None:
         """A server for one more attempt. `group`: the only ones that rule 2 allows, where it binds."""
         warm = self.warm if group is None else [backend for backend in self.warm if backend in group]
+        tried = request.tried
         name, best, best_cost = request.kind.name, None, math.inf
         if self.cold and now >= request.toss_ms:
             # Danger: a cold server falls over for good when all gateways overdo it. So chance decides, once
@@ -412,14 +413,18 @@
                     break
         # Who seldom sends to each compares few: its news is old or known to all, who would crowd the best.
         count = math.ceil(LEAST_CHOICE + CHOICE_PER_SEND * self.sends / max(1, len(warm)))
-        pool = [backend for backend in warm if backend not in request.tried] or warm
+        pool = warm if not tried else [backend for backend in warm if backend not in tried] or warm
+        fragile = 2 if request.kind.repeat is Repeat.UNSAFE else 1
+        zone, chance = self.settings.zone, self.rng.uniform
         for backend in self.rng.sample(pool, count) if count < len(pool) else pool:
-            others = backend.others * math.exp(max(-50.0, (backend.report_ms - now) / REPORT_MEMORY_MS))
-            cost = (1 + backend.out + others) * self.slow(now, backend) / max(0.01, backend.entry.weight)
-            fragile = 2 if request.kind.repeat is Repeat.UNSAFE else 1
-            cost *= 1 + fragile * FAIL_WEIGHT * self.failing(now, backend, name) ** 2
-            cost *= 1.0 if backend.entry.zone == self.settings.zone else ZONE_COST
-            cost *= self.rng.uniform(1.0, 1.1)
+            entry, load = backend.entry, 1 + backend.out
+            if backend.others:
+                load += backend.others * math.exp(max(-50.0, (backend.report_ms - now) / REPORT_MEMORY_MS))
+            cost = load * (1.0 if backend.slow == 1 else self.slow(now, backend)) / max(0.01, entry.weight)
+            if backend.bad:
+                cost *= 1 + fragile * FAIL_WEIGHT * self.failing(now, backend, name) ** 2
+            cost *= 1.0 if entry.zone == zone else ZONE_COST
+            cost *= chance(1.0, 1.1)
             if cost < best_cost:
                 best, best_cost = backend, cost
         return best
@@ -474,6 +479,7 @@
         self.requests: dict[int, Request] = {}
         self.held: list[Request] = []
         self.attempts: dict[tuple[int, int], tuple[Backend, str]] = {}
+        self.out = dict.fromkeys(self.classes, 0)  # attempts out by class
         self.agenda: list[tuple[float, int, str, int]] = []
         self.serial, self.budget, self.now, self.stalled = 0, RETRY_MOST / 2, -1.0, False
         self.actions: list[Action] = []
@@ -616,16 +622,22 @@
         if len(self.held) > self.window.free():
             total = max(1.0, sum(share.share for share in self.shares.values()))
             left = {name: own.share / total * cap for name, own in self.shares.items()}
-            for _, name in self.attempts.values():
-                left[name] -= 1
+            for name, out in self.out.items():
+                left[name] -= out
             first, rest = [], []
             for request in self.held:
                 left[request.kind.name] -= 1
                 (first if left[request.kind.name] >= 0 and request.inside else rest).append(request)
             self.held = first + rest
         busy = self.window.mean_out >= OVER_ROOM * cap
-        self.held = [request for request in self.held if self.window.free() < 1
-                     or busy and not request.inside or not self.send(request)]
+        kept: list[Request] = []
+        for place, request in enumerate(self.held):
+            if self.window.free() < 1:  # nor for those that come after: sends only fill it
+                kept += self.held[place:]
+                break
+            if busy and not request.inside or not self.send(request):
+                kept.append(request)
+        self.held = kept
 
     def send(self, request: Request) -> bool:
         """One more attempt, where a server may take it."""
@@ -639,6 +651,7 @@
             request.held, request.toss_ms = False, 0.0
         self.actions.append(Send(number, backend.entry.id, max(1.0, request.arrival.due_ms - self.now)))
         self.attempts[number, request.attempts] = (backend, request.kind.name)
+        self.out[request.kind.name] += 1
         request.out[request.attempts] = backend
         request.tried.append(backend)
         if not request.uncertain:
@@ -679,6 +692,7 @@
         if (event.id, event.attempt) not in self.attempts:
             return
         backend, class_name = self.attempts.pop((event.id, event.attempt))
+        self.out[class_name] -= 1
         request = self.requests.get(event.id)
         backend.out, full = backend.out - 1, event.result is Result.FULL
         self.window.count(self.now, -1)
