--- a/anisefront/cli/main.py
+++ b/anisefront/cli/main.py
@@ -1,4 +1,4 @@
-"""`anisefront serve|check|day|state`. Each command is thin: what it does lives in the other rooms."""
+"""`anisefront serve|check|day|state|config`. Each command is thin: what it does lives in the other rooms."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 
 import click
 
-from anisefront.config import reader
-from anisefront.config.types import Config
+from anisefront.cli.config import checked, load
+from anisefront.cli.config import config as config_group
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -18,40 +18,23 @@
     """A gateway that keeps quotas and priorities across a fleet."""
 
 
-def load(path: str) -> Config:
-    """The settings in a file; all that is wrong goes to standard error, then exit 2."""
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as problem:
-        raise click.ClickException(f"{path}: {problem}") from problem
-    config, problems = reader.read(text, path)
-    for problem in problems:
-        click.echo(str(problem), err=True)
-    if config is None:
-        sys.exit(2)
-    return config
-
-
-@main.command()
-@click.argument("file", type=click.Path())
-def check(file: str) -> None:
-    """Read a settings FILE and say what is wrong by line and column; exit 2 if anything is."""
-    config = load(file)
-    click.echo(f"{file}: {len(config.settings.classes)} classes, {len(config.settings.plans)} plans, "
-               f"{len(config.routes)} routes, {len(config.keys)} keys: nothing wrong")
+main.add_command(config_group)
+main.add_command(config_group.commands["check"], "check")
 
 
 @main.command()
 @click.argument("file", type=click.Path())
 @click.option("--log-level", default="info", type=click.Choice(["debug", "info", "warning", "error"]))
 def serve(file: str, log_level: str) -> None:
-    """Run one gatekeeper by a settings FILE in the foreground; SIGTERM drains, a second one stops at once."""
+    """Run one gatekeeper by a settings FILE in the foreground.
+
+    SIGHUP reads the file again, SIGTERM drains, a second one stops at once."""
     from anisefront.daemon import process
     config, workers = load(file), None
     if config.embedded is not None:
         from anisefront.lab.workers import embedded
         workers = embedded(config.embedded, config.settings.zone)
-    sys.exit(process.serve(config, log_level, workers))
+    sys.exit(process.serve(config, log_level, workers, lambda: checked(file)))
 
 
 @main.command()
--- /dev/null
+++ b/anisefront/config/formatter.py
@@ -0,0 +1,62 @@
+"""One style for settings: four blanks a level, one blank between words, comments kept in place. Free of I/O.
+
+It works on the tree and never looks at meaning, so it changes none; what it wrote it writes the same again.
+"""
+
+from __future__ import annotations
+
+import re
+
+from anisefront.config.parser import Directive, Document, List, Value
+
+INDENT = "    "
+_PLAIN = re.compile(r'(?:[^\s"{}\[\],;#\\$]|\$\{[A-Za-z_][A-Za-z0-9_.-]*\}|\$)+\Z')
+
+
+def quote(text: str, quoted: bool = False) -> str:
+    """A word as it is written: bare where it can be, unless it stood in quotes and needs them to mean the same."""
+    if _PLAIN.match(text) and not quoted:
+        return text
+    out = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n").replace("\t", "\\t")
+    return f'"{out}"'
+
+
+def value(each: Value) -> str:
+    """A value as it is written."""
+    if isinstance(each, List):
+        return "[" + " ".join(quote(word.text, word.quoted) for word in each.words) + "]"
+    return quote(each.text, each.quoted)
+
+
+def write(document: Document) -> str:
+    """The whole text of a file."""
+    lines: list[str] = []
+    _directives(document.directives, "", lines)
+    lines += document.below
+    while lines and not lines[0]:
+        del lines[0]
+    while lines and not lines[-1]:
+        lines.pop()
+    return "\n".join(lines) + "\n" if lines else ""
+
+
+def _directives(directives: list[Directive], indent: str, lines: list[str]) -> None:
+    for number, directive in enumerate(directives):
+        above = directive.above
+        while number == 0 and above and not above[0] and indent:
+            above = above[1:]  # no empty line after an opening brace
+        lines += [f"{indent}{line}" if line else "" for line in above]
+        _directive(directive, indent, lines)
+
+
+def _directive(directive: Directive, indent: str, lines: list[str]) -> None:
+    head = indent + " ".join([directive.name.text, *map(value, directive.values)])
+    beside = f"  {directive.beside}" if directive.beside else ""
+    if directive.block is None:
+        lines.append(head + beside)
+        return
+    closing = f"  {directive.closing}" if directive.closing else ""
+    lines.append(f"{head} {{{beside}")
+    _directives(directive.block, indent + INDENT, lines)
+    lines += [f"{indent}{INDENT}{line}" if line else "" for line in directive.below]
+    lines.append(f"{indent}}}{closing}")
--- a/anisefront/config/lexer.py
+++ b/anisefront/config/lexer.py
@@ -1,80 +1,162 @@
-"""Lines to words with their places. A `#` begins a comment, quotes hold blanks, a final `\\` joins lines."""
+"""Text to tokens with their places. Free of I/O; it never stops at a fault, and reports each one once.
+
+    word      blanks, quotes, braces, brackets, commas, #, ; and \\ end it; ${name} may stand in it
+    string    "..." on one line, with \\" \\\\ \\n \\t
+    comment   # to the end of the line
+    a final \\ joins a line to the next
+"""
 
 from __future__ import annotations
 
+import re
+import unicodedata
 from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple
 
+MOST_LINE = 65_536
+_TOKEN = re.compile(r'''(?P<blank>[ \t]+)'''
+                    r'''|(?P<word>(?:[^\s"{}\[\],;#\\$\x00-\x1f\x7f]|\$\{[A-Za-z_][A-Za-z0-9_.-]*\}|\$)+)'''
+                    r'''|(?P<string>"(?:[^"\\]|\\.)*")|(?P<mark>[{}\[\],;])|(?P<comment>\#.*)|(?P<join>\\[ \t]*$)''')
+_ESCAPE = re.compile(r"\\(.)")
+_ESCAPES = {"n": "\n", "t": "\t", '"': '"', "\\": "\\"}
 
-@dataclass(frozen=True, slots=True)
-class Word:
-    """One word; line and column count from 1."""
 
-    text: str
-    line: int
-    column: int
+class Severity(IntEnum):
+    """How grave a problem is; the exit status of a check follows the gravest."""
 
+    NOTE = 0
+    WARNING = 1
+    ERROR = 2
 
-@dataclass(frozen=True, slots=True)
-class Problem:
-    """One fault: where, what and how to mend it."""
 
-    file: str
+class Place(NamedTuple):
+    """Where something stands: a file by its number in the load, line and column from 1."""
+
+    file: int
     line: int
     column: int
-    what: str
-    mend: str = ""
 
-    def __str__(self) -> str:
-        mend = f" - {self.mend}" if self.mend else ""
-        return f"{self.file}:{self.line}:{self.column}: {self.what}{mend}"
 
+class Word(NamedTuple):
+    """A word or a string, with its place. Compared by text alone where that is meant."""
+
+    text: str
+    place: Place
+    quoted: bool = False
 
-class Fault(Exception):
-    """A fault at a word, without its file."""
 
-    def __init__(self, word: Word, what: str, mend: str = "") -> None:
-        super().__init__(what)
-        self.word, self.what, self.mend = word, what, mend
+@dataclass(frozen=True, slots=True)
+class Token:
+    """One token: its kind is "word", a mark such as "{", "comment" or "end" of a line."""
 
+    kind: str
+    word: Word
 
-def split(text: str) -> tuple[list[list[Word]], list[Fault]]:
-    """The directives, each a row of words, and the lines that can't be split."""
-    rows: list[list[Word]] = []
-    faults: list[Fault] = []
-    joined: list[Word] | None = None
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One fault: where, how grave, what, and how to mend it. `width` is what the caret underlines."""
+
+    place: Place
+    what: str
+    mend: str = ""
+    severity: Severity = Severity.ERROR
+    width: int = 1
+    code: str = "syntax"
+
+
+def fault(word: Word, what: str, mend: str = "", severity: Severity = Severity.ERROR, code: str = "value") -> Problem:
+    """A problem with a word."""
+    return Problem(word.place, what, mend, severity, max(1, len(word.text) + 2 * word.quoted), code)
+
+
+def decode(data: bytes, file: int) -> tuple[str, list[Problem]]:
+    """The text of a file. A byte-order mark is dropped; bytes that are no UTF-8 are named and stand as U+FFFD."""
+    if data.startswith((b"\xff\xfe", b"\xfe\xff")):
+        return "", [Problem(Place(file, 1, 1), "the file is UTF-16", "save it as UTF-8", code="encoding")]
+    try:
+        return data.removeprefix(b"\xef\xbb\xbf").decode(), []
+    except UnicodeDecodeError as problem:
+        before = data[:problem.start]
+        line = before.count(b"\n") + 1
+        column = len(before.rpartition(b"\n")[2].decode("utf-8", "replace")) + 1
+        what = f"byte 0x{data[problem.start]:02X} is no UTF-8"
+        text = data.removeprefix(b"\xef\xbb\xbf").decode("utf-8", "replace")
+        return text, [Problem(Place(file, line, column), what, "save the file as UTF-8", code="encoding")]
+
+
+def tokens(text: str, file: int) -> tuple[list[Token], list[Problem]]:
+    """All tokens of a file, with an "end" after each logical line, and the faults in it."""
+    out: list[Token] = []
+    problems: list[Problem] = []
     for number, line in enumerate(text.split("\n"), 1):
-        line = line.rstrip("\r")
-        more = line.endswith("\\")
-        try:
-            words = _words(line[:-1] if more else line, number)
-        except Fault as fault:
-            faults.append(fault)
-            words = []
-        words = (joined or []) + words
-        joined = words if more else None
-        if words and not more:
-            rows.append(words)
-    if joined:
-        rows.append(joined)
-    return rows, faults
-
-
-def _words(line: str, number: int) -> list[Word]:
-    words, at = [], 0
-    while at < len(line):
-        if line[at] in " \t":
-            at += 1
-        elif line[at] == "#":
-            break
-        elif line[at] == '"':
-            end = line.find('"', at + 1)
-            if end < 0:
-                raise Fault(Word(line[at:], number, at + 1), "a quote that is not closed", 'end it with "')
-            words.append(Word(line[at + 1:end], number, at + 1))
-            at = end + 1
-        else:
-            start = at
-            while at < len(line) and line[at] not in ' \t#"':
-                at += 1
-            words.append(Word(line[start:at], number, start + 1))
-    return words
+        line = line.removesuffix("\r")
+        if len(line) > MOST_LINE:
+            problems.append(Problem(Place(file, number, MOST_LINE + 1),
+                                    f"a line of {len(line)} characters, at most {MOST_LINE}", "break it up"))
+            out.append(Token("end", Word("", Place(file, number, 1))))
+            continue
+        if _line(line, number, file, out, problems):
+            out.append(Token("end", Word("", Place(file, number, len(line) + 1))))
+    return out, problems
+
+
+def _line(line: str, number: int, file: int, out: list[Token], problems: list[Problem]) -> bool:
+    """The tokens of one line; false where it is joined to the next."""
+    at, end, match = 0, len(line), _TOKEN.match
+    while at < end:
+        found = match(line, at)
+        place = Place(file, number, at + 1)
+        if found is None:
+            what, mend = _no_token(line, at)
+            problems.append(Problem(place, what, mend))
+            while out and out[-1].kind != "end":  # half a directive would only bring faults of its own
+                out.pop()
+            return True
+        kind, text = found.lastgroup, found[0]
+        if kind == "word":
+            out.append(Token("word", Word(text, place)))
+            if not text.isascii() and (other := _look_alike(text)):
+                problems.append(Problem(place, f"{text!r} holds {other}, which looks like another letter",
+                                        "write it anew", Severity.WARNING, len(text), "look-alike"))
+        elif kind == "string":
+            out.append(Token("word", Word(_unescape(text[1:-1], place, problems), place, True)))
+        elif kind == "mark":
+            out.append(Token(text, Word(text, place)))
+        elif kind == "comment":
+            out.append(Token("comment", Word(text.rstrip(), place)))
+        elif kind == "join":
+            return False
+        at = found.end()
+    return True
+
+
+def _no_token(line: str, at: int) -> tuple[str, str]:
+    if line[at] == '"':
+        return "a string that is not closed", 'end it with " on the same line'
+    if line[at] == "\\":
+        return "a \\ in the middle of a line", "quote the word, or let the \\ end the line"
+    return f"character U+{ord(line[at]):04X} can't stand here", "remove it"
+
+
+def _unescape(text: str, place: Place, problems: list[Problem]) -> str:
+    if "\\" not in text:
+        return text
+
+    def replace(found: re.Match[str]) -> str:
+        if found[1] not in _ESCAPES:
+            problems.append(Problem(Place(place.file, place.line, place.column + 1 + found.start()),
+                                    f"{found[0]} is no escape", 'known are \\" \\\\ \\n \\t', width=2))
+        return _ESCAPES.get(found[1], found[1])
+    return _ESCAPE.sub(replace, text)
+
+
+def _look_alike(text: str) -> str:
+    """The first letter of a word that is of another script than the Latin ones beside it."""
+    if not any("a" <= letter.lower() <= "z" for letter in text):
+        return ""
+    for letter in text:
+        if not letter.isascii() and letter.isalpha() and not unicodedata.name(letter, "").startswith("LATIN"):
+            return f"{unicodedata.name(letter, 'a letter').lower()} (U+{ord(letter):04X})"
+    return ""
--- /dev/null
+++ b/anisefront/config/meaning.py
@@ -0,0 +1,251 @@
+"""What settings come to that can be read but can't be meant: policies that contradict each other, routes that can
+never match, and where precedence decides. Free of I/O; each finding carries a request that shows it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from anisefront.config.lexer import Problem, Severity, Word, fault
+from anisefront.config.model import Entry, Model
+from anisefront.config.types import Config
+from anisefront.core.patterns import common, covers, rank, segments, shape
+from anisefront.core.routing import Route
+
+MOST_OVERLAPS = 200  # pairs that are reported; a table of thousands is no help to anybody
+
+
+def examine(model: Model, config: Config) -> list[Problem]:
+    """All findings."""
+    return [*_quotas(model, config), *_classes(model), *_fleet(model, config), *_unused(model),
+            *routes([(entry.word, route) for entry, route in zip(model.of("route"), config.routes, strict=True)])]
+
+
+def _found(word: Word, what: str, mend: str = "", severity: Severity = Severity.WARNING,
+           code: str = "contradiction") -> Problem:
+    return fault(word, what, mend, severity, code)
+
+
+def _quotas(model: Model, config: Config) -> Iterator[Problem]:
+    most = max((route.units for route in config.routes), default=1.0)
+    open_ended = any(route.units_header for route in config.routes)
+    for name, entry in model.named("quota").items():
+        rate, ceiling, out = entry.get("rate", 0.0), entry.get("ceiling", 0.0), entry.get("max-out", 0)
+        burst, ceiling_burst = entry.get("burst", rate), entry.get("ceiling-burst", ceiling)
+        if not rate and not ceiling and not out:
+            yield _found(entry.word, f"quota {name!r} holds nobody to anything", "give rate, max-out or ceiling")
+        if rate and ceiling and ceiling < rate:
+            yield _found(entry.place("ceiling"), f"quota {name!r}: its ceiling is below its rate",
+                         "raise the ceiling, or lower the rate", Severity.ERROR)
+        if rate and ceiling and ceiling_burst < burst:
+            yield _found(entry.place("ceiling-burst"), f"quota {name!r}: the ceiling's burst is below the burst",
+                         "what the quota allows at once the ceiling refuses")
+        if rate and burst < 1:
+            yield _found(entry.place("burst"), f"quota {name!r}: a burst of {burst:g} that no request can use",
+                         "the smallest request counts 1 unit", Severity.ERROR)
+        elif rate and not open_ended and burst < most:
+            yield _found(entry.place("burst"), f"quota {name!r}: requests of {most:g} units never fit its burst",
+                         f"raise it to {most:g} or more")
+        if rate and out:
+            yield _found(entry.place("max-out"), f"quota {name!r}: with max-out its rate counts at the home alone", "",
+                         Severity.NOTE)
+    owners: dict[str, Entry] = {}
+    for entry in model.of("key"):
+        customer = entry.options["customer"]
+        first = owners.setdefault(customer, entry)
+        if first.options["plan"] != entry.options["plan"]:
+            yield _found(entry.place("plan"), f"customer {customer!r} is on two plans, first in line "
+                         f"{first.word.place.line}", "keys of one customer count against one quota", Severity.ERROR)
+
+
+def _classes(model: Model) -> Iterator[Problem]:
+    park = model.one("path").get("park", 100.0)
+    log, again = model.one("path").get("log", 1000.0), model.one("path").get("ask-again", 500.0)
+    for name, entry in model.named("class").items():
+        if entry.options["repeat"] == "keyed" and entry.get("window", 0.0) <= 2 * park:
+            yield _found(entry.place("window"), f"class {name!r}: its window leaves no time for a repeat",
+                         f"the way over a proxy takes twice park, {2 * park:g}ms, of it")
+        if entry.get("worth", 1.0) == 0:
+            yield _found(entry.place("worth"), f"class {name!r} is worth nothing: all others go before it")
+        if entry.get("late-worth", 0.0) and entry.options["deadline"] == entry.options["aim"]:
+            yield _found(entry.place("late-worth"), f"class {name!r}: no answer can be late, its deadline is its aim")
+        if again >= entry.options["deadline"]:
+            yield _found(model.one("path").place("ask-again"), f"ask-again outlasts the deadline of class {name!r}",
+                         "no further attempt can be in time")
+    if log < park:
+        yield _found(model.one("path").place("log"), "logs are given less time than a send waits for its check")
+    attempts = model.one("attempts")
+    if attempts.arguments.get("most", 3) == 1 and attempts.get("second-copies") == "yes":
+        yield _found(attempts.place("second-copies"), "second copies where one attempt is all")
+
+
+def _fleet(model: Model, config: Config) -> Iterator[Problem]:
+    drain, stop = model.one("drain"), model.one("stop")
+    if config.drain_ms > config.stop_ms:
+        yield _found(drain.place("time") if drain.places else stop.place("time"),
+                     f"a drain of {config.drain_ms:g}ms, but the process is killed after {config.stop_ms:g}ms",
+                     "raise stop above drain", Severity.ERROR if drain.places and stop.places else Severity.WARNING)
+    longest = max(entry.options["deadline"] for entry in model.of("class"))
+    if config.drain_ms < longest:
+        yield _found(drain.place("time"), f"a drain of {config.drain_ms:g}ms cuts off requests that may take "
+                     f"{longest:g}ms", "", Severity.NOTE)
+    listed, count = {entry.arguments["number"] for entry in model.of("peer")}, config.settings.gateways
+    missing = sorted(set(range(count)) - listed - {config.settings.number})
+    if missing:
+        word = model.of("peer")[0].word if listed else model.one("gatekeeper").word
+        yield _found(word, f"no peer line for gatekeeper {', '.join(map(str, missing[:5]))}",
+                     "quotas of customers whose home it is go on credit")
+    elif count > 1 and config.settings.number not in listed:
+        yield _found(model.of("peer")[0].word, f"a peer list without ourselves, gatekeeper {config.settings.number}",
+                     "one list for the whole fleet can be included by all", Severity.NOTE)
+    seen: dict[tuple[str, int], Entry] = {}
+    for entry in model.of("listen"):
+        address = entry.arguments["address"]
+        kind = entry.arguments["front"] == "peers"
+        other = seen.setdefault((address, kind), entry)
+        if other is not entry and address[1]:
+            yield _found(entry.place("address"), "two fronts on one port", "give each its own", Severity.ERROR)
+
+
+def _unused(model: Model) -> Iterator[Problem]:
+    reached = {entry.options["class"] for entry in model.of("route")}
+    pools = {entry.options["pool"] for entry in model.of("route")}
+    plans = {entry.options["plan"] for entry in model.of("key")} | {model.one("customers").get("plan")}
+    quotas = {entry.options["quota"] for entry in model.of("plan")}
+    for what, known, used, by in (("class", model.named("class"), reached, "no route leads to it"),
+                                  ("pool", model.named("pool"), pools, "no route reaches it"),
+                                  ("plan", model.named("plan"), plans, "no customer is on it"),
+                                  ("quota", model.named("quota"), quotas, "no plan has it")):
+        for name, entry in known.items():
+            if name not in used:
+                yield _found(entry.place("name"), f"{what} {name!r}: {by}", "", code="unused")
+
+
+# ---- routes ---------------------------------------------------------------------------------------------------
+
+
+def routes(lines: list[tuple[Word, Route]]) -> Iterator[Problem]:
+    """Routes that never match, pairs that overlap with different outcomes, and near twins."""
+    groups: dict[tuple, list[int]] = {}
+    for number, (_, route) in enumerate(lines):
+        groups.setdefault((route.pattern.host, shape(route.pattern.path)), []).append(number)
+    dead: set[int] = set()
+    for numbers in groups.values():
+        for number in numbers:
+            covering = _covering(lines, numbers, number)
+            if covering is not None:
+                dead.add(number)
+                word, route = lines[number]
+                by = lines[covering]
+                same = "" if by[1].outcome == route.outcome else ", with another outcome"
+                yield _found(word, f"this route never matches: line {by[0].place.line} takes all of it{same}",
+                             "remove it, or put it first", Severity.ERROR if same else Severity.WARNING, "unreachable")
+    yield from _overlaps(lines, groups, dead)
+    yield from _twins(lines)
+
+
+def _covering(lines: list[tuple[Word, Route]], numbers: list[int], number: int) -> int | None:
+    """The route that takes all of another's requests, or that takes what is left of them for each method."""
+    pattern, left, last = lines[number][1].pattern, set(lines[number][1].pattern.methods), None
+    for other in numbers:
+        if other == number:
+            continue
+        higher = lines[other][1].pattern
+        for method in sorted(left):
+            mine = rank(pattern, method, number)
+            theirs = rank(higher, method if method in higher.methods else "*", other)
+            single = type(pattern)((method,), pattern.path, pattern.host, pattern.when)
+            if theirs < mine and covers(higher, single):
+                left.discard(method)
+                last = other
+    return last if not left else None
+
+
+def _overlaps(lines: list[tuple[Word, Route]], groups: dict[tuple, list[int]], dead: set[int]) -> Iterator[Problem]:
+    """Pairs with requests in common and different outcomes. Those of one shape are decided by conditions or by
+    line order, which is easily overlooked: a warning. The rest are decided by being more particular: a note."""
+    told = 0
+    for numbers in groups.values():
+        for at, first in enumerate(numbers):
+            for second in numbers[at + 1:]:
+                if told >= MOST_OVERLAPS or first in dead or second in dead:
+                    continue
+                a, b = lines[first][1], lines[second][1]
+                if a.outcome == b.outcome or len(a.pattern.when) != len(b.pattern.when):
+                    continue
+                shared = common(a.pattern, b.pattern)
+                if shared:
+                    told += 1
+                    yield _found(lines[second][0], f"overlaps line {lines[first][0].place.line} with another outcome: "
+                                 f"{shared[0]} goes there, by order of lines",
+                                 "make the conditions exclude each other", Severity.WARNING, "overlap")
+    notes = 0
+    for first, second in _crossing(lines):
+        if notes >= MOST_OVERLAPS:
+            return
+        a, b = lines[first][1], lines[second][1]
+        if first in dead or second in dead or a.outcome == b.outcome:
+            continue
+        shared = common(a.pattern, b.pattern)
+        if shared and not _inside(a, b) and not _inside(b, a):
+            notes += 1
+            winner = min((first, second), key=lambda n: rank(lines[n][1].pattern, shared[0].method, n))
+            yield _found(lines[max(first, second)][0], f"overlaps line {lines[min(first, second)][0].place.line} with "
+                         f"another outcome: {shared[0]} goes to line {lines[winner][0].place.line}, which is more "
+                         "particular", "", Severity.NOTE, "overlap")
+
+
+def _inside(narrow: Route, wide: Route) -> bool:
+    """Whether a route is plainly a special case of another, as /a/b is of /a/*: nobody is surprised by that."""
+    shared = common(narrow.pattern, wide.pattern)
+    own = common(narrow.pattern, narrow.pattern)
+    return {(each.path, each.host) for each in shared} == {(each.path, each.host) for each in own}
+
+
+def _crossing(lines: list[tuple[Word, Route]]) -> Iterator[tuple[int, int]]:
+    """Pairs of different shape that may have requests in common, by walking the patterns through a trie."""
+    root: dict = {}
+    for number, (_, route) in enumerate(lines):
+        node = root
+        for segment in segments(route.pattern.path):
+            key = ":" if segment.startswith(":") else segment
+            node = node.setdefault(key, {})
+        node.setdefault("\0", []).append(number)
+    for number, (_, route) in enumerate(lines):
+        own = segments(route.pattern.path)
+        if not any(segment.startswith(":") or segment.endswith("*") for segment in own):
+            continue  # a plain path crosses only what is wider than it, and that is no surprise
+        own_shape = shape(route.pattern.path)
+        stack = [(root, 0)]
+        steps = 0
+        while stack and steps < 5000:
+            node, at = stack.pop()
+            steps += 1
+            for other in node.get("\0", ()) if at == len(own) else ():
+                if other < number and shape(lines[other][1].pattern.path) != own_shape:
+                    yield other, number
+            if at >= len(own):
+                continue
+            segment = own[at]
+            for key, child in node.items():
+                if key == "\0":
+                    continue
+                if key.endswith("*") and key != ":":
+                    for other in child.get("\0", ()):
+                        if other < number and shape(lines[other][1].pattern.path) != own_shape:
+                            yield other, number
+                elif segment.startswith(":") or key in (":", segment):
+                    stack.append((child, at + 1))
+
+
+def _twins(lines: list[tuple[Word, Route]]) -> Iterator[Problem]:
+    """Routes that differ in case or in a final slash alone: to a request they are two."""
+    seen: dict[tuple, int] = {}
+    for number, (word, route) in enumerate(lines):
+        pattern = route.pattern
+        key = (pattern.host, pattern.methods, pattern.when, pattern.path.lower().rstrip("/") or "/")
+        first = seen.setdefault(key, number)
+        other = lines[first][1]
+        if first != number and other.pattern.path != pattern.path and other.outcome != route.outcome:
+            how = "a final slash" if other.pattern.path.lower() != pattern.path.lower() else "case"
+            yield _found(word, f"differs from line {lines[first][0].place.line} by {how} alone, with another outcome",
+                         "paths are compared letter by letter", Severity.WARNING, "twins")
--- /dev/null
+++ b/anisefront/config/messages.py
@@ -0,0 +1,51 @@
+"""Problems for a person, and for programs. Free of I/O."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from anisefront.config.lexer import Problem, Severity
+from anisefront.config.loader import Load
+
+MOST_SHOWN = 160  # characters of a line that are shown
+
+
+def text(load: Load, problem: Problem) -> str:
+    """The problem with its line, a caret under the place, and the includes that led there."""
+    mend = f" - {problem.mend}" if problem.mend else ""
+    out = [f"{load.where(problem.place)}: {problem.severity.name.lower()}: {problem.what}{mend}"]
+    line = load.line(problem.place)
+    if line:
+        shown, start = line, 0
+        if len(line) > MOST_SHOWN:
+            start = max(0, problem.place.column - MOST_SHOWN // 2)
+            shown = line[start:start + MOST_SHOWN]
+        at = problem.place.column - 1 - start
+        blank = "".join("\t" if letter == "\t" else " " for letter in shown[:at]) + " " * max(0, at - len(shown))
+        out.append(f"    {shown}")
+        out.append(f"    {blank}{'^' * max(1, min(problem.width, max(1, len(shown) - at)))}")
+    out += [f"    included at {load.where(place)}" for place in load.chain(problem.place)]
+    return "\n".join(out)
+
+
+def as_json(load: Load, problem: Problem) -> dict[str, Any]:
+    """The problem in plain values, for editors and CI."""
+    path = load.sources[problem.place.file].path if problem.place.file < len(load.sources) else ""
+    return {"file": path, "line": problem.place.line, "column": problem.place.column, "width": problem.width,
+            "severity": problem.severity.name.lower(), "code": problem.code, "message": problem.what,
+            "mend": problem.mend, "included_at": [load.where(place) for place in load.chain(problem.place)]}
+
+
+def closing(problems: list[Problem]) -> str:
+    """How many of each."""
+    counts = Counter(problem.severity for problem in problems)
+    words = [f"{counts[severity]} {severity.name.lower()}{'s' if counts[severity] != 1 else ''}"
+             for severity in reversed(Severity) if counts[severity]]
+    return ", ".join(words) or "nothing wrong"
+
+
+def status(problems: list[Problem], strict: bool = False) -> int:
+    """The exit status: 2 for errors, 1 for warnings where these count, else 0."""
+    worst = max((problem.severity for problem in problems), default=Severity.NOTE)
+    return 2 if worst is Severity.ERROR else 1 if worst is Severity.WARNING and strict else 0
--- /dev/null
+++ b/anisefront/config/model.py
@@ -0,0 +1,188 @@
+"""Checked entries, and the settings that they come to. Every entry knows where each of its values stands."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from anisefront.config.lexer import Place, Problem, Severity, Word, fault
+from anisefront.config.types import Address, Config, Embedded
+from anisefront.core.patterns import Pattern
+from anisefront.core.routing import Key, Route
+from anisefront.policy.interface import Plan, Repeat, RequestClass, Scope, Settings
+
+TICK_MS = 5.0  # the grain of the module's turns here; its guards leave twice this
+
+
+@dataclass(slots=True)
+class Entry:
+    """One directive whose values have been read."""
+
+    name: str
+    word: Word
+    arguments: dict[str, Any] = field(default_factory=dict)
+    options: dict[str, Any] = field(default_factory=dict)
+    places: dict[str, Word] = field(default_factory=dict)
+    unread: set[str] = field(default_factory=set)  # options that may be there but could not be read
+    seen: set[str] = field(default_factory=set)  # options that were there
+
+    def get(self, name: str, fallback: Any = None) -> Any:
+        """An option's value."""
+        return self.options.get(name, fallback)
+
+    def place(self, name: str) -> Word:
+        """Where a value stands, or the directive where it is not given."""
+        return self.places.get(name, self.word)
+
+
+class Model:
+    """All entries by their directive."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, list[Entry]] = {}
+
+    def add(self, entry: Entry) -> None:
+        """Take an entry in."""
+        self._entries.setdefault(entry.name, []).append(entry)
+
+    def of(self, name: str) -> list[Entry]:
+        """The entries of a directive, in their order."""
+        return self._entries.get(name, [])
+
+    def one(self, name: str) -> Entry:
+        """The entry of a directive that stands once; an empty one where it does not stand."""
+        return (self.of(name) or [Entry(name, Word("", Place(0, 1, 1)))])[0]
+
+    def named(self, name: str) -> dict[str, Entry]:
+        """The entries of a directive by their first argument."""
+        return {next(iter(entry.arguments.values())): entry for entry in self.of(name)}
+
+    def all(self) -> list[Entry]:
+        """Every entry."""
+        return [entry for entries in self._entries.values() for entry in entries]
+
+
+def build(model: Model, problems: list[Problem]) -> Config | None:
+    """The settings; None where ranges don't fit, with the problems."""
+    before = len(problems)
+    me, pool = model.one("gatekeeper"), _pool(model, problems)
+    number, count = me.arguments["number"], me.options["of"]
+    if count < 1 or number >= count:
+        problems.append(fault(me.place("number"), f"gatekeeper {number} of {count}",
+                              "numbers begin at 0 and end below the count", code="range"))
+    listens = model.named("listen")
+    peers = {entry.arguments["number"]: entry for entry in model.of("peer")}
+    for other, entry in peers.items() if count else ():
+        if other >= count:
+            problems.append(fault(entry.place("number"), f"peer {other} of {count} gatekeepers",
+                                  "numbers begin at 0 and end below the count", code="range"))
+    secret = model.one("secret").arguments.get("text", "")
+    if secret and len(secret.encode()) < 16:
+        problems.append(fault(model.one("secret").place("text"), f"a secret of {len(secret.encode())} bytes",
+                              "at least 16 are due", code="range"))
+    if count > 1 and ("peers" not in listens or not secret):
+        missing = "secret" if "peers" in listens else "listen peers"
+        problems.append(fault(me.word, f"a fleet of {count} without a {missing!r} line",
+                              "gatekeepers share quotas by authenticated datagrams", code="missing"))
+    for entry in model.of("class"):
+        _check_class(entry, problems)
+    for entry in model.of("route"):
+        for condition in entry.get("when", ()):
+            if "=" not in condition[1:]:
+                problems.append(fault(entry.place("when"), f"condition {condition!r}", "write name=value or name=*",
+                                      code="range"))
+    fields = model.one("report").arguments.get("values", ())
+    limits, attempts, path = model.one("limits"), model.one("attempts"), model.one("path")
+    if len(model.of("class")) > 16 or len(model.of("plan")) > 16:
+        problems.append(fault(me.word, "more than 16 classes or plans", "peers' messages have room for 16",
+                              code="range"))
+    if attempts.arguments.get("most", 3) < 1:
+        problems.append(fault(attempts.place("most"), "no attempt at all", "at least 1 is due", code="range"))
+    if len(problems) > before and any(each.severity is Severity.ERROR for each in problems[before:]):
+        return None
+    park = path.get("park", 100.0)
+    settings = Settings(
+        gateways=count, number=number, zone=me.get("zone", ""),
+        classes=tuple(_class(entry, park) for entry in model.of("class")),
+        plans=tuple(_plan(entry, model) for entry in model.of("plan")),
+        warm_up_ms=pool.get("warm-up", 10_000.0), cold_from=pool.get("cold-from", 0.2),
+        fall_multiple=pool.get("fall-multiple", 3.0), fall_window_ms=pool.get("fall-window", 2000.0),
+        max_attempts=attempts.arguments.get("most", 3), second_copies=attempts.get("second-copies", "yes") == "yes",
+        tick_ms=TICK_MS, max_units=limits.get("units", 1000.0), may_tell=count > 1,
+        max_retry_after_ms=limits.get("retry-after", 5000.0),
+        inbox_per_s=model.one("messages").arguments.get("rate", 200.0) if count > 1 else 0.0,
+        report_how="answers" if fields else "none", report_fields=fields)
+    customers = model.one("customers")
+    address = {front: Address(*entry.arguments["address"]) for front, entry in listens.items()}
+    embedded = Embedded(pool.options["embedded"], pool.get("cores", 2), pool.get("service", 1.0)) \
+        if "embedded" in pool.options else None
+    return Config(
+        settings=settings, routes=tuple(route(entry) for entry in model.of("route")),
+        keys={entry.arguments["key"]: Key(entry.options["customer"], entry.options["plan"])
+              for entry in model.of("key")},
+        customer_header=customers.options["header"], default_plan=customers.get("plan", ""),
+        repeat_header=model.one("repeat-header").arguments.get("header", ""),
+        spread=min(count, customers.get("spread", count)),
+        grpc=address.get("grpc"), jsonrpc=address.get("jsonrpc"), peers_listen=address.get("peers"),
+        peers={other: Address(*entry.arguments["address"]) for other, entry in peers.items() if other != number},
+        secret=secret.encode(), roster_file=pool.get("roster", ""), embedded=embedded,
+        log_ms=path.get("log", 1000.0), ask_again_ms=path.get("ask-again", 500.0), park_ms=park,
+        drain_ms=model.one("drain").arguments.get("time", 10_000.0),
+        stop_ms=model.one("stop").arguments.get("time", 15_000.0),
+        most_open=limits.get("open", 50_000), most_connections=limits.get("connections", 512),
+        seed=model.one("seed").arguments.get("number"))
+
+
+def _pool(model: Model, problems: list[Problem]) -> Entry:
+    """The pool that routes reach. A gatekeeper's module knows one set of workers, so there can be one only."""
+    used = {entry.options["pool"] for entry in model.of("route")}
+    pools = model.named("pool")
+    for entry in pools.values():
+        if ("roster" in entry.options) == ("embedded" in entry.options):
+            problems.append(fault(entry.word, f"pool {entry.arguments['name']!r}: one of roster and embedded is due",
+                                  "", code="range"))
+    if len(used) > 1:
+        second = sorted(used)[1]
+        at = next(entry for entry in model.of("route") if entry.options["pool"] == second)
+        problems.append(fault(at.place("pool"), f"routes reach {len(used)} pools: {', '.join(sorted(used))}",
+                              "a gatekeeper serves one pool; run another for the other", code="range"))
+    return pools[min(used)] if used else model.of("pool")[0]
+
+
+def _check_class(entry: Entry, problems: list[Problem]) -> None:
+    if entry.options["deadline"] < entry.options["aim"]:
+        problems.append(fault(entry.place("deadline"), "a deadline under its aim", "swap them, or lower the aim",
+                              code="contradiction"))
+    keyed = entry.options["repeat"] == "keyed"
+    if keyed and "window" not in entry.options:
+        problems.append(fault(entry.word, f"class {entry.arguments['name']!r} is keyed without a window",
+                              "say for how long workers drop a repeat, such as window 5s", code="missing"))
+    for name in ("window", "scope"):
+        if not keyed and name in entry.options:
+            problems.append(fault(entry.place(name), f"{name!r} of a class that is not keyed has no effect",
+                                  "remove it", Severity.WARNING, "contradiction"))
+
+
+def route(entry: Entry) -> Route:
+    """A route's entry as the program knows it."""
+    when = tuple(sorted(tuple(condition.split("=", 1)) for condition in entry.get("when", ())))
+    methods = tuple(dict.fromkeys(entry.arguments["method"]))
+    pattern = Pattern(methods, entry.arguments["path"], entry.get("host", "*"), when)
+    return Route(pattern, entry.options["class"], entry.options["pool"], entry.get("units", 1.0),
+                 entry.get("units-header", ""))
+
+
+def _class(entry: Entry, park_ms: float) -> RequestClass:
+    # What leaves here may wait for its check, and then for its proxy: a repeat must still be in time there.
+    window = max(0.0, entry.get("window", 0.0) - 2 * park_ms)
+    return RequestClass(entry.arguments["name"], entry.options["aim"], entry.options["deadline"],
+                        entry.get("worth", 1.0), Repeat(entry.options["repeat"]), entry.get("late-worth", 0.0),
+                        Scope(entry.get("scope", "all")), window)
+
+
+def _plan(entry: Entry, model: Model) -> Plan:
+    quota = model.named("quota")[entry.options["quota"]]
+    rate, ceiling = quota.get("rate", 0.0), quota.get("ceiling", 0.0)
+    return Plan(entry.arguments["name"], rate, quota.get("burst", rate), quota.get("max-out", 0),
+                entry.get("value", 1.0), entry.get("over-worth", 0.0), entry.get("over-cost", 0.0), ceiling,
+                quota.get("ceiling-burst", ceiling), quota.get("ceiling-slack", 0.0))
--- a/anisefront/config/types.py
+++ b/anisefront/config/types.py
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
-    """One gatekeeper's settings."""
+    """One gatekeeper's settings. Times in milliseconds."""
 
     settings: Settings
     routes: tuple[Route, ...]
@@ -47,6 +47,7 @@
     ask_again_ms: float = 500.0
     park_ms: float = 100.0
     drain_ms: float = 10_000.0
+    stop_ms: float = 15_000.0
     most_open: int = 50_000
     most_connections: int = 512
     seed: int | None = None
--- /dev/null
+++ b/anisefront/config/values.py
@@ -0,0 +1,222 @@
+"""Types of values and their units. A value reads to what the program works with and writes back without loss.
+
+Each type has a name for messages, reads a word or says what is wrong with it, and gives examples for the pages.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from difflib import get_close_matches
+from fractions import Fraction
+from typing import Any
+
+from anisefront.config.lexer import Word
+
+
+class Unfit(Exception):
+    """A word that is no value of the type: what is wrong, and the mend."""
+
+    def __init__(self, what: str, mend: str = "") -> None:
+        super().__init__(what)
+        self.what, self.mend = what, mend
+
+
+def near(text: str, choices: Iterable[str]) -> str:
+    """The mend for a misspelt name, "" where nothing is near."""
+    found = get_close_matches(text.lower(), {choice.lower(): choice for choice in choices}, 1, 0.6)
+    return f"did you mean {next(c for c in choices if c.lower() == found[0])!r}?" if found else ""
+
+
+@dataclass(frozen=True, slots=True)
+class Type:
+    """A type of value."""
+
+    name: str
+    read: Callable[[Word], Any]
+    example: str
+
+
+_QUANTITY = re.compile(r"([+-]?\d+(?:\.\d+)?)(.*)\Z", re.S)
+TIMES = {"us": Fraction(1, 1000), "ms": Fraction(1), "s": Fraction(1000), "min": Fraction(60_000),
+         "h": Fraction(3_600_000), "d": Fraction(86_400_000)}
+PERIODS = {"s": Fraction(1), "min": Fraction(60), "h": Fraction(3600), "d": Fraction(86_400)}
+SIZES = {"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30, "kB": 10**3, "MB": 10**6, "GB": 10**9}
+_COUNTED = ("", "requests", "request", "units", "unit", "datagrams", "datagram")
+
+
+def _split(word: Word, what: str) -> tuple[Fraction, str]:
+    match = _QUANTITY.match(word.text)
+    if not match or not word.text.isascii():
+        raise Unfit(f"{word.text[:60]!r} is no {what}")
+    if match[1].startswith("-"):
+        raise Unfit(f"{word.text[:60]!r} is below nothing")
+    return Fraction(match[1]), match[2].strip()
+
+
+def _time(word: Word) -> float:
+    number, unit = _split(word, "time")
+    if unit not in TIMES:
+        mend = f"write {word.text}ms or {word.text}s" if not unit else near(unit, TIMES) or f"units: {', '.join(TIMES)}"
+        raise Unfit(f"{word.text[:60]!r} has no unit of time" if not unit else
+                    f"{unit[:20]!r} is no unit of time", mend)
+    return float(number * TIMES[unit])
+
+
+def _rate(word: Word) -> float:
+    number, rest = _split(word, "rate")
+    counted, slash, period = rest.partition("/")
+    if not slash or counted.strip() not in _COUNTED or period.strip() not in PERIODS:
+        bare = word.text if not rest else word.text[:len(word.text) - len(rest)].strip()
+        what = "has no unit of rate" if not rest else "is no rate"
+        raise Unfit(f"{word.text[:60]!r} {what}", f"write {bare}/s or {bare}/min")
+    return float(number / PERIODS[period.strip()])
+
+
+def _size(word: Word) -> int:
+    number, unit = _split(word, "size")
+    if unit not in SIZES:
+        mend = f"write {word.text}KiB or {word.text}MiB" if not unit else near(unit, SIZES) \
+            or f"units: {', '.join(SIZES)}"
+        what = f"{unit[:20]!r} is no unit of size" if unit else f"{word.text[:60]!r} has no unit of size"
+        raise Unfit(what, mend)
+    return int(number * SIZES[unit])
+
+
+def _share(word: Word) -> float:
+    number, unit = _split(word, "share")
+    if unit not in ("", "%"):
+        raise Unfit(f"{word.text[:60]!r} is no share", "write 20% or 0.2")
+    share = number / 100 if unit else number
+    if share > 1:
+        raise Unfit(f"{word.text[:60]!r} is more than the whole", f"did you mean {word.text}%?" if not unit else "")
+    return float(share)
+
+
+def _number(word: Word) -> float:
+    number, unit = _split(word, "number")
+    if unit:
+        raise Unfit(f"{word.text[:60]!r} is no bare number", f"write {word.text[:len(word.text) - len(unit)].strip()}")
+    return float(number)
+
+
+def _whole(word: Word) -> int:
+    number, unit = _split(word, "whole number")
+    if unit or number.denominator != 1:
+        raise Unfit(f"{word.text[:60]!r} is no whole number")
+    if number > 10**15:
+        raise Unfit(f"{word.text[:60]!r} is too large")
+    return int(number)
+
+
+_NAME = re.compile(r"[A-Za-z][A-Za-z0-9._-]{0,63}\Z")
+
+
+def _name(word: Word) -> str:
+    if not _NAME.match(word.text):
+        raise Unfit(f"{word.text[:60]!r} is no name", "a letter, then letters, digits, . _ -, at most 64")
+    return word.text
+
+
+def _text(word: Word) -> str:
+    if not word.text:
+        raise Unfit("an empty text")
+    if len(word.text) > 4096 or any(ord(letter) < 32 for letter in word.text):
+        raise Unfit("a text that is too long or holds control characters")
+    return word.text
+
+
+def _header(word: Word) -> str:
+    if not re.fullmatch(r"[a-z0-9!#$%&'*+.^_`|~-]+", word.text):
+        lower = word.text.lower()
+        fits = re.fullmatch(r"[a-z0-9!#$%&'*+.^_`|~-]+", lower)
+        raise Unfit(f"{word.text[:60]!r} is no header name", f"write {lower}" if fits else "")
+    return word.text
+
+
+def _address(word: Word) -> tuple[str, int]:
+    host, colon, port = word.text.rpartition(":")
+    plain = host.removeprefix("[").removesuffix("]") if host.startswith("[") else host
+    if not colon or not plain or not port.isdigit() or int(port) > 65535:
+        raise Unfit(f"{word.text[:60]!r} is no address", "write HOST:PORT, such as 127.0.0.1:9000")
+    if ":" in plain:
+        try:
+            ipaddress.IPv6Address(plain)
+        except ValueError:
+            raise Unfit(f"{word.text[:60]!r} is no address", "write [IPv6]:PORT") from None
+    return plain, int(port)
+
+
+def _method(word: Word) -> str:
+    if word.text != "*" and not re.fullmatch(r"[A-Z][A-Z-]{0,31}", word.text):
+        raise Unfit(f"{word.text[:60]!r} is no method",
+                    f"write {word.text.upper()}" if word.text.isalpha() else "such as GET, or * for any")
+    return word.text
+
+
+def _path(word: Word) -> str:
+    text = word.text
+    if not text.startswith("/"):
+        raise Unfit(f"{text[:60]!r} is no path", f"write /{text[:60]}")
+    if "*" in text[:-1]:
+        raise Unfit(f"{text[:60]!r}: a * may only end a path", "use :name for one segment")
+    if "?" in text or "#" in text:
+        raise Unfit(f"{text[:60]!r}: a query is no part of a path", f"write {text.partition('?')[0][:60]}")
+    names = [part[1:] for part in text.split("/") if part.startswith(":")]
+    if any(not re.fullmatch(r"[a-z][a-z0-9_]*", name) for name in names) or len(set(names)) < len(names):
+        raise Unfit(f"{text[:60]!r}: a parameter without a name, or one name twice", "such as /stalls/:stall")
+    return text
+
+
+def _host(word: Word) -> str:
+    text = word.text
+    labels = text.removeprefix("*.").split(".")
+    if text != "*" and not all(re.fullmatch(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?", label) for label in labels):
+        raise Unfit(f"{text[:60]!r} is no host", f"write {text.lower()[:60]}" if text != text.lower() else
+                    "a name, *.name for all below it, or *")
+    return text
+
+
+def one_of(*choices: str) -> Type:
+    """A type of a few words."""
+    def read(word: Word) -> str:
+        if word.text not in choices:
+            raise Unfit(f"{word.text[:60]!r} is none of {', '.join(choices)}", near(word.text, choices))
+        return word.text
+    return Type(" or ".join(choices), read, choices[0])
+
+
+TIME = Type("time", _time, "1500ms")
+RATE = Type("rate", _rate, "12/min")
+SIZE = Type("size", _size, "64KiB")
+SHARE = Type("share", _share, "20%")
+NUMBER = Type("number", _number, "1.5")
+WHOLE = Type("whole number", _whole, "3")
+NAME = Type("name", _name, "stock-view")
+TEXT = Type("text", _text, '"a text"')
+HEADER = Type("header", _header, "x-key")
+ADDRESS = Type("address", _address, "127.0.0.1:9000")
+METHOD = Type("method", _method, "GET")
+PATH = Type("path", _path, "/stalls/:stall")
+HOST = Type("host", _host, "*.example")
+YES = one_of("yes", "no")
+
+
+def write_time(ms: float) -> str:
+    """A time in the largest unit that keeps it whole, without loss."""
+    value = Fraction(repr(ms))
+    for unit in ("h", "min", "s", "ms", "us"):
+        if (value / TIMES[unit]).denominator == 1:
+            return f"{value / TIMES[unit]}{unit}"
+    return f"{ms!r}ms"
+
+
+def write_rate(per_s: float) -> str:
+    """A rate by the second, minute or hour, whichever keeps it whole, without loss."""
+    value = Fraction(repr(per_s))
+    for unit in ("s", "min", "h"):
+        if (value * PERIODS[unit]).denominator == 1:
+            return f"{value * PERIODS[unit]}/{unit}"
+    return f"{per_s!r}/s"
--- a/anisefront/core/ledger.py
+++ b/anisefront/core/ledger.py
@@ -27,6 +27,7 @@
     Refuse,
     Result,
     Send,
+    Settings,
     State,
     Subscribe,
     Tell,
@@ -169,6 +170,10 @@
                 self.servers = listed
         self._post(fleet)
 
+    def change(self, settings: Settings) -> None:
+        """Other settings for what arrives from now on."""
+        self._post(settings)
+
     def may_go_to(self, worker: str) -> bool:
         """Whether the list in force still has the worker ready: a fact for carriers that send with delay."""
         return self.servers.get(worker) is State.READY
--- /dev/null
+++ b/anisefront/core/patterns.py
@@ -0,0 +1,194 @@
+"""What sets of requests a route's patterns stand for: shapes, precedence, overlap and examples. Pure functions.
+
+    host    exact "a.example"  >  "*.example", longer first  >  "*"
+    path    segment by segment: literal  >  :parameter  >  a final prefix*, longer first
+    method  named  >  "*"
+    when    more header conditions first
+    then    the earlier line
+
+These are compared in this order, so of all routes that match a request exactly one comes first.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+OTHER_METHOD, OTHER_HOST, OTHER = "X-OTHER", "other.invalid", "other~"
+
+
+@dataclass(frozen=True, slots=True)
+class Pattern:
+    """The requests that a route means. `when` holds (header, value) pairs; the value "*" means any."""
+
+    methods: tuple[str, ...]
+    path: str
+    host: str = "*"
+    when: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """What of a request routes look at. Names of headers are lower case."""
+
+    method: str
+    host: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def __str__(self) -> str:
+        more = "".join(f" {name}: {value}" for name, value in self.headers)
+        return f"{self.method} {self.host}{self.path}{more}"
+
+
+def segments(path: str) -> list[str]:
+    """The segments of a path: "/a/b" has two, "/a/" has two of which the second is empty."""
+    return path[1:].split("/")
+
+
+def shape(path: str) -> tuple[tuple[int, int, str], ...]:
+    """A path pattern without the names of its parameters, in the form by which it is ranked."""
+    out = []
+    for segment in segments(path):
+        if segment.startswith(":"):
+            out.append((1, 0, ""))
+        elif segment.endswith("*"):
+            out.append((2, -len(segment), segment))
+        else:
+            out.append((0, 0, segment))
+    return tuple(out)
+
+
+def host_rank(host: str) -> tuple[int, int]:
+    """How particular a host pattern is; less comes first."""
+    return (2, 0) if host == "*" else (1, -len(host)) if host.startswith("*.") else (0, 0)
+
+
+def rank(pattern: Pattern, method: str, order: int) -> tuple:
+    """The precedence of a pattern for one of its methods; less comes first."""
+    return (host_rank(pattern.host), shape(pattern.path), method == "*", -len(pattern.when), order)
+
+
+def host_matches(pattern: str, host: str) -> bool:
+    """Whether a host, lower case and without its port, is meant."""
+    return pattern in ("*", host) or pattern.startswith("*.") and host.endswith(pattern[1:]) \
+        and len(host) > len(pattern) - 1
+
+
+def path_matches(pattern: str, path: str) -> bool:
+    """Whether a path, without its query, is meant. The plain way, which the index is held against."""
+    wanted, given = segments(pattern), segments(path)
+    for number, segment in enumerate(wanted):
+        if segment.endswith("*") and number == len(wanted) - 1 and not segment.startswith(":"):
+            return number < len(given) and "/".join(given[number:]).startswith(segment[:-1])
+        if number >= len(given):
+            return False
+        if segment.startswith(":"):
+            if not given[number]:
+                return False
+        elif segment != given[number]:
+            return False
+    return len(wanted) == len(given)
+
+
+def when_matches(when: tuple[tuple[str, str], ...], headers: dict[str, str]) -> bool:
+    """Whether all header conditions hold."""
+    return all(name in headers and value in ("*", headers[name]) for name, value in when)
+
+
+def matches(pattern: Pattern, request: Request) -> bool:
+    """Whether a request is meant, by the plain way."""
+    return ("*" in pattern.methods or request.method in pattern.methods) and host_matches(pattern.host, request.host) \
+        and path_matches(pattern.path, request.path) and when_matches(pattern.when, dict(request.headers))
+
+
+def common_path(first: str, second: str) -> str | None:
+    """A path that both patterns mean, as general as can be; None where there is none."""
+    a, b, out = segments(first), segments(second), []
+    at = 0
+    while True:
+        left, right = (a[at] if at < len(a) else None), (b[at] if at < len(b) else None)
+        if left is None or right is None:
+            return "/" + "/".join(out) if left is right else None
+        left_tail, right_tail = _is_tail(left), _is_tail(right)
+        if left_tail or right_tail:
+            return _with_tail(out, a[at:], b[at:], left_tail, right_tail)
+        segment = _common_segment(left, right)
+        if segment is None:
+            return None
+        out.append(segment)
+        at += 1
+
+
+def _is_tail(segment: str) -> bool:
+    return segment.endswith("*") and not segment.startswith(":")
+
+
+def _common_segment(left: str, right: str) -> str | None:
+    if left.startswith(":"):
+        left, right = right, left
+    if left.startswith(":"):
+        return OTHER
+    if right.startswith(":"):
+        return left or None
+    return left if left == right else None
+
+
+def _with_tail(out: list[str], a: list[str], b: list[str], left_tail: bool, right_tail: bool) -> str | None:
+    if left_tail and right_tail:
+        long, short = (a[0], b[0]) if len(a[0]) >= len(b[0]) else (b[0], a[0])
+        return "/" + "/".join([*out, long[:-1] + OTHER]) if long[:-1].startswith(short[:-1]) else None
+    tail, rest = (a[0], b) if left_tail else (b[0], a)
+    first = rest[0]
+    if first.startswith(":"):
+        first = tail[:-1] + OTHER
+    elif not first.startswith(tail[:-1]):
+        return None
+    more = [OTHER if segment.startswith(":") else segment[:-1] + OTHER if _is_tail(segment) else segment
+            for segment in rest[1:]]
+    return "/" + "/".join([*out, first, *more])
+
+
+def common_host(first: str, second: str) -> str | None:
+    """A host that both patterns mean, or None."""
+    if host_rank(first) > host_rank(second):
+        first, second = second, first
+    if first == "*":
+        return OTHER_HOST
+    example = "other-host" + first[1:] if first.startswith("*.") else first
+    return example if host_matches(second, example) else None
+
+
+def common(first: Pattern, second: Pattern) -> list[Request]:
+    """Requests that both patterns mean, as general as can be: one for each kind of method; none if they part."""
+    path, host = common_path(first.path, second.path), common_host(first.host, second.host)
+    if path is None or host is None:
+        return []
+    headers = dict(first.when)
+    for name, value in second.when:
+        known = headers.get(name, "*")
+        if known != "*" and value not in ("*", known):
+            return []
+        headers[name] = value if known == "*" else known
+    given = tuple(sorted((name, OTHER if value == "*" else value) for name, value in headers.items()))
+    if "*" in first.methods and "*" in second.methods:
+        methods = {*first.methods, *second.methods} - {"*"} | {OTHER_METHOD}
+    elif "*" in first.methods or "*" in second.methods:
+        methods = set(second.methods if "*" in first.methods else first.methods)
+    else:
+        methods = set(first.methods) & set(second.methods)
+    return [Request(method, host, path, given) for method in sorted(methods)]
+
+
+def examples(pattern: Pattern) -> list[Request]:
+    """Requests that the pattern means, as general as can be: one for each of its methods."""
+    return common(pattern, pattern)
+
+
+def covers(first: Pattern, second: Pattern) -> bool:
+    """Whether every request of the second is also one of the first, where both have one host and one shape.
+
+    Where they have not, the narrower of the two comes first anyway."""
+    return (first.host == second.host and shape(first.path) == shape(second.path)
+            and ("*" in first.methods or "*" not in second.methods and set(second.methods) <= set(first.methods))
+            and all((name, value) in second.when or value == "*" and name in dict(second.when)
+                    for name, value in first.when))
--- a/anisefront/core/routing.py
+++ b/anisefront/core/routing.py
@@ -1,25 +1,31 @@
-"""Which customer, plan and class a request belongs to, by its host, method, path and headers. Pure look-ups."""
+"""Which customer, plan and class a request belongs to, by its host, method, path and headers.
+
+Routes are kept in a trie by host and path segment, so that what a look-up costs grows with the request's path and
+not with the number of routes. Which route comes first is said in core/patterns.py. Pure look-ups, no decisions.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from anisefront.core.patterns import Pattern, rank
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Requests of one kind. `path` is exact, or a prefix where it ends in `*`; `host` exact, `*` or `*.tail`."""
+    """Requests of one kind, and what they are to the module."""
 
-    method: str
-    path: str
+    pattern: Pattern
     class_name: str
-    host: str = "*"
+    pool: str = ""
     units: float = 1.0
     units_header: str = ""  # takes the units from there; what can't be read counts as the most
 
-    def takes_host(self, host: str) -> bool:
-        """Whether a host name, without its port, is meant."""
-        return self.host in ("*", host) or self.host.startswith("*.") and host.endswith(self.host[1:])
+    @property
+    def outcome(self) -> tuple[str, str, float, str]:
+        """What makes a difference to a request that this route takes."""
+        return self.class_name, self.pool, self.units, self.units_header
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,9 +56,121 @@
         self.status = status
 
 
+class _Node:
+    """One place in a trie of path segments."""
+
+    __slots__ = ("here", "literals", "parameter", "tails")
+
+    def __init__(self) -> None:
+        self.literals: dict[str, _Node] = {}
+        self.parameter: _Node | None = None
+        self.tails: list[tuple[str, dict[str, list[int]]]] = []  # prefix and routes by method, longest first
+        self.here: dict[str, list[int]] | None = None  # routes that end here, by method, in order of precedence
+
+
+class RouteIndex:
+    """Finds the first of the routes that match a request. `routes` are in the order of their lines."""
+
+    def __init__(self, routes: tuple[Route, ...]) -> None:
+        self.routes = routes
+        self._whens = [route.pattern.when for route in routes]
+        self._exact: dict[str, _Node] = {}
+        self._tails: dict[str, _Node] = {}  # by the part after "*", such as ".example"
+        self._any: _Node | None = None
+        for number in sorted(range(len(routes)), key=lambda n: (-len(routes[n].pattern.when), n)):
+            self._add(number, routes[number].pattern)
+        self._lengths = sorted({len(tail) for tail in self._tails}, reverse=True)
+
+    def _add(self, number: int, pattern: Pattern) -> None:
+        host = pattern.host
+        if host == "*":
+            self._any = node = self._any or _Node()
+        elif host.startswith("*."):
+            node = self._tails.setdefault(host[1:], _Node())
+        else:
+            node = self._exact.setdefault(host, _Node())
+        *inner, last = pattern.path[1:].split("/")
+        for segment in inner:
+            node = self._child(node, segment)
+        if last.endswith("*") and not last.startswith(":"):
+            prefix = last[:-1]
+            by_method = next((each for known, each in node.tails if known == prefix), None)
+            if by_method is None:
+                by_method = {}
+                node.tails.append((prefix, by_method))
+                node.tails.sort(key=lambda tail: -len(tail[0]))
+        else:
+            node = self._child(node, last)
+            node.here = by_method = {} if node.here is None else node.here
+        for method in pattern.methods:
+            by_method.setdefault(method, []).append(number)
+
+    @staticmethod
+    def _child(node: _Node, segment: str) -> _Node:
+        if segment.startswith(":"):
+            node.parameter = node.parameter or _Node()
+            return node.parameter
+        return node.literals.setdefault(segment, _Node())
+
+    def find(self, method: str, host: str, path: str, headers: Mapping[str, str]) -> int:
+        """The number of the route, -1 for none. A query and a port are left out; a host's case is no matter."""
+        if "?" in path:
+            path = path.partition("?")[0]
+        if path[:1] != "/":
+            return -1
+        given = path[1:].split("/")
+        if self._exact or self._tails:
+            host = host.lower()
+            if host[-1:] != "]":  # not a bare IPv6 address
+                host = host.rpartition(":")[0] or host if ":" in host else host
+            node = self._exact.get(host)
+            if node is not None and (found := self._walk(node, given, 0, method, headers)) >= 0:
+                return found
+            for length in self._lengths:
+                if length < len(host):
+                    node = self._tails.get(host[-length:])
+                    if node is not None and (found := self._walk(node, given, 0, method, headers)) >= 0:
+                        return found
+        return -1 if self._any is None else self._walk(self._any, given, 0, method, headers)
+
+    def _walk(self, node: _Node, given: list[str], at: int, method: str, headers: Mapping[str, str]) -> int:
+        """Depth first in the order of precedence. Danger: paths are the clients' to write; the walk is bounded
+        by the depth of the routes, and goes back only where a literal and a parameter stand side by side."""
+        if at == len(given):
+            return -1 if node.here is None else self._pick(node.here, method, headers)
+        segment = given[at]
+        child = node.literals.get(segment)
+        if child is not None and (found := self._walk(child, given, at + 1, method, headers)) >= 0:
+            return found
+        if node.parameter is not None and segment \
+                and (found := self._walk(node.parameter, given, at + 1, method, headers)) >= 0:
+            return found
+        if node.tails:
+            rest = "/".join(given[at:])
+            for prefix, by_method in node.tails:
+                if rest.startswith(prefix) and (found := self._pick(by_method, method, headers)) >= 0:
+                    return found
+        return -1
+
+    def _pick(self, by_method: dict[str, list[int]], method: str, headers: Mapping[str, str]) -> int:
+        for wanted in (method, "*"):
+            for number in by_method.get(wanted, ()):
+                for name, value in self._whens[number]:
+                    if name not in headers or value not in ("*", headers[name]):
+                        break
+                else:
+                    return number
+        return -1
+
+    def in_order(self) -> list[tuple[int, str]]:
+        """All routes, one for each of their methods, in the order of precedence: for the plain way."""
+        pairs = [(number, method) for number, route in enumerate(self.routes) for method in route.pattern.methods]
+        return sorted(pairs, key=lambda pair: rank(self.routes[pair[0]].pattern, pair[1], pair[0]))
+
+
 @dataclass
 class Router:
-    """Finds the route of a request; exact paths by one look-up, prefixes longest first."""
+    """What a request is to the module."""
 
     routes: tuple[Route, ...]
     deadlines_ms: Mapping[str, float]  # by class
@@ -64,32 +182,14 @@
     deadline_header: str = "x-envoy-expected-rq-timeout-ms"
 
     def __post_init__(self) -> None:
-        self._exact: dict[tuple[str, str], list[Route]] = {}
-        self._prefixes: list[Route] = []
-        for route in self.routes:
-            if route.path.endswith("*"):
-                self._prefixes.append(route)
-            else:
-                self._exact.setdefault((route.method, route.path), []).append(route)
-        self._prefixes.sort(key=lambda route: -len(route.path))
-
-    def find(self, method: str, host: str, path: str) -> Route | None:
-        """The route, or None. A query is no part of the path."""
-        path, host = path.partition("?")[0], host.rsplit(":", 1)[0].lower()
-        for wanted in (method, "*"):
-            for route in self._exact.get((wanted, path), ()):
-                if route.takes_host(host):
-                    return route
-        for route in self._prefixes:
-            if route.method in (method, "*") and path.startswith(route.path[:-1]) and route.takes_host(host):
-                return route
-        return None
+        self.index = RouteIndex(self.routes)
 
     def map(self, method: str, host: str, path: str, headers: Mapping[str, str]) -> Mapped:
         """What the request is to the module; raises `Unmapped`. Names of headers are lower case."""
-        route = self.find(method, host, path)
-        if route is None:
+        number = self.index.find(method, host, path, headers)
+        if number < 0:
             raise Unmapped(404, "no-route")
+        route = self.routes[number]
         name = headers.get(self.customer_header, "")
         if not name or len(name) > 256:
             raise Unmapped(401, "no-key")
--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -16,9 +16,11 @@
 from anisefront.carriers import proxied
 from anisefront.carriers.own import Own
 from anisefront.carriers.pool import Pool
+from anisefront.config import messages
+from anisefront.config.checker import Checked
 from anisefront.config.types import Config
 from anisefront.core.ledger import Ledger
-from anisefront.core.routing import Router
+from anisefront.daemon import reload
 from anisefront.daemon.clock import Clock
 from anisefront.daemon.peers import PeerPort
 from anisefront.fleet import roster
@@ -56,9 +58,7 @@
         self.proxied = proxied.Proxied(self.ledger, reactor, self.life, limits)
         self.pool = Pool(reactor)
         self.own = Own(self.ledger, self.pool, self.life, settings.report_fields)
-        router = Router(config.routes, {kind.name: kind.deadline_ms for kind in settings.classes},
-                        config.customer_header, config.keys, config.default_plan, settings.max_units,
-                        config.repeat_header)
+        router = reload.router(config)
         self.gate = authorization.Gate(router, self.proxied, self.clock, self.gateways_of)
         self.desk = Desk(router, self.own, self.clock, self.gateways_of, self.state)
         self.health = Health(SERVICES)
@@ -72,7 +72,8 @@
         self._roster_mark: tuple[int, ...] | None = None
         self._roster_loop = task.LoopingCall(self.look_at_roster)
         self._roster_loop.clock = reactor
-        self.roster_fault = ""
+        self.roster_fault = self.reload_fault = ""
+        self.version, self.reloaded_ms = 1, self.started_ms  # of the settings in force
         self._drained: defer.Deferred[None] | None = None
 
     def gateways_of(self, customer: str) -> tuple[int, int]:
@@ -97,6 +98,29 @@
         self.log.info("started", **where, life=self.life, servers=len(self.ledger.servers))
         return where
 
+    # ---- settings ------------------------------------------------------------------------------
+
+    def reload(self, checked: Checked) -> bool:
+        """Take other settings, all at once between two events, or none of them: true where they are in force.
+
+        What arrived before is judged to its end by the settings that it arrived under."""
+        faults = [messages.text(checked.load, each) for each in checked.problems if each.severity == 2]
+        if checked.config is not None:
+            faults = reload.fixed(self.config, checked.config)
+        if faults:
+            self.reload_fault = faults[0]
+            self.log.error("settings_not_taken", faults=faults[:20], more=max(0, len(faults) - 20),
+                           version=self.version)
+            return False
+        self.config, self.reload_fault, self.version = checked.config, "", self.version + 1
+        self.reloaded_ms = self.clock()
+        self.gate.router = self.desk.router = reload.router(self.config)
+        self.ledger.most_open = self.config.most_open
+        self.proxied.limits = proxied.Limits(self.config.log_ms, self.config.ask_again_ms, park_ms=self.config.park_ms)
+        self.ledger.change(self.config.settings)
+        self.log.info("settings", version=self.version, routes=len(self.config.routes), keys=len(self.config.keys))
+        return True
+
     # ---- roster --------------------------------------------------------------------------------
 
     def look_at_roster(self) -> None:
@@ -132,6 +156,8 @@
             "servers": {state.value: sum(each is state for each in ledger.servers.values())
                         for state in set(ledger.servers.values())},
             "roster_fault": self.roster_fault,
+            "settings": {"version": self.version, "since_ms": round(self.clock() - self.reloaded_ms),
+                         "fault": self.reload_fault},
             "connections": {"grpc": len(self.grpc.connections), "jsonrpc": len(self.jsonrpc.connections)},
             "counts": dict(ledger.counts), "proxied": dict(self.proxied.counts),
             "grpc": dict(self.grpc.counts), "jsonrpc": dict(self.jsonrpc.counts),
--- a/anisefront/daemon/process.py
+++ b/anisefront/daemon/process.py
@@ -12,13 +12,16 @@
 
 import structlog
 
+from anisefront.config.checker import Checked
 from anisefront.config.types import Config
 from anisefront.daemon import logs
 from anisefront.policy.interface import Fleet
 
 
-def serve(config: Config, log_level: str, workers: Callable[[Any], Fleet] | None = None) -> int:
-    """Run until it is stopped; the exit code. `workers` starts an embedded fleet on the reactor."""
+def serve(config: Config, log_level: str, workers: Callable[[Any], Fleet] | None = None,
+          again: Callable[[], Checked] | None = None) -> int:
+    """Run until it is stopped; the exit code. `workers` starts an embedded fleet on the reactor, `again` reads and
+    checks the settings anew when SIGHUP asks for it."""
     logs.set_up(log_level)
     logs.follow_twisted()
     from twisted.internet import reactor
@@ -66,7 +69,12 @@
         if reactor.running:
             reactor.stop()
 
+    def on_hangup(number: int, frame: Any) -> None:
+        if again is not None:
+            reactor.callFromThread(lambda: gatekeeper.reload(again()))
+
     reactor.callWhenRunning(begin)
+    signal.signal(signal.SIGHUP, on_hangup)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, on_signal)
     started = time.monotonic()
--- /dev/null
+++ b/anisefront/daemon/reload.py
@@ -0,0 +1,37 @@
+"""What of the settings may change while a gatekeeper runs. Decides on two settings alone; free of I/O."""
+
+from __future__ import annotations
+
+from anisefront.config.types import Config
+from anisefront.core.routing import Router
+
+# Of Config and of Settings: what is bound to sockets, to the fleet's view of us, or to what a worker can bear.
+_FIXED = {"grpc": "listen grpc", "jsonrpc": "listen jsonrpc", "peers_listen": "listen peers", "peers": "peer",
+          "secret": "secret", "roster_file": "pool", "embedded": "pool", "seed": "seed", "spread": "customers spread",
+          "most_connections": "limits connections"}
+_FIXED_SETTINGS = {"gateways": "gatekeeper", "number": "gatekeeper", "zone": "gatekeeper zone", "warm_up_ms": "pool",
+                   "cold_from": "pool", "fall_multiple": "pool", "fall_window_ms": "pool", "inbox_per_s": "messages",
+                   "report_fields": "report"}
+
+
+def router(config: Config) -> Router:
+    """The look-ups of a settings file."""
+    settings = config.settings
+    return Router(config.routes, {kind.name: kind.deadline_ms for kind in settings.classes}, config.customer_header,
+                  config.keys, config.default_plan, settings.max_units, config.repeat_header)
+
+
+def fixed(before: Config, after: Config) -> list[str]:
+    """What differs that can't change while running, each with the mend; empty where all may."""
+    names = [word for name, word in _FIXED.items() if getattr(before, name) != getattr(after, name)]
+    names += [word for name, word in _FIXED_SETTINGS.items()
+              if getattr(before.settings, name) != getattr(after.settings, name)]
+    out = [f"{name!r} can't change while running: start the gatekeeper anew" for name in dict.fromkeys(names)]
+    for what in ("classes", "plans"):
+        old = [each.name for each in getattr(before.settings, what)]
+        new = [each.name for each in getattr(after.settings, what)]
+        if new[:len(old)] != old:
+            # Danger: gatekeepers that have not changed yet name them to us by their places in the file.
+            out.append(f"{what} {', '.join(old)} must stay in their order: add others after them, or start anew")
+    return out
+
--- a/anisefront/lab/day.py
+++ b/anisefront/lab/day.py
@@ -17,7 +17,7 @@
 
 from twisted.internet import defer, error, protocol
 
-from anisefront.config import reader
+from anisefront.config import checker, loader, messages
 from anisefront.config.types import Config
 from anisefront.fleet import roster
 from anisefront.lab.clients import Clients, Wish
@@ -29,6 +29,7 @@
 from anisefront.policy.interface import Repeat, Server, State
 
 ROSTER_LAG_S = 0.5  # discovery tells of a new worker so late; a drain is told at once
+WORKERS = "warm-up 6s cold-from 20% fall-multiple 2 fall-window 2s"
 SECRET = "a secret of the loopback day"
 
 
@@ -40,7 +41,8 @@
     """One gatekeeper's settings: the template and what is its own."""
     lines = [template, f"gatekeeper {number} of {script.gatekeepers} zone room-{'ab'[number % 2]}",
              "listen grpc 127.0.0.1:0", "listen jsonrpc 127.0.0.1:0", "listen peers 127.0.0.1:0",
-             f'secret "{SECRET}"', f'roster file "{roster_file}"', f"seed {script.seed * 100 + number}"]
+             f'secret "{SECRET}"', f'pool stalls roster "{roster_file}" {WORKERS}',
+             f"seed {script.seed * 100 + number}"]
     lines += [f"peer {other} {address}" for other, address in peers.items() if other != number]
     return "\n".join(lines) + "\n"
 
@@ -75,10 +77,11 @@
         self.reactor, self.script, self.folder, self._command = reactor, script, folder, command
         self._template = template
         self._roster_file = str(folder / "roster.json")
-        config, problems = reader.read(settings_text(template, 0, script, self._roster_file, {}), script.settings)
-        if config is None:
-            raise Unfit("\n".join(str(problem) for problem in problems))
-        self.config: Config = config
+        text = settings_text(template, 0, script, self._roster_file, {})
+        checked = checker.check(loader.load_text(text, script.settings))
+        if checked.config is None:
+            raise Unfit("\n".join(messages.text(checked.load, problem) for problem in checked.problems))
+        self.config: Config = checked.config
         self._records = {name: Record((folder / f"{name}.jsonl").open("w")) for name in
                          ("clients", "workers", "proxies", "day")}
         self.rng = random.Random(script.seed)
@@ -104,7 +107,7 @@
                     service_ms=wanted.get("service", 20.0), warm_up_ms=settings.warm_up_ms,
                     cold_from=settings.cold_from, fall_multiple=settings.fall_multiple,
                     fall_window_ms=settings.fall_window_ms, keep_ms=wanted.get("drops-repeats", 5000.0),
-                    keyed_paths=tuple(route.path for route in self.config.routes if route.class_name in keyed))
+                    keyed_paths=tuple(route.pattern.path for route in self.config.routes if route.class_name in keyed))
 
     # ---- start and end -------------------------------------------------------------------------
 
@@ -117,7 +120,7 @@
             note("plan", name=plan.name, rate=plan.rate_per_s, burst=plan.burst, ceiling=plan.ceiling_per_s,
                  ceiling_burst=plan.ceiling_burst, ceiling_slack=plan.ceiling_slack, max_out=plan.max_out)
         for route in self.config.routes:
-            note("route", path=route.path, cls=route.class_name)
+            note("route", path=route.pattern.path, cls=route.class_name)
         for number in range(self.script.workers.get("count", 4)):
             self._start_worker(number, cold=False)
         self._write_roster()
@@ -256,9 +259,9 @@
             route = next(route for route in self.config.routes if route.class_name == name)
             kind = next(kind for kind in self.config.settings.classes if kind.name == name)
             self._serial += 1
-            method = "GET" if route.method == "*" else route.method
+            method = route.pattern.methods[0]
             units = self.rng.choice((1, 1, 1, 2)) if route.units_header else 1
-            self.clients.wish(Wish(f"w{self._serial}", customer, crowd.plan, name, method, route.path, units,
+            self.clients.wish(Wish(f"w{self._serial}", customer, crowd.plan, name, method, route.pattern.path, units,
                                    kind.deadline_ms))
         self._next_wish(crowd, customer)
 
--- a/anisefront/lab/report.py
+++ b/anisefront/lab/report.py
@@ -8,6 +8,7 @@
 
 import click
 
+from anisefront.config import loader, messages
 from anisefront.lab import script as scripts
 from anisefront.lab.audit import Auditor, load
 
@@ -15,9 +16,10 @@
 def judge(path: Path, folder: Path, seed: int | None, guard: str | None) -> int:
     """Play the script at `path`, keep its records in `folder`, print the verdict; the exit code."""
     from anisefront.lab import day
-    script, problems = scripts.read(path.read_text(), str(path))
+    text = path.read_text()
+    script, problems = scripts.read(text)
     for problem in problems:
-        click.echo(str(problem), err=True)
+        click.echo(messages.text(loader.load_text(text, str(path)), problem), err=True)
     if problems:
         return 2
     if seed is not None:
--- a/anisefront/lab/script.py
+++ b/anisefront/lab/script.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
-from anisefront.config.lexer import Fault, Problem, Word, split
-from anisefront.config.reader import near, read_number, read_text, read_time, read_whole
-
-Reader = Callable[[Word], Any]
+from anisefront.config.lexer import Problem, Word, fault
+from anisefront.config.parser import Directive, parse
+from anisefront.config.values import NAME, NUMBER, TEXT, TIME, WHOLE, Type, Unfit, near
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,77 +45,84 @@
     troubles: list[Trouble] = field(default_factory=list)
 
 
-_WORKERS: dict[str, Reader] = {"cores": read_whole, "service": read_time, "queue": read_whole, "cells": read_whole,
-                               "drops-repeats": read_time}
-TROUBLES: dict[str, dict[str, Reader]] = {
-    "deploy": {"over": read_time, "drain": read_time},
-    "errors": {"workers": read_whole, "share": read_number, "for": read_time},
-    "slow": {"workers": read_whole, "times": read_number, "for": read_time},
-    "silence": {"workers": read_whole, "for": read_time},
-    "freeze-workers": {"workers": read_whole, "for": read_time},
-    "kill-workers": {"workers": read_whole},
-    "freeze-gatekeeper": {"number": read_whole, "for": read_time},
-    "kill-gatekeeper": {"number": read_whole, "back-after": read_time},
-    "datagrams": {"lose": read_number, "double": read_number, "for": read_time},
+_WORKERS: dict[str, Type] = {"cores": WHOLE, "service": TIME, "queue": WHOLE, "cells": WHOLE,
+                               "drops-repeats": TIME}
+TROUBLES: dict[str, dict[str, Type]] = {
+    "deploy": {"over": TIME, "drain": TIME},
+    "errors": {"workers": WHOLE, "share": NUMBER, "for": TIME},
+    "slow": {"workers": WHOLE, "times": NUMBER, "for": TIME},
+    "silence": {"workers": WHOLE, "for": TIME},
+    "freeze-workers": {"workers": WHOLE, "for": TIME},
+    "kill-workers": {"workers": WHOLE},
+    "freeze-gatekeeper": {"number": WHOLE, "for": TIME},
+    "kill-gatekeeper": {"number": WHOLE, "back-after": TIME},
+    "datagrams": {"lose": NUMBER, "double": NUMBER, "for": TIME},
     "replay-datagrams": {},
-    "surge": {"plan": read_text, "times": read_number, "for": read_time},
-    "logs": {"late": read_time, "doubled": read_text, "for": read_time},
-    "broken-roster": {"for": read_time},
+    "surge": {"plan": NAME, "times": NUMBER, "for": TIME},
+    "logs": {"late": TIME, "doubled": NAME, "for": TIME},
+    "broken-roster": {"for": TIME},
 }
 
 
-def read(text: str, file: str) -> tuple[Script, list[Problem]]:
+class _Fault(Exception):
+    def __init__(self, word: Word, what: str, mend: str = "") -> None:
+        super().__init__(what)
+        self.problem = fault(word, what, mend)
+
+
+def read(text: str) -> tuple[Script, list[Problem]]:
     """The script, and all that is wrong with it."""
-    rows, faults = split(text)
+    document, problems = parse(text)
     script = Script()
-    for row in rows:
+    for directive in document.directives:
         try:
-            _take(script, row)
-        except Fault as fault:
-            faults.append(fault)
-    return script, [Problem(file, fault.word.line, fault.word.column, fault.what, fault.mend) for fault in faults]
+            _take(script, directive)
+        except _Fault as each:
+            problems.append(each.problem)
+    return script, problems
+
 
+def _value(word: Word, wanted: Type) -> Any:
+    try:
+        return wanted.read(word)
+    except Unfit as problem:
+        raise _Fault(word, problem.what, problem.mend) from problem
 
-def _values(row: list[Word], known: dict[str, Reader]) -> dict[str, Any]:
+
+def _values(row: list[Word], known: dict[str, Type]) -> dict[str, Any]:
     values: dict[str, Any] = {}
     for at in range(0, len(row), 2):
         if row[at].text not in known:
-            raise Fault(row[at], f"{row[at].text!r} is not known here", near(row[at].text, known))
+            raise _Fault(row[at], f"{row[at].text!r} is not known here", near(row[at].text, list(known)))
         if at + 1 >= len(row):
-            raise Fault(row[at], f"{row[at].text!r} has no value")
-        values[row[at].text] = known[row[at].text](row[at + 1])
+            raise _Fault(row[at], f"{row[at].text!r} has no value")
+        values[row[at].text] = _value(row[at + 1], known[row[at].text])
     return values
 
 
-def _take(script: Script, row: list[Word]) -> None:
-    name, rest = row[0].text, row[1:]
-    if not rest:
-        raise Fault(row[0], f"{name}: a value is missing")
-    if name == "length":
-        script.length_ms = read_time(rest[0])
-    elif name == "seed":
-        script.seed = read_whole(rest[0])
-    elif name == "gatekeepers":
-        script.gatekeepers = read_whole(rest[0])
-    elif name == "settings":
-        script.settings = rest[0].text
+_SINGLE = {"length": ("length_ms", TIME), "seed": ("seed", WHOLE), "gatekeepers": ("gatekeepers", WHOLE),
+           "settings": ("settings", TEXT), "jsonrpc": ("own_share", NUMBER), "retries": ("retries", WHOLE)}
+
+
+def _take(script: Script, directive: Directive) -> None:
+    name, rest = directive.name.text, directive.values
+    if not rest or directive.block is not None or not all(isinstance(value, Word) for value in rest):
+        raise _Fault(directive.name, f"{name}: plain values are due")
+    if name in _SINGLE:
+        field_name, wanted = _SINGLE[name]
+        setattr(script, field_name, _value(rest[0], wanted))
     elif name == "workers":
-        script.workers = {"count": read_whole(rest[0])} | _values(rest[1:], _WORKERS)
+        script.workers = {"count": _value(rest[0], WHOLE)} | _values(rest[1:], _WORKERS)
     elif name == "customers":
-        values = _values(rest[1:], {"count": read_whole, "of-quota": read_number, "each": read_number})
+        values = _values(rest[1:], {"count": WHOLE, "of-quota": NUMBER, "each": NUMBER})
         script.crowds.append(Crowd(rest[0].text, values.get("count", 1), values.get("of-quota", 0.5),
                                    values.get("each", 0.0)))
     elif name == "mix":
-        script.mix |= _values(rest, dict.fromkeys((word.text for word in rest[::2]), read_number))
-    elif name == "jsonrpc":
-        script.own_share = read_number(rest[0])
-    elif name == "retries":
-        script.retries = read_whole(rest[0])
+        script.mix |= _values(rest, dict.fromkeys((word.text for word in rest[::2]), NUMBER))
     elif name == "at":
         if len(rest) < 2 or rest[1].text not in TROUBLES:
-            raise Fault(rest[-1], "at TIME TROUBLE is due", f"troubles are {', '.join(TROUBLES)}")
-        script.troubles.append(Trouble(read_time(rest[0]), rest[1].text, _values(rest[2:], TROUBLES[rest[1].text])))
+            raise _Fault(rest[-1], "at TIME TROUBLE is due", f"troubles are {', '.join(TROUBLES)}")
+        script.troubles.append(Trouble(_value(rest[0], TIME), rest[1].text, _values(rest[2:], TROUBLES[rest[1].text])))
     else:
-        raise Fault(row[0], f"{name!r} is no line of a script",
-                    near(name, ("length", "seed", "gatekeepers", "settings", "workers", "customers", "mix",
-                                "jsonrpc", "retries", "at")))
+        raise _Fault(directive.name, f"{name!r} is no line of a script",
+                     near(name, [*_SINGLE, "workers", "customers", "mix", "at"]))
--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -156,6 +156,22 @@
     keeps the store that all draw on and lends what the bucket here lacks, the worthiest first; while it is
     silent, a gateway sends on credit of its own bucket, one request at a time."""
 
+    def number_names(self) -> None:
+        """Peers know classes and plans by their places in the settings."""
+        self.class_numbers = {kind.name: number for number, kind in enumerate(self.settings.classes)}
+        self.plan_numbers = {plan.name: number for number, plan in enumerate(self.settings.plans)}
+
+    def change(self, now: float, settings: Settings) -> None:
+        """Other figures from now on. What was spent stays spent: stores are filled to this moment by the old
+        figures and go on by the new ones, or each change would grant a whole burst again."""
+        self.settings = settings
+        for tag, store in self.stores.items():
+            self.serve(now, tag)
+            store.plan = settings.plans[self.plan_numbers[store.plan.name]]
+            store.level = min(store.plan.burst, store.level)
+            store.ceiling = min(store.plan.ceiling_burst * HOME_CEILING, store.ceiling)
+        self.number_names()
+
     def account(self, now: float, arrival: Arrival, plan: Plan) -> Account:
         """The customer's account, its buckets filled for the time gone by."""
         account = self.accounts.get(arrival.customer)
@@ -224,7 +240,7 @@
             self.asking[request.serial] = request
         self.say(now, account.home, Item(
             kind, account.tag, request.serial, request.arrival.units, account.asked * 1000 / DEMAND_MEMORY_MS,
-            self.settings.classes.index(request.kind), self.settings.plans.index(request.plan)))
+            self.class_numbers[request.kind.name], self.plan_numbers[request.plan.name]))
 
     def close(self, now: float, request: Request) -> None:
         """The request has ended: what it drew and did not use goes back, and its slot is free."""
@@ -476,6 +492,7 @@
         self.usual = {kind.name: min(USUAL_START_MS, kind.aim_ms / 4) for kind in settings.classes}
         self.quota = Quota(settings, self.rng, self.plan_at, self.on_answer, ASK_START_MS,
                            self.rng.randrange(1 << 16))
+        self.quota.number_names()
         self.requests: dict[int, Request] = {}
         self.held: list[Request] = []
         self.attempts: dict[tuple[int, int], tuple[Backend, str]] = {}
@@ -508,6 +525,8 @@
                 case Fleet() if not event.failed:
                     left += self.servers.update(now_ms, event)
                     self.window.set_limit(self.servers.capacity)
+                case Settings():
+                    self.change(event)
                 case Fleet():
                     self.plan_at(now_ms + self.settings.ask_within_ms / 4, "subscribe")
         # A server that leaves may be dead before it has answered: safe work out there is sent elsewhere too.
@@ -525,6 +544,23 @@
             self.actions.append(Tell(gateway, encode(self.quota.boot, self.window.room, items, seen)))
         return self.actions
 
+    def change(self, settings: Settings) -> None:
+        """Other settings for what arrives from now on; what is here keeps its class and plan to its end.
+
+        Classes and plans may be added at the end and change their figures. Danger: with one taken away or
+        moved, peers that have not changed yet would count for another plan; the host refuses such a change."""
+        self.settings = self.servers.settings = settings
+        self.classes = {kind.name: kind for kind in settings.classes}
+        self.plans = {plan.name: plan for plan in settings.plans}
+        self.quota.change(self.now, settings)
+        self.servers.names = list(self.classes)
+        for kind in settings.classes:
+            own = self.shares.setdefault(kind.name, FuzzyShare(0.0, 1 / len(settings.classes)))
+            own.aim_s = kind.aim_ms * (1 - ANSWER_PART) / 1000
+            self.waits.setdefault(kind.name, [])
+            self.usual.setdefault(kind.name, min(USUAL_START_MS, kind.aim_ms / 4))
+            self.out.setdefault(kind.name, 0)
+
     def plan_at(self, at_ms: float, what: str, number: int = -1) -> None:
         """Put a thing on the agenda; one wake-up each, since they cannot be withdrawn."""
         self.serial += 1
--- a/anisefront/policy/interface.py
+++ b/anisefront/policy/interface.py
@@ -112,7 +112,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """What a gateway is told when it starts."""
+    """What a gateway is told when it starts, and again, as an event, when its figures change while it runs."""
 
     gateways: int
     number: int
@@ -256,7 +256,7 @@
     name: str
 
 
-Event = Fleet | Arrival | Started | Outcome | ClientGone | Woken | Heard | Probed | Counted
+Event = Settings | Fleet | Arrival | Started | Outcome | ClientGone | Woken | Heard | Probed | Counted
 
 
 # ---- actions ------------------------------------------------------------------------------------
--- a/benchmarks/check_client.py
+++ b/benchmarks/check_client.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import os
 import sys
 import time
 
@@ -38,7 +39,7 @@
             http = request.attributes.request.http
             http.method, http.path, http.host = "GET", "/stock-view", "stalls.example"
             http.headers.update({"x-api-key": f"stall-{(number * 31 + turn) % customers}",
-                                 "x-request-id": f"{id(channel)}-{number}-{turn}", ":method": "GET",
+                                 "x-request-id": f"{os.getpid()}-{number}-{turn}", ":method": "GET",
                                  "user-agent": "tablet/1.0", "accept": "application/json"})
             began = time.perf_counter()
             answer = await check(request)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,100 +1,362 @@
-"""The settings' groundwork: good files read, broken ones named by line and column, all faults at once."""
+"""The language: hard cases of loading, the formatter's and the diff's properties, the index against the plain way."""
 
+import json
+import os
 import pathlib
+import random
 
 import pytest
 from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_config_corpus import GOOD, found
 
 from anisefront.cli.main import main
-from anisefront.config import reader
-from anisefront.core.routing import Key, Route, Router, Unmapped
-from anisefront.policy.interface import Repeat, Scope
+from anisefront.config import checker, diff, formatter, loader, messages, reference
+from anisefront.config.lexer import Severity
+from anisefront.config.migrate import migrate, prepare
+from anisefront.config.parser import parse
+from anisefront.core.patterns import Pattern, Request, common, covers, examples, matches
+from anisefront.core.routing import Route, RouteIndex
 
 ROOT = pathlib.Path(__file__).parent.parent
-GOOD = (ROOT / "examples/loopback.conf").read_text()
-
-
-def problems(text):
-    config, found = reader.read(text, "f")
-    assert (config is None) == bool(found)
-    return [str(problem) for problem in found]
-
-
-def test_example_reads():
-    config, found = reader.read(GOOD, "f")
-    assert not found and config.grpc.port == 0 and config.embedded.count == 4
-    kind = config.settings.classes[1]
-    assert (kind.aim_ms, kind.repeat, kind.scope) == (2000, Repeat.KEYED, Scope.ALL)
-    assert kind.window_ms == 5000 - 2 * config.park_ms  # what the way may take is left out
-    assert config.settings.plans[0].rate_per_s == 1e6
-
-
-@pytest.mark.parametrize(("old", "new", "expected"), [
-    ("class stock-view aim 1s", "clas stock-view aim 1s", "f:7:1: 'clas' is no directive - did you mean 'class'?"),
-    ("aim 1s deadline 5s worth 2", "aim 1 deadline 5s worth 2", "f:7:22: '1' is no time - write 1ms or 1s"),
-    ("rate 1000000/s", "rate 1000000", "f:11:16: '1000000' is no rate - write 1000000/s or 1000000/min"),
-    ("class stock-view\n", "class stock-vew\n",
-     "f:14:29: there is no class 'stock-vew' - did you mean 'stock-view'?"),
-    ("plan wide\n", "plan wid\n", "f:12:32: there is no plan 'wid' - did you mean 'wide'?"),
-    ("deadline 5s worth 2", "deadline 500ms worth 2", "f:7:34: a deadline under its aim"),
-    ("drain 5s", 'drain "5s', "f:19:7: a quote that is not closed - end it with \""),
-    ("drain 5s", "drain 5s\ndrain 6s", "f:20:1: 'drain' stands twice, first in line 19"),
-    ("window 5s", "", "f:8:1: class: a keyed class needs 'window' - say for how long workers drop a repeat"),
-    ("gatekeeper 0 of 1", "gatekeeper 1 of 1", "f:2:1: gatekeeper 1 of 1 - numbers begin at 0 and end below the count"),
-    ("gatekeeper 0 of 1", "gatekeeper 0 of 2",
-     "f:2:1: a fleet without 'listen peers' and 'secret' - gatekeepers share quotas by authenticated datagrams"),
-    ("report util,inflight", "report util,infligt",
-     "f:18:8: 'infligt' is no load report value - did you mean 'inflight'?"),
-    ("127.0.0.1:0\nlisten json", "127.0.0.1\nlisten json",
-     "f:3:13: '127.0.0.1' is no address - write HOST:PORT, such as 127.0.0.1:9000"),
-    ("attempts 3", "attempts three", "f:17:10: 'three' is no whole number"),
-    ("customer header x-api-key plan wide", "", "f:1:1: there is no 'customer' line"),
-])
-def test_faults_name_place_fault_and_mend(old, new, expected):
-    assert old in GOOD
-    assert problems(GOOD.replace(old, new, 1)) == [expected]
-
-
-def test_all_faults_at_once():
-    text = GOOD.replace("aim 1s", "aim 1", 1).replace("drain 5s", "dran 5s").replace("repeat safe", "repeat often")
-    assert [line.split(":")[1] for line in problems(text)] == ["7", "19"]
+
+
+def errors(checked):
+    return [problem.what for problem in checked.problems if problem.severity is Severity.ERROR]
+
+
+def files(tmp_path, **texts):
+    for name, text in texts.items():
+        path = tmp_path / f"{name}.conf"
+        path.write_bytes(text if isinstance(text, bytes) else text.encode())
+    return str(tmp_path / "main.conf")
+
+
+def checked_files(tmp_path, **texts):
+    return checker.check(loader.load(files(tmp_path, **texts)), {})
+
+
+REST = GOOD.partition("drain")[0]
+
+
+def test_include_puts_lines_in_and_names_their_file(tmp_path):
+    good = checked_files(tmp_path, main=REST + 'include "tail.conf"\n', tail="drain 6s\nstop 10s\n")
+    assert good.config is not None and good.config.drain_ms == 6000
+    bad = checked_files(tmp_path, main=REST + 'include "tail.conf"\n', tail="drain 6\n")
+    text = messages.text(bad.load, bad.problems[0])
+    assert "tail.conf:1:7: error: drain: time: '6' has no unit of time - write 6ms or 6s" in text
+    assert "    drain 6\n          ^" in text and f"included at {tmp_path}/main.conf:30:9" in text
+
+
+def test_include_loops(tmp_path):
+    assert "include loop: main.conf -> a.conf -> main.conf" in errors(checked_files(
+        tmp_path, main=GOOD + 'include "a.conf"\n', a='include "main.conf"\n'))[0]
+    (tmp_path / "link.conf").symlink_to(tmp_path / "main.conf")
+    assert "include loop" in errors(checked_files(tmp_path, main=GOOD + 'include "link.conf"\n'))[0]
+    (tmp_path / "link.conf").unlink()
+    (tmp_path / "a.conf").unlink()
+    assert "include loop" in errors(checked_files(tmp_path, main=GOOD + 'include "*.conf"\n'))[0]
+
+
+def test_same_file_twice(tmp_path):
+    said = errors(checked_files(tmp_path, main=REST + 'include "a.conf"\ninclude "./a.conf"\n', a="drain 6s\n"))
+    assert len(said) == 1 and "included twice, first by" in said[0]
+
+
+def test_include_that_vanishes_between_check_and_load(tmp_path):
+    path = files(tmp_path, main=REST + 'include "a.conf"\n', a="drain 6s\n")
+    assert checker.check(loader.load(path), {}).config is not None
+    (tmp_path / "a.conf").unlink()
+    again = checker.check(loader.load(path), {})
+    assert again.config is None and "can't be read: No such file" in errors(again)[0]
+
+
+@pytest.mark.parametrize("change", [
+    lambda text: b"\xef\xbb\xbf" + text.encode(), lambda text: text.replace("\n", "\r\n").encode(),
+    lambda text: text.rstrip("\n").encode()])
+def test_byte_order_mark_crlf_and_no_final_end(tmp_path, change):
+    assert checked_files(tmp_path, main=change(GOOD)).config is not None
+
+
+def test_bytes_that_are_no_utf8(tmp_path):
+    bad = checked_files(tmp_path, main=GOOD.replace("k-1", "k-\N{LATIN SMALL LETTER E WITH ACUTE}").encode("latin-1"))
+    assert errors(bad) == ["byte 0xE9 is no UTF-8"] and bad.problems[0].place[1:] == (23, 7)
+    assert errors(checked_files(tmp_path, main=GOOD.encode("utf-16"))) == ["the file is UTF-16"]
+
+
+def test_hostile_sizes():
+    assert errors(found(GOOD + "x" * 10_000_000)) == ["a line of 10000000 characters, at most 65536"]
+    deep = errors(found(GOOD + "a {\n" * 10_000 + "}\n" * 10_000))
+    assert len(deep) <= 2 and "nested more than 8" in " ".join(deep)
+    many = found(GOOD + "nonsense here\n" * 5000)
+    assert len(many.problems) == 1001 and "4000 more" in many.problems[-1].what
+
+
+def test_ends_in_the_middle_of_anything():
+    for at in range(0, len(GOOD), 3):
+        found(GOOD[:at])
+
+
+@given(st.binary(max_size=300))
+def test_garbage_never_raises(data):
+    own = {"f": b"language 2\n" + data}
+    checker.check(loader.load("f", lambda path: own[path] if path in own else b"", lambda pattern: []), {})
+
+
+@given(st.integers(0, len(GOOD)), st.integers(0, 40), st.text(alphabet='{}[]"\\#$,;=:*/ \n\tabc019é', max_size=12))
+def test_damaged_good_text_never_raises(at, length, junk):
+    found(GOOD[:at] + junk + GOOD[at + length:])
+
+
+def test_definitions_and_environment():
+    text = GOOD.replace("drain 6s", "env WAIT default 6s\ndrain ${WAIT}\ndefine two [path class] {\n"
+                        "    route GET /${path}/a class ${class} pool stalls\n"
+                        "    route GET /${path}/b class ${class} pool stalls\n}\nuse two [x view]\nuse two [y order]")
+    config = found(text).config
+    assert config.drain_ms == 6000 and [route.pattern.path for route in config.routes[2:]] == \
+        ["/x/a", "/x/b", "/y/a", "/y/b"]
+    assert found(text, {"WAIT": "7s"}).config.drain_ms == 7000
+
+
+@pytest.mark.parametrize(("text", "value"), [
+    ("12 requests/min", 0.2), ("3 units/s", 3), ("90/h", 0.025), ("0.1/s", 0.1)])
+def test_rates(text, value):
+    assert found(GOOD.replace("rate 6/s", f"rate {text}")).config.settings.plans[0].rate_per_s == value
+
+
+# ---- formatter and diff -----------------------------------------------------------------------------------------
+
+SEGMENT = st.sampled_from(["a", "b", ":x", ":y", ""])
+PATHS = st.tuples(st.lists(SEGMENT, min_size=1, max_size=3), st.sampled_from(["", "", "/*", "/a*"])).map(
+    lambda parts: "/" + "/".join(f"{part}{n}" if part.startswith(":") else part
+                                 for n, part in enumerate(parts[0])) + parts[1])
+ROUTES = st.lists(st.builds(
+    lambda methods, path, host, when, name: Route(Pattern(methods, path, host, tuple(sorted(when.items()))), name, "p"),
+    st.sampled_from([("GET",), ("POST",), ("GET", "POST"), ("*",), ("GET", "*")]), PATHS,
+    st.sampled_from(["*", "h.example", "*.example"]),
+    st.dictionaries(st.sampled_from(["q", "r"]), st.sampled_from(["1", "2", "*"]), max_size=2),
+    st.sampled_from(["view", "order"])), max_size=7).map(tuple)
+REQUESTS = st.builds(
+    lambda method, host, path, headers: Request(method, host, path, tuple(sorted(headers.items()))),
+    st.sampled_from(["GET", "POST", "PUT"]),
+    st.sampled_from(["h.example", "g.example", "x.y.example", "example", "o"]),
+    st.lists(st.sampled_from(["a", "b", "ab", "", "z"]), min_size=1, max_size=4).map(
+        lambda parts: "/" + "/".join(parts)),
+    st.dictionaries(st.sampled_from(["q", "r"]), st.sampled_from(["1", "2", "3"]), max_size=2))
+
+
+def plain(routes, request):
+    """The first route that matches, by trying all in the order of precedence."""
+    index = RouteIndex(routes)
+    for number, method in index.in_order():
+        pattern = routes[number].pattern
+        if method in ("*", request.method) and matches(Pattern((method,), pattern.path, pattern.host, pattern.when),
+                                                       request):
+            return number
+    return -1
+
+
+def look_up(routes, request):
+    return RouteIndex(routes).find(request.method, request.host, request.path, dict(request.headers))
+
+
+@settings(max_examples=400, deadline=None)
+@given(ROUTES, st.lists(REQUESTS, min_size=1, max_size=20))
+def test_index_agrees_with_the_plain_way(routes, requests):
+    for request in requests:
+        assert look_up(routes, request) == plain(routes, request)
+
+
+@settings(max_examples=400, deadline=None)
+@given(ROUTES, ROUTES, st.lists(REQUESTS, max_size=30))
+def test_diff_of_routes_is_empty_exactly_when_no_request_tells_them_apart(before, after, requests):
+    def outcome(routes, request):
+        number = look_up(routes, request)
+        return routes[number].outcome if number >= 0 else None
+    changes = list(diff.routes(before, after))
+    for change in changes:
+        assert outcome(before, change.witness) != outcome(after, change.witness)
+    if not changes:
+        for request in requests:
+            assert outcome(before, request) == outcome(after, request), request
+
+
+@settings(max_examples=200, deadline=None)
+@given(ROUTES, st.randoms())
+def test_diff_sees_every_change_of_one_route(routes, chance):
+    if not routes:
+        return
+    number = chance.randrange(len(routes))
+    changed = (*routes[:number], Route(routes[number].pattern, "other", "p"), *routes[number + 1:])
+    reached = any(look_up(routes, request) == number for request in examples(routes[number].pattern))
+    assert list(diff.routes(routes, changed)) or not reached
+
+
+@settings(max_examples=300, deadline=None)
+@given(ROUTES.filter(lambda routes: len(routes) > 1), REQUESTS)
+def test_common_and_covers(routes, request):
+    first, second = routes[0].pattern, routes[1].pattern
+    shared = common(first, second)
+    assert all(matches(first, each) and matches(second, each) for each in shared)
+    if matches(first, request) and matches(second, request):
+        assert shared
+    if covers(first, second) and matches(second, request):
+        assert matches(first, request)
+
+
+def written(routes, chance):
+    """Settings with these routes, in a style of chance: blocks or lines, blanks, comments, quotes, joined lines."""
+    out = [GOOD.partition("route")[0]]
+    for route in routes:
+        pattern = route.pattern
+        options = [("class", route.class_name), ("pool", "stalls"), ("host", pattern.host)]
+        if pattern.when:
+            options.append(("when", "[" + ", ".join(f"{name}={value}" for name, value in pattern.when) + "]"))
+        chance.shuffle(options)
+        head = f"route [{' '.join(pattern.methods)}] {chance.choice(['', ' '])}\"{pattern.path}\""
+        if chance.random() < 0.5:
+            out.append(head + " {" + chance.choice(["", "  # beside"]))
+            out += [f"{'  ' * chance.randrange(3)}{name}  {value}{chance.choice(['', ' #x', ';'])}"
+                    for name, value in options]
+            out.append(chance.choice(["}", "# below\n}", "} # after"]))
+        else:
+            out.append(chance.choice(["", "# above\n", "\n\n\n"]) + head + "".join(
+                chance.choice([" ", "  ", " \\\n "]) + f"{name} {value}" for name, value in options))
+    return "\n".join(out) + "\n" + GOOD.partition("attempts")[1] + GOOD.partition("attempts")[2]
+
+
+@settings(max_examples=150, deadline=None)
+@given(ROUTES.filter(len), st.randoms())
+def test_formatter_changes_no_meaning_and_settles_at_once(routes, chance):
+    text = written(routes, chance)
+    document, problems = parse(text)
+    assert not problems, text
+    once = formatter.write(document)
+    again, problems = parse(once)
+    assert not problems and formatter.write(again) == once
+    assert text.count("#") == once.count("#")
+    before, after = found(text), found(once)
+    assert len(errors(before)) == len(errors(after))  # places in their texts move
+    if before.config is not None:
+        assert diff.diff(before.config, after.config) == []
+
+
+def test_formatter_by_example():
+    text = "# head\n\n\n\nclass   a{aim 1s ; deadline 2s}# end\n  route [ GET,POST ]  \"/a b\" \\\n   x y  #why\n#last"
+    assert formatter.write(parse(text)[0]) == (
+        '# head\n\nclass a {\n    aim 1s\n    deadline 2s\n}  # end\nroute [GET POST] "/a b" x y  # why\n# last\n')
+
+
+def test_diff_by_meaning(tmp_path):
+    before = found(GOOD).config
+    for same in (GOOD.replace("class view aim 1s", "class view aim 1000ms"),
+                 GOOD.replace("/stalls/:stall", "/stalls/:id"), GOOD.replace("quota small", "quota tiny"),
+                 GOOD.replace("rate 6/s", "rate 360 requests/min")):
+        same = same.replace("quota small", "quota tiny") if "quota tiny" in same else same
+        assert diff.diff(before, found(same).config) == []
+    changes = diff.diff(before, found(GOOD.replace("burst 12", "burst 13").replace("[POST PUT]", "[POST]")
+                                      .replace("plan market\nroute", "plan stall\nroute")).config)
+    assert [str(change) for change in changes] == [
+        "plan stall: burst: 12.0 -> 13.0", "key ...: market-1 on market -> market-1 on stall",
+        "route: class order pool stalls units-header x-units -> no route  PUT other.invalid/orders"]
+
+
+# ---- command line, pages, migration -----------------------------------------------------------------------------
+
+
+def run(*arguments):
+    done = CliRunner().invoke(main, [str(each) for each in arguments])
+    return done.exit_code, done.output
 
 
 def test_check_command(tmp_path):
-    good = CliRunner().invoke(main, ["check", str(ROOT / "examples/loopback.conf")])
-    assert good.exit_code == 0 and "nothing wrong" in good.output
-    path = tmp_path / "bad.conf"
-    path.write_text(GOOD.replace("listen", "lisen"))
-    bad = CliRunner().invoke(main, ["check", str(path)])
-    assert bad.exit_code == 2 and f"{path}:3:1: 'lisen' is no directive" in bad.output
-    assert CliRunner().invoke(main, ["check", str(tmp_path / "none")]).exit_code == 1
+    good = files(tmp_path, main=GOOD)
+    assert run("check", good) == (0, f"{good}: nothing wrong\n")
+    bad = files(tmp_path, main=GOOD.replace("aim 1s", "aim 1", 1).replace("drain 6s", "dran 6s"))
+    code, said = run("config", "check", bad)
+    assert code == 2 and said.count("error:") == 2 and said.endswith("2 errors\n")
+    code, said = run("config", "check", "--format", "json", bad)
+    rows = json.loads(said)
+    assert code == 2 and [(row["line"], row["column"], row["severity"]) for row in rows] == \
+        [(10, 16, "error"), (30, 1, "error")] and rows[1]["mend"] == "did you mean 'drain'?"
+    warned = files(tmp_path, main=GOOD.replace("worth 2", "worth 0"))
+    assert run("check", warned)[0] == 0 and run("check", "--strict", warned)[0] == 1
+    assert run("check", tmp_path / "none.conf")[0] == 2
+
+
+def test_fmt_diff_explain_and_show_commands(tmp_path):
+    path = files(tmp_path, main=GOOD.replace("drain 6s", "drain    6s"), other=GOOD.replace("drain 6s", "drain 7s"))
+    assert run("config", "fmt", "--check", path)[0] == 1
+    assert run("config", "fmt", path)[0] == 0 and run("config", "fmt", "--check", path) == (0, "")
+    assert run("config", "diff", path, path) == (0, "no difference for any request, plan or fleet\n")
+    assert run("config", "diff", path, tmp_path / "other.conf") == (1, "drain_ms: 6000.0 -> 7000.0\n")
+    code, said = run("config", "explain", path, "PUT", "shop/orders?x=1", "-H", "X-Api-Key: k-1", "-H", "x-units: 9")
+    assert code == 0 and "main.conf:25:1: POST PUT /orders -> class order" in said
+    assert "customer market-1, by its key" in said and "counts  4 units" in said
+    code, said = run("config", "show", path)
+    assert code == 0 and "0123456789abcdef" not in said and "k-1" not in said and "drain 6s  # " in said
+
+
+def test_explain_says_what_a_route_beat():
+    from anisefront.config.explain import explain
+    checked = found(GOOD.replace("attempts", "route * /* class order pool stalls\n"
+                                 "route GET /stalls/:s class order pool stalls when [x=1]\nattempts"))
+    said = explain(checked, Request("GET", "h", "/stalls/7", (("x", "1"),)))
+    assert "f.conf:27:1: GET /stalls/:s" in said[1] and "it has more conditions" in said[2]
+    assert "the path is more particular" in said[3] and "denied with 401" in said[-1]
 
 
-ROUTER = Router((Route("GET", "/a", "x"), Route("*", "/a*", "y", units_header="x-units"),
-                 Route("GET", "/a", "z", host="*.example"), Route("POST", "/ab*", "w", host="h")),
-                {"x": 1000.0, "y": 2000.0, "z": 1.0, "w": 1.0}, "x-key", {"k": Key("c", "p")}, "", 8.0, "x-again")
+def test_migration_of_version_1():
+    old = """# the first gatekeeper
+gatekeeper 0 of 1
+listen grpc 127.0.0.1:0
+servers warm-up 6s cold-from 0.2
+roster file "/etc/stalls.json"  # the list
+class view aim 1s deadline 5s repeat safe
+plan stall rate 6/s burst 12 value 0.5  # small
+customer header x-api-key plan stall
+route GET /stock class view
+report util,inflight
+"""
+    assert "anisefront config migrate" in found(old).problems[0].mend
+    document, problems = migrate(parse(prepare(old))[0])
+    assert not problems
+    text = formatter.write(document)
+    assert text.startswith("# the first gatekeeper\nlanguage 2\n") and "# the list" in text and "# small" in text
+    config = found(text).config
+    assert config.settings.plans[0].burst == 12 and config.settings.warm_up_ms == 6000
+    assert config.roster_file == "/etc/stalls.json" and config.settings.report_fields == ("util", "inflight")
+    assert migrate(parse(text)[0])[0].directives[0].name.text == "language"
 
 
-@pytest.mark.parametrize(("method", "host", "path", "name"), [
-    ("GET", "h", "/a?q=1", "x"), ("POST", "h:80", "/abc", "w"), ("POST", "g", "/abc", "y"), ("PUT", "h", "/a", "y")])
-def test_routes(method, host, path, name):
-    assert ROUTER.find(method, host, path).class_name == name
+def test_examples_are_good_and_in_the_one_style():
+    for path in (ROOT / "examples").rglob("*.conf"):
+        text = path.read_text()
+        assert formatter.write(parse(text)[0]) == text, path
+        if "gatekeeper " in text:
+            assert errors(checker.check(loader.load(str(path)), os.environ)) == []
 
 
-@pytest.mark.parametrize(("path", "key", "status"), [("/b", "k", 404), ("/a", "", 401), ("/a", "other", 403)])
-def test_unmapped(path, key, status):
-    with pytest.raises(Unmapped) as fault:
-        ROUTER.map("GET", "h", path, {"x-key": key})
-    assert fault.value.status == status
+def test_pages_are_what_the_tables_say():
+    assert (ROOT / "docs/operators/settings.md").read_text() == reference.reference()
+    assert reference.grammar() in (ROOT / "docs/config-grammar.md").read_text()
 
 
-@pytest.mark.parametrize(("text", "units"), [
-    ("3", 3), ("", 1), ("0", 1), ("99", 8), ("many", 8), ("nan", 8), ("-1", 8)])
-def test_units_that_cannot_be_read_count_as_the_most(text, units):
-    assert ROUTER.map("PUT", "h", "/a", {"x-key": "k", "x-units": text}).units == units
+def test_every_example_of_the_reference_is_read():
+    from anisefront.config.schema import LANGUAGE, SCHEMA
+    for name, spec in SCHEMA.items():
+        assert spec.example.startswith(name), name
+        checked = found("language 2\nenv FLEET_SECRET default 0123456789abcdef\n" + spec.example + "\n")
+        mine = [problem for problem in checked.problems if problem.place.line == 3 and problem.code != "reference"]
+        assert not mine, (name, mine)
+    assert set(LANGUAGE) == {"language", "include", "env", "define", "use"}
 
 
-@pytest.mark.parametrize(("text", "ms"), [("", 2000), ("500", 500), ("9999", 2000), ("0", 2000), ("soon", 2000)])
-def test_time_that_the_client_leaves(text, ms):
-    mapped = ROUTER.map("PUT", "h", "/a", {"x-key": "k", "x-envoy-expected-rq-timeout-ms": text, "x-again": "1"})
-    assert mapped.deadline_ms == ms and mapped.is_repeat
+def test_look_ups_do_not_grow_with_the_routes():
+    chance = random.Random(1)
+    routes = tuple(Route(Pattern(("GET",), f"/a{n}/:x/b"), "view", "p") for n in range(5000))
+    index = RouteIndex(routes)
+    for _ in range(200):
+        number = chance.randrange(5000)
+        assert index.find("GET", "h", f"/a{number}/q/b?z", {}) == number
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,97 @@
+"""Settings that change while a gatekeeper runs: whole or not at all, and each request by one version only."""
+
+import os
+import pathlib
+import signal
+
+import pytest
+from test_config_corpus import GOOD, found
+from test_core import Desk
+from test_path import Running, told
+
+from anisefront.daemon import reload
+from anisefront.policy.interface import Plan, Repeat, RequestClass, Result
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+@pytest.mark.parametrize(("old", "new", "said"), [
+    ("burst 12", "burst 13", []), ("drain 6s", "drain 7s", []), ("key k-1", "key k-2", []),
+    ("class view aim 1s", "class view aim 2s", []), ("open 20000", "open 30000", []),
+    ("plan market quota large", "plan market quota large value 2", []),
+    ("report", "class new aim 1s deadline 2s repeat safe\nroute GET /n class new pool stalls\nreport", []),
+    ("127.0.0.1:9001", "127.0.0.1:9003", ["listen grpc"]),
+    ("of 2 zone room-a", "of 2 zone room-b", ["gatekeeper zone"]),
+    ("peer 1 127.0.0.1:9102", "peer 1 127.0.0.1:9103", ["peer"]),
+    ('"0123456789abcdef"', '"0123456789abcdeg"', ["secret"]),
+    ("/etc/stalls.json", "/etc/other.json", ["pool"]), ("warm-up 10s", "warm-up 11s", ["pool"]),
+    ("messages 200/s", "messages 100/s", ["messages"]), ("[util inflight]", "[util]", ["report"]),
+    ("class view aim 1s", "class first aim 1s deadline 2s repeat safe\nclass view aim 1s", ["classes"])])
+def test_what_may_change(old, new, said):
+    before, after = found(GOOD).config, found(GOOD.replace(old, new, 1)).config
+    faults = reload.fixed(before, after)
+    assert len(faults) == len(said) and all(word in fault for word, fault in zip(said, faults, strict=True)), faults
+
+
+class Changing:
+    """A gatekeeper whose settings file can be written anew."""
+
+    def __init__(self, folder):
+        self.path = folder / "live.conf"
+        self.text = (ROOT / "examples/loopback.conf").read_text()
+        self.path.write_text(self.text)
+        self.running = Running(self.path)
+
+    def write(self, text):
+        version = self.running.state()["settings"]
+        self.path.write_text(text)
+        os.kill(self.running.process.pid, signal.SIGHUP)
+        self.running.wait_for(lambda state: state["settings"]["version"] > version["version"]
+                              or state["settings"]["fault"] != version["fault"])
+        return self.running.state()["settings"]
+
+
+def test_live(tmp_path):
+    live = Changing(tmp_path)
+    running = live.running
+    try:
+        began = told(running.check(x_request_id="r1"))
+        assert live.write(live.text.replace("GET /stock-view", "GET /other"))["version"] == 2
+        assert running.check(path="/stock-view").denied_response.status.code == 404
+        assert told(running.check(path="/other", x_request_id="r2"))
+        # a request that arrived before has its further attempt as it would have had
+        running.log(began["x-anisefront-attempt"], 503, "upstream_remote_reset")
+        again = told(running.check(path="/stock-view", x_request_id="r1",
+                                   x_anisefront_attempt=began["x-anisefront-attempt"]))
+        assert again["x-anisefront-attempt"].endswith(".1")
+        bad = live.write(live.text.replace("aim 1s", "aim 1", 1))
+        assert bad["version"] == 2 and "live.conf:9:22: error: class: aim: '1' has no unit of time" in bad["fault"]
+        assert running.check(path="/other", x_request_id="r3").ok_response.headers
+        fixed = live.write(live.text.replace("embedded 4", "embedded 5"))
+        assert fixed["version"] == 2 and "'pool' can't change while running" in fixed["fault"]
+        good = live.write(live.text)
+        assert good["version"] == 3 and good["fault"] == "" and running.check(x_request_id="r4").ok_response.headers
+    finally:
+        running.stop()
+
+
+def test_what_was_spent_stays_spent_and_what_is_here_keeps_its_class():
+    desk = Desk(Plan("wide", 10, 5))
+    for number in range(5):
+        desk.ask(f"r{number}", kind="unsafe")
+    assert len(desk.told) == 5
+    old = desk.ledger.controller.settings
+    kinds = tuple(RequestClass(kind.name, 500, 2000, 1.0, Repeat.SAFE) for kind in old.classes)
+    desk.ledger.change(type(old)(**{name: getattr(old, name) for name in old.__slots__} | {
+        "classes": kinds, "plans": (Plan("wide", 10, 50),)}))
+    desk.run(0.02)
+    desk.ask("r5", kind="unsafe")
+    assert len(desk.told) == 5  # a larger burst is not granted at once
+    desk.log(desk.told[0].attempt, Result.RESET)
+    desk.again(desk.told[0].attempt)
+    assert desk.told[5].verdict.value == "failed"  # it arrived as unsafe
+    desk.run(0.2)
+    assert len(desk.told) == 7 and desk.told[6].verdict.value == "go"
+    desk.log(desk.told[6].attempt, Result.RESET)
+    desk.again(desk.told[6].attempt)
+    assert desk.told[7].verdict.value == "go"  # it arrived as safe
