--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -548,7 +548,7 @@
         """Other settings for what arrives from now on; what is here keeps its class and plan to its end.
 
         Classes and plans may be added at the end and change their figures. Danger: with one taken away or
-        moved, peers that have not changed yet would count for another plan; the host refuses such a change."""
+        moved, peers that have not changed yet would count for another plan; the host refuses that."""
         self.settings = self.servers.settings = settings
         self.classes = {kind.name: kind for kind in settings.classes}
         self.plans = {plan.name: plan for plan in settings.plans}
