--- a/anisefront/config/lexer.py
+++ b/anisefront/config/lexer.py
@@ -15,9 +15,10 @@
 from typing import NamedTuple
 
 MOST_LINE = 65_536
-_TOKEN = re.compile(r'''(?P<blank>[ \t]+)'''
-                    r'''|(?P<word>(?:[^\s"{}\[\],;#\\$\x00-\x1f\x7f]|\$\{[A-Za-z_][A-Za-z0-9_.-]*\}|\$)+)'''
-                    r'''|(?P<string>"(?:[^"\\]|\\.)*")|(?P<mark>[{}\[\],;])|(?P<comment>\#.*)|(?P<join>\\[ \t]*$)''')
+_TOKEN = re.compile(r'''[ \t]*(?:'''
+                    r'''(?P<word>(?:[^\s"{}\[\],;#\\$\x00-\x1f\x7f]+|\$\{[A-Za-z_][A-Za-z0-9_.-]*\}|\$)+)'''
+                    r'''|(?P<string>"(?:[^"\\]|\\.)*")|(?P<mark>[{}\[\],;])|(?P<comment>\#.*)'''
+                    r'''|(?P<join>\\[ \t]*$)|(?P<blank>$))''')
 _ESCAPE = re.compile(r"\\(.)")
 _ESCAPES = {"n": "\n", "t": "\t", '"': '"', "\\": "\\"}
 
@@ -46,8 +47,7 @@
     quoted: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Token:
+class Token(NamedTuple):
     """One token: its kind is "word", a mark such as "{", "comment" or "end" of a line."""
 
     kind: str
@@ -104,31 +104,34 @@
 
 def _line(line: str, number: int, file: int, out: list[Token], problems: list[Problem]) -> bool:
     """The tokens of one line; false where it is joined to the next."""
-    at, end, match = 0, len(line), _TOKEN.match
+    at, end, match, add = 0, len(line), _TOKEN.match, out.append
     while at < end:
         found = match(line, at)
-        place = Place(file, number, at + 1)
         if found is None:
+            at += len(line[at:]) - len(line[at:].lstrip(" \t"))
             what, mend = _no_token(line, at)
-            problems.append(Problem(place, what, mend))
+            problems.append(Problem(Place(file, number, at + 1), what, mend))
             while out and out[-1].kind != "end":  # half a directive would only bring faults of its own
                 out.pop()
             return True
-        kind, text = found.lastgroup, found[0]
+        kind, at = found.lastgroup, found.end()
+        if kind == "blank":
+            break
+        text = found[kind]
+        place = Place(file, number, at - len(text) + 1)
         if kind == "word":
-            out.append(Token("word", Word(text, place)))
+            add(Token("word", Word(text, place)))
             if not text.isascii() and (other := _look_alike(text)):
                 problems.append(Problem(place, f"{text!r} holds {other}, which looks like another letter",
                                         "write it anew", Severity.WARNING, len(text), "look-alike"))
         elif kind == "string":
-            out.append(Token("word", Word(_unescape(text[1:-1], place, problems), place, True)))
+            add(Token("word", Word(_unescape(text[1:-1], place, problems), place, True)))
         elif kind == "mark":
-            out.append(Token(text, Word(text, place)))
+            add(Token(text, Word(text, place)))
         elif kind == "comment":
-            out.append(Token("comment", Word(text.rstrip(), place)))
-        elif kind == "join":
+            add(Token("comment", Word(text.rstrip(), place)))
+        else:
             return False
-        at = found.end()
     return True
 
 
--- a/anisefront/config/meaning.py
+++ b/anisefront/config/meaning.py
@@ -11,6 +11,7 @@
 from anisefront.core.patterns import common, covers, rank, segments, shape
 from anisefront.core.routing import Route
 
+MOST_STEPS = 20_000  # of one pattern's walk through the others; a file that needs more is told less
 MOST_OVERLAPS = 200  # pairs that are reported; a table of thousands is no help to anybody
 
 
@@ -179,14 +180,14 @@
                                  f"{shared[0]} goes there, by order of lines",
                                  "make the conditions exclude each other", Severity.WARNING, "overlap")
     notes = 0
-    for first, second in _crossing(lines):
+    for first, second in dict.fromkeys(_crossing(lines)):
         if notes >= MOST_OVERLAPS:
             return
         a, b = lines[first][1], lines[second][1]
         if first in dead or second in dead or a.outcome == b.outcome:
             continue
         shared = common(a.pattern, b.pattern)
-        if shared and not _inside(a, b) and not _inside(b, a):
+        if shared:
             notes += 1
             winner = min((first, second), key=lambda n: rank(lines[n][1].pattern, shared[0].method, n))
             yield _found(lines[max(first, second)][0], f"overlaps line {lines[min(first, second)][0].place.line} with "
@@ -194,47 +195,81 @@
                          "particular", "", Severity.NOTE, "overlap")
 
 
-def _inside(narrow: Route, wide: Route) -> bool:
-    """Whether a route is plainly a special case of another, as /a/b is of /a/*: nobody is surprised by that."""
-    shared = common(narrow.pattern, wide.pattern)
-    own = common(narrow.pattern, narrow.pattern)
-    return {(each.path, each.host) for each in shared} == {(each.path, each.host) for each in own}
+class _Branch:
+    """A place in a trie of path patterns."""
+
+    __slots__ = ("here", "literals", "parameter", "tails")
+
+    def __init__(self) -> None:
+        self.literals: dict[str, _Branch] = {}
+        self.parameter: _Branch | None = None
+        self.tails: dict[str, list[int]] = {}
+        self.here: list[int] = []
 
 
 def _crossing(lines: list[tuple[Word, Route]]) -> Iterator[tuple[int, int]]:
-    """Pairs of different shape that may have requests in common, by walking the patterns through a trie."""
-    root: dict = {}
+    """Pairs of which each is somewhere wider than the other, by walking every pattern through a trie of all.
+
+    Where one is a special case of the other nobody is surprised, so such branches are not followed."""
+    root = _Branch()
     for number, (_, route) in enumerate(lines):
         node = root
         for segment in segments(route.pattern.path):
-            key = ":" if segment.startswith(":") else segment
-            node = node.setdefault(key, {})
-        node.setdefault("\0", []).append(number)
+            if segment.startswith(":"):
+                node.parameter = node = node.parameter or _Branch()
+            elif segment.endswith("*"):
+                node.tails.setdefault(segment[:-1], []).append(number)
+                node = None
+            else:
+                node = node.literals.setdefault(segment, _Branch())
+        if node is not None:
+            node.here.append(number)
     for number, (_, route) in enumerate(lines):
         own = segments(route.pattern.path)
-        if not any(segment.startswith(":") or segment.endswith("*") for segment in own):
-            continue  # a plain path crosses only what is wider than it, and that is no surprise
-        own_shape = shape(route.pattern.path)
-        stack = [(root, 0)]
-        steps = 0
-        while stack and steps < 5000:
-            node, at = stack.pop()
-            steps += 1
-            for other in node.get("\0", ()) if at == len(own) else ():
-                if other < number and shape(lines[other][1].pattern.path) != own_shape:
-                    yield other, number
-            if at >= len(own):
-                continue
-            segment = own[at]
-            for key, child in node.items():
-                if key == "\0":
-                    continue
-                if key.endswith("*") and key != ":":
-                    for other in child.get("\0", ()):
-                        if other < number and shape(lines[other][1].pattern.path) != own_shape:
-                            yield other, number
-                elif segment.startswith(":") or key in (":", segment):
-                    stack.append((child, at + 1))
+        if any(segment.startswith(":") or segment.endswith("*") for segment in own):
+            yield from ((other, number) for other in _crossed(root, own) if other < number)
+            yield from ((number, other) for other in _crossed(root, own) if other > number)
+
+
+def _crossed(root: _Branch, own: list[str]) -> Iterator[int]:
+    """Patterns that are wider than `own` at one place and narrower at another."""
+    stack, steps = [(root, 0, False, False)], 0
+    while stack and steps < MOST_STEPS:
+        node, at, wider, narrower = stack.pop()
+        steps += 1
+        if at >= len(own):
+            if at == len(own) and wider and narrower:
+                yield from node.here
+            continue
+        segment = own[at]
+        parameter = segment.startswith(":")
+        if segment.endswith("*") and not parameter:
+            yield from _below(node, segment[:-1], wider, narrower)
+            continue
+        for prefix, others in node.tails.items():  # wider in what follows; narrower than a parameter by its prefix
+            if (narrower or parameter and prefix) and (parameter or segment.startswith(prefix)):
+                yield from others
+        if parameter:
+            stack += [(child, at + 1, wider, True) for child in node.literals.values()]
+        elif segment in node.literals:
+            stack.append((node.literals[segment], at + 1, wider, narrower))
+        if node.parameter is not None:
+            stack.append((node.parameter, at + 1, wider or not parameter, narrower))
+
+
+def _below(node: _Branch, prefix: str, wider: bool, narrower: bool) -> Iterator[int]:
+    """Patterns that have something in common with a final prefix*, and are wider somewhere besides."""
+    for tail, others in node.tails.items():
+        if tail.startswith(prefix) and wider or prefix.startswith(tail) and narrower:
+            yield from others
+    stack = [child for segment, child in node.literals.items() if segment.startswith(prefix)] if wider else []
+    if node.parameter is not None and (wider or prefix):
+        stack.append(node.parameter)
+    while stack:
+        branch = stack.pop()
+        yield from branch.here
+        yield from (other for others in branch.tails.values() for other in others)
+        stack += [*branch.literals.values(), *([branch.parameter] if branch.parameter is not None else [])]
 
 
 def _twins(lines: list[tuple[Word, Route]]) -> Iterator[Problem]:
--- a/anisefront/config/parser.py
+++ b/anisefront/config/parser.py
@@ -78,8 +78,7 @@
         self._empty = True
 
     def run(self) -> Document:
-        for token in self._stream:
-            kind, word = token.kind, token.word
+        for kind, word in self._stream:
             if self._skip:
                 self._skip += (kind == "{") - (kind == "}")
                 continue
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -360,3 +360,20 @@
     for _ in range(200):
         number = chance.randrange(5000)
         assert index.find("GET", "h", f"/a{number}/q/b?z", {}) == number
+
+
+@settings(max_examples=300, deadline=None)
+@given(ROUTES)
+def test_crossings_are_found(routes):
+    """Every pair with requests in common of which neither takes all of the other's paths is named."""
+    from anisefront.config.meaning import _crossing
+    from anisefront.core.patterns import common_path, path_matches, shape
+    pairs = {tuple(sorted(pair)) for pair in _crossing([(None, route) for route in routes])}
+    for first in range(len(routes)):
+        for second in range(first + 1, len(routes)):
+            a, b = routes[first].pattern.path, routes[second].pattern.path
+            own_a, own_b = common_path(a, a), common_path(b, b)
+            crosses = common_path(a, b) is not None and shape(a) != shape(b) \
+                and not path_matches(a, own_b) and not path_matches(b, own_a)
+            if crosses:
+                assert (first, second) in pairs, (a, b)
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -165,3 +165,33 @@
     assert trailers[b"grpc-status"] == b"0"
     answer = external_auth_pb2.CheckResponse.FromString(wire_grpc.Unpacker(9999).feed(body)[0])
     assert told(answer)["x-envoy-original-dst-host"].startswith("127.0.0.1:")
+
+
+def test_grpc_time_out_ends_a_held_check_and_takes_the_request_back(tmp_path):
+    import grpc
+    path = tmp_path / "held.conf"
+    text = (ROOT / "examples/loopback.conf").read_text()
+    path.write_text(text.replace("rate 1000000/s burst 1000000", "rate 1/h burst 1").replace("aim 2s", "aim 4s"))
+    running = Running(path)
+    try:
+        first = told(running.check("POST", "/pre-order", x_request_id="g0"))
+        with pytest.raises(grpc.RpcError) as fault:
+            running.check("POST", "/pre-order", x_request_id="g1", timeout=0.3)
+        assert fault.value.code() is grpc.StatusCode.DEADLINE_EXCEEDED
+        running.wait_for(lambda state: state["counts"].get("left") == 1 and state["open"] == 1)
+        call_ = running.check_call.future(external_auth_pb2.CheckRequest.FromString(held_request()))
+        running.wait_for(lambda state: state["open"] == 2)
+        call_.cancel()  # the client leaves while it is held
+        running.wait_for(lambda state: state["counts"].get("left") == 2 and state["open"] == 1)
+        running.log(first["x-anisefront-attempt"])
+        running.wait_for(lambda state: state["open"] == 0)
+    finally:
+        running.stop()
+
+
+def held_request():
+    request = external_auth_pb2.CheckRequest()
+    http = request.attributes.request.http
+    http.method, http.path, http.id = "POST", "/pre-order", "g2"
+    http.headers["x-api-key"] = "stall-7"
+    return request.SerializeToString()
