Language server for settings: diagnostics, hover, definitions, completion, formatting

Need: who edits settings is to see faults where they are made. config/editor.py answers from the checker's own table; cli/editor.py speaks the protocol by pygls. Tested over a real process with pygls's client.

--- a/anisefront/cli/config.py
+++ b/anisefront/cli/config.py
@@ -1,4 +1,4 @@
-"""`anisefront config check|fmt|diff|explain|show|migrate|reference`: thin commands over anisefront/config."""
+"""`anisefront config check|fmt|diff|explain|show|migrate|reference|lsp`: thin commands over anisefront/config."""
 
 from __future__ import annotations
 
@@ -168,3 +168,13 @@
     """Print the language reference: every directive, from the table that the checker uses."""
     from anisefront.config.reference import reference as text
     click.echo(text(), nl=False)
+
+
+@config.command()
+def lsp() -> None:
+    """Serve an editor on standard input and output by the language server protocol (needs pygls)."""
+    try:
+        from anisefront.cli.editor import build
+    except ImportError as problem:
+        raise click.ClickException(f"{problem.name} is not installed: pip install 'anisefront[editor]'") from problem
+    build().start_io()
--- a/anisefront/config/checker.py
+++ b/anisefront/config/checker.py
@@ -30,6 +30,7 @@
     model: Model
     config: Config | None
     problems: list[Problem] = field(default_factory=list)
+    names: dict[str, dict[str, Word]] = field(default_factory=dict)  # what is defined, by directive and name
 
     @property
     def severity(self) -> Severity | None:
@@ -41,11 +42,11 @@
     """Check a load. `environment` holds the variables that `env` may name."""
     problems = list(load.problems)
     directives = _version(load.directives, problems)
-    model = Model()
+    model, names = Model(), dict[str, dict[str, Word]]()
     if directives is not None:
         lines = substitute(directives, problems, environment or {})
         checker = _Checker(problems, bool(problems))
-        model = checker.run(lines)
+        model, names = checker.run(lines), checker.names
     config = None
     if not any(problem.severity is Severity.ERROR for problem in problems):
         config = build(model, problems)
@@ -58,7 +59,7 @@
         more = len(problems) - MOST_PROBLEMS
         problems = problems[:MOST_PROBLEMS]
         problems.append(Problem(problems[-1].place, f"{more} more problems are not shown", "mend these first"))
-    return Checked(load, model, config, problems)
+    return Checked(load, model, config, problems, names)
 
 
 def _version(directives: list[Directive], problems: list[Problem]) -> list[Directive] | None:
@@ -87,7 +88,7 @@
 class _Checker:
     def __init__(self, problems: list[Problem], faulty: bool) -> None:
         self._problems, self._faulty = problems, faulty
-        self._names: dict[str, dict[str, Word]] = {name: {} for name in SCHEMA}
+        self.names: dict[str, dict[str, Word]] = {name: {} for name in SCHEMA}
         self._stood: dict[str, Word] = {}
 
     def run(self, lines: list[Directive]) -> Model:
@@ -146,12 +147,12 @@
         self._stood.setdefault(name, line.name)
         if line.values and isinstance(line.values[0], Word):
             word = line.values[0]
-            known = self._names[name].get(word.text)
+            known = self.names[name].get(word.text)
             if known is not None and spec.unique:
                 self._problems.append(fault(word, f"{name} {word.text!r} stands twice, first in line "
                                             f"{known.place.line}", "give it another name, or remove one",
                                             code="twice"))
-            self._names[name].setdefault(word.text, word)
+            self.names[name].setdefault(word.text, word)
 
     def _arguments(self, line: Directive, spec: Spec, entry: Entry) -> list[Word | List] | None:
         rest = list(line.values)
@@ -258,8 +259,8 @@
         for entry in model.all():
             for name, option in SCHEMA[entry.name].options.items():
                 value = entry.options.get(name)
-                if option.refers and value is not None and value not in self._names[option.refers]:
-                    known = list(self._names[option.refers])
+                if option.refers and value is not None and value not in self.names[option.refers]:
+                    known = list(self.names[option.refers])
                     self._problems.append(fault(entry.places[name], f"there is no {option.refers} {value!r}",
                                                 near(value, known) or (f"known are {', '.join(known[:8])}" if known
                                                                        else ""), code="reference"))
