--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,11 @@
 PYTHON ?= python3
 RUN = .venv/bin/python
 
-.PHONY: test day lint bench bench-config
-.venv/made: requirements.txt requirements-run.txt requirements-dev.txt
+.PHONY: test day lint bench bench-config fuzz
+.venv/made: pyproject.toml requirements.txt requirements-run.txt requirements-dev.txt
 	test -d .venv || $(PYTHON) -m venv .venv
 	$(RUN) -m pip -q --disable-pip-version-check install -r requirements.txt -r requirements-run.txt -r requirements-dev.txt
+	$(RUN) -m pip -q --disable-pip-version-check install --no-deps -e .
 	touch $@
 
 test: .venv/made
@@ -22,3 +23,6 @@
 
 bench-config: .venv/made
 	$(RUN) -m benchmarks.config
+
+fuzz: .venv/made
+	$(RUN) tests/fuzz_config.py 60
--- a/anisefront/config/values.py
+++ b/anisefront/config/values.py
@@ -44,6 +44,7 @@
          "h": Fraction(3_600_000), "d": Fraction(86_400_000)}
 PERIODS = {"s": Fraction(1), "min": Fraction(60), "h": Fraction(3600), "d": Fraction(86_400)}
 SIZES = {"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30, "kB": 10**3, "MB": 10**6, "GB": 10**9}
+MOST_DIGITS = 24
 _COUNTED = ("", "requests", "request", "units", "unit", "datagrams", "datagram")
 
 
@@ -53,6 +54,9 @@
         raise Unfit(f"{word.text[:60]!r} is no {what}")
     if match[1].startswith("-"):
         raise Unfit(f"{word.text[:60]!r} is below nothing")
+    if len(match[1]) > MOST_DIGITS:
+        # Danger: turning thousands of digits into a number takes long, and more still raises.
+        raise Unfit(f"{word.text[:20]!r}... has {len(match[1])} digits, at most {MOST_DIGITS}")
     return Fraction(match[1]), match[2].strip()
 
 
@@ -139,7 +143,7 @@
 def _address(word: Word) -> tuple[str, int]:
     host, colon, port = word.text.rpartition(":")
     plain = host.removeprefix("[").removesuffix("]") if host.startswith("[") else host
-    if not colon or not plain or not port.isdigit() or int(port) > 65535:
+    if not colon or not plain or not port.isdigit() or len(port) > 5 or int(port) > 65535:
         raise Unfit(f"{word.text[:60]!r} is no address", "write HOST:PORT, such as 127.0.0.1:9000")
     if ":" in plain:
         try:
--- a/tests/test_config_corpus.py
+++ b/tests/test_config_corpus.py
@@ -142,6 +142,7 @@
     ("burst 12", "burst 12units", 18, "no bare number"),
     ("burst 12", "burst many", 18, "no number"),
     ("burst 12", "burst 1e3", 18, "no bare number"),
+    ("burst 12", "burst " + "9" * 5000, 18, "has 5000 digits"),  # found by the fuzz: it raised
     ("burst 12", "burst 0x10", 18, "no bare number"),
     ("limits open 20000", "limits open 2.5", 29, "no whole number"),
     ("limits open 20000", "limits open 99999999999999999999", 29, "too large"),
