--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -93,7 +93,7 @@
         if self.recorder is not None:
             self._record_loop.start(1.0, now=False)
         if config.roster_file:
-            self._roster_loop.start(ROSTER_S, now=True)
+            self._watch_roster()
         for name, address, factory in (("grpc", config.grpc, self.grpc), ("jsonrpc", config.jsonrpc, self.jsonrpc)):
             if address is not None:
                 port = self.reactor.listenTCP(address.port, factory, backlog=1024, interface=address.host)
@@ -132,6 +132,15 @@
 
     # ---- roster --------------------------------------------------------------------------------
 
+    def _watch_roster(self) -> None:
+        self._roster_loop.start(ROSTER_S, now=True).addErrback(self._roster_raised)
+
+    def _roster_raised(self, failure: Any) -> None:
+        # Danger: a loop that ends with an exception would leave an old list in force for good, unseen.
+        self.roster_fault = failure.getErrorMessage()
+        self.log.error("roster_raised", fault=self.roster_fault, trace=failure.getTraceback()[-2000:])
+        self.reactor.callLater(1.0, self._watch_roster)
+
     def look_at_roster(self) -> None:
         """Read the roster file where it has changed; one that can't be taken changes nothing."""
         path = self.config.roster_file
--- a/anisefront/fronts/grpcserver.py
+++ b/anisefront/fronts/grpcserver.py
@@ -148,14 +148,9 @@
         self._preface = factory.reactor.callLater(factory.limits.preface_s, self._silent)
         if len(factory.connections) > factory.limits.connections:
             factory.counts["connections_refused"] += 1
-            self._fault(http2.Code.ENHANCE_YOUR_CALM, "too many connections")
+            self._events(self.http2.end(http2.Code.ENHANCE_YOUR_CALM, "too many connections"))
         self._flush()
 
-    def _fault(self, code: http2.Code, why: str) -> None:
-        events: list[http2.Event] = []
-        self.http2._break(code, why, events)
-        self._events(events)
-
     def _silent(self) -> None:
         if not self._spoken:
             self.factory.counts["connections_silent"] += 1
--- a/anisefront/lab/sabotage.py
+++ b/anisefront/lab/sabotage.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import runpy
 import sys
 from collections.abc import Callable
 
@@ -84,5 +85,4 @@
 
 if __name__ == "__main__":
     GUARDS[sys.argv.pop(1)]()
-    from anisefront.cli.main import main
-    main()
+    runpy.run_module("anisefront", run_name="__main__")
--- a/anisefront/wire/http2.py
+++ b/anisefront/wire/http2.py
@@ -563,6 +563,12 @@
             self._out.append(_frame(RST_STREAM, 0, number, _LONG.pack(code)))
             self._drop(number)
 
+    def end(self, code: Code, why: str) -> list[Event]:
+        """End the connection ourselves, as if the peer had broken it; what it was in the middle of is reset."""
+        events: list[Event] = []
+        self._break(code, why, events)
+        return events
+
     def leave(self) -> None:
         """GOAWAY without fault: open streams are finished, new ones refused."""
         if not self._leaving and not self.closed:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -106,3 +106,23 @@
 def test_roster_with_a_worker_twice():
     with pytest.raises(roster.RosterFault, match="stands twice"):
         roster.parse(roster.write("c", [SERVERS[0], SERVERS[0]], {}).encode())
+
+
+def test_a_roster_reader_that_raises_is_told_and_goes_on(tmp_path, monkeypatch):
+    from test_config_corpus import GOOD, found
+    from twisted.internet.testing import MemoryReactorClock
+
+    from anisefront.daemon.gatekeeper import Gatekeeper
+    path = tmp_path / "roster.json"
+    path.write_text(roster.write("c", SERVERS[:1], {}))
+    reactor = MemoryReactorClock()
+    text = GOOD.replace("/etc/stalls.json", str(path)).replace("0 of 2", "0 of 1").replace("peer 1", "# peer 1")
+    gatekeeper = Gatekeeper(found(text.replace("listen peers", "listen jsonrpc")).config, reactor,
+                            lambda: 1e6 + reactor.seconds() * 1000)
+    real = roster.parse
+    monkeypatch.setattr(roster, "parse", lambda text: 1 / 0)
+    gatekeeper.start()
+    assert "division" in gatekeeper.state()["roster_fault"] and not gatekeeper.ledger.servers
+    monkeypatch.setattr(roster, "parse", real)
+    reactor.advance(1.1)
+    assert gatekeeper.roster_fault == "" and list(gatekeeper.ledger.servers) == ["127.0.0.1:1"]
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -134,7 +134,7 @@
         drawn = rng.permutation(24)
         found = compare.findings([pool[n] for n in drawn[:12]], [pool[n] for n in drawn[12:]])
         alarms += any(each.verdict != "too small to tell" and each.low != each.high for each in found)
-    assert alarms <= 12  # a tenth is stated, and chance
+    assert alarms <= 6  # a tenth is stated
 
 
 def test_a_verdict_that_is_too_small_says_how_many_runs():
