--- a/anisefront/config/diff.py
+++ b/anisefront/config/diff.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from anisefront.config.types import Config
+from anisefront.config.values import write_rate, write_time
 from anisefront.core.patterns import Request, common, examples, shape
 from anisefront.core.routing import Route, RouteIndex
 
@@ -44,7 +45,8 @@
 
 def _settings(before: Config, after: Config) -> Iterator[Change]:
     old, new = (_fields(config.settings, ("classes", "plans")) for config in (before, after))
-    yield from (Change(name, repr(old[name]), repr(new[name])) for name in old if old[name] != new[name])
+    yield from (Change(name, _plain(old[name], name), _plain(new[name], name)) for name in old
+                if old[name] != new[name])
 
 
 def _named(what: str, before: tuple, after: tuple) -> Iterator[Change]:
@@ -56,11 +58,16 @@
             first, second = _fields(old[name]), _fields(new[name])
             for key in first:
                 if first[key] != second[key]:
-                    yield Change(f"{what} {name}: {key}", _plain(first[key]), _plain(second[key]))
+                    yield Change(f"{what} {name}: {key}", _plain(first[key], key), _plain(second[key], key))
 
 
-def _plain(value: object) -> str:
-    return str(getattr(value, "value", value))
+def _plain(value: object, name: str) -> str:
+    """A value as it would be written in a file."""
+    if isinstance(value, float) and name.endswith("_ms"):
+        return write_time(value)
+    if isinstance(value, float) and name.endswith("_per_s"):
+        return write_rate(value)
+    return f"{value:g}" if isinstance(value, float) else str(getattr(value, "value", value))
 
 
 def _keys(before: Config, after: Config) -> Iterator[Change]:
@@ -76,7 +83,8 @@
 def _others(before: Config, after: Config) -> Iterator[Change]:
     left_out = ("settings", "routes", "keys", "secret")
     old, new = _fields(before, left_out), _fields(after, left_out)
-    yield from (Change(name, str(old[name]), str(new[name])) for name in old if old[name] != new[name])
+    yield from (Change(name, _plain(old[name], name), _plain(new[name], name)) for name in old
+                if old[name] != new[name])
     if before.secret != after.secret:
         yield Change("secret", "one", "another")
 
--- a/anisefront/config/explain.py
+++ b/anisefront/config/explain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from anisefront.config.checker import Checked
+from anisefront.config.values import write_time
 from anisefront.core.patterns import Request, host_rank, matches, rank, shape
 from anisefront.core.routing import Router, Unmapped
 
@@ -29,8 +30,8 @@
                    f"{_why(config.routes[first].pattern, method, config.routes[number].pattern, other)}")
     classes, plans, quotas = model.named("class"), model.named("plan"), model.named("quota")
     kind = next(each for each in config.settings.classes if each.name == route.class_name)
-    out.append(f"class   {where(classes[kind.name].word.place)}: aim {kind.aim_ms:g}ms, deadline "
-               f"{kind.deadline_ms:g}ms, {kind.repeat.value}")
+    out.append(f"class   {where(classes[kind.name].word.place)}: aim {write_time(kind.aim_ms)}, deadline "
+               f"{write_time(kind.deadline_ms)}, {kind.repeat.value}")
     router = Router(config.routes, {each.name: each.deadline_ms for each in config.settings.classes},
                     config.customer_header, config.keys, config.default_plan, config.settings.max_units,
                     config.repeat_header)
@@ -48,7 +49,7 @@
     out.append(f"plan    {where(plan.word.place)}: {mapped.plan}")
     limits = ", ".join(f"{name} {quota.places[name].text}" for name in quota.options)
     out.append(f"quota   {where(quota.word.place)}: {quota.arguments['name']}: {limits}")
-    out.append(f"counts  {mapped.units:g} units, {mapped.deadline_ms:g}ms left"
+    out.append(f"counts  {mapped.units:g} units, {write_time(mapped.deadline_ms)} left"
                + (", a client's repeat" if mapped.is_repeat else ""))
     return out
 
--- a/anisefront/wire/http2.py
+++ b/anisefront/wire/http2.py
@@ -21,6 +21,7 @@
 
 from anisefront.wire import http1
 
+HELD_MS = 1000.0  # a stream that was open for so long was no flood
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 DATA, HEADERS, PRIORITY, RST_STREAM, SETTINGS, PUSH_PROMISE, PING, GOAWAY, WINDOW_UPDATE, CONTINUATION = range(10)
 END_STREAM, ACK, END_HEADERS, PADDED, HAS_PRIORITY = 0x1, 0x1, 0x4, 0x8, 0x20
@@ -120,6 +121,7 @@
 @dataclass(slots=True)
 class _Stream:
     window: int  # bytes that we may send
+    opened_ms: float = 0.0
     open: bool = True  # the peer may still send
     unacknowledged: int = 0  # bytes received since our last WINDOW_UPDATE
     queue: deque[tuple[bytes, bytes]] = field(default_factory=deque)  # data and trailer block still to go
@@ -233,7 +235,7 @@
         self._out.insert(0, _UPGRADED)
         self._settings(settings)
         self.last_id = 1
-        self.streams[1] = _Stream(self._first_window, False)
+        self.streams[1] = _Stream(self._first_window, self._calm_ms, False)
         headers = [(b":method", request.method.encode()), (b":scheme", b"http"),
                    (b":path", request.target.encode("latin-1")),
                    (b":authority", request.headers.get("host", "").encode("latin-1"))]
@@ -364,7 +366,7 @@
             self._spend_calm(0.1, "refused HEADERS")
             self._out.append(_frame(RST_STREAM, 0, number, _LONG.pack(Code.REFUSED_STREAM)))
             return
-        self.streams[number] = _Stream(self._first_window, not ended)
+        self.streams[number] = _Stream(self._first_window, self._calm_ms, not ended)
         if not _well_formed(headers):
             self.reset(number, Code.PROTOCOL_ERROR)
             return
@@ -400,8 +402,12 @@
             raise RemoteFault(Code.FRAME_SIZE_ERROR, "RST_STREAM must have 4 bytes")
         if not number or number > self.last_id:
             raise RemoteFault(Code.PROTOCOL_ERROR, "RST_STREAM on an idle stream")
-        self._spend_calm(1, "RST_STREAM")
-        if self.streams.get(number) is not None:
+        # A proxy whose clients leave gives up many held streams at once, and must not lose its connection for it;
+        # the flood that costs us is of streams that are given up as soon as they are opened.
+        stream = self.streams.get(number)
+        held = stream is not None and self._calm_ms - stream.opened_ms >= HELD_MS
+        self._spend_calm(0.02 if held else 1, "RST_STREAM")
+        if stream is not None:
             self._drop(number)
             events.append(StreamReset(number, _LONG.unpack(payload)[0]))
 
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -286,3 +286,11 @@
     server = Connection()
     assert isinstance(server.receive(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")[0], Broken)
     assert server.data_to_send().startswith(b"HTTP/1.1 426 ")
+
+
+def test_a_proxy_that_gives_up_thousands_of_held_streams_keeps_its_connection():
+    server, block = started(), http2.literal_block(*HEADERS)
+    for number in range(1, 8001, 2):
+        server.receive(frame(http2.HEADERS, 5, number, block), 1000.0)
+    resets = b"".join(frame(http2.RST_STREAM, 0, number, struct.pack(">L", 8)) for number in range(1, 8001, 2))
+    assert len(server.receive(resets, 3000.0)) == 4000 and not server.closed
