--- a/anisefront/cli/main.py
+++ b/anisefront/cli/main.py
@@ -40,24 +40,45 @@
     sys.exit(process.serve(config, log_level, workers, lambda: checked(file)))
 
 
-@main.command()
-@click.argument("address")
-@click.option("--timeout", default=3.0, help="Seconds to wait for an answer.")
-def state(address: str, timeout: float) -> None:
-    """Print the state report of the gatekeeper whose JSON-RPC front listens at ADDRESS (HOST:PORT)."""
+def _ask(address: str, method: str, params: dict, timeout: float) -> dict:
+    """One JSON-RPC call and its answer."""
     import socket
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit():
         raise click.ClickException(f"{address!r} is no address: write HOST:PORT")
+    call = {"jsonrpc": "2.0", "id": 1, "method": method, "params": params}
     try:
         with socket.create_connection((host, int(port)), timeout) as link:
-            link.sendall(b'{"jsonrpc":"2.0","id":1,"method":"state"}\n')
+            link.sendall(json.dumps(call).encode() + b"\n")
             line = link.makefile().readline()
     except OSError as problem:
         raise click.ClickException(f"{address}: {problem}") from problem
     if not line:
         raise click.ClickException(f"{address}: it closed without an answer")
-    click.echo(json.dumps(json.loads(line)["result"], indent=2))
+    return json.loads(line)
+
+
+@main.command()
+@click.argument("address")
+@click.option("--timeout", default=3.0, help="Seconds to wait for an answer.")
+def state(address: str, timeout: float) -> None:
+    """Print the state report of the gatekeeper whose JSON-RPC front listens at ADDRESS (HOST:PORT)."""
+    click.echo(json.dumps(_ask(address, "state", {}, timeout)["result"], indent=2))
+
+
+@main.command()
+@click.argument("address")
+@click.argument("method")
+@click.argument("path")
+@click.option("--header", "-H", multiple=True, help="name: value")
+@click.option("--body", default="")
+@click.option("--timeout", default=30.0, help="Seconds to wait for the final answer.")
+def call(address: str, method: str, path: str, header: tuple[str, ...], body: str, timeout: float) -> None:
+    """Have the gatekeeper at ADDRESS carry out a request: METHOD and PATH. Exit 0 if it was served, else 1."""
+    headers = {name.strip().lower(): value.strip() for name, _, value in (each.partition(":") for each in header)}
+    answer = _ask(address, "call", {"method": method, "path": path, "headers": headers, "body": body}, timeout)
+    click.echo(json.dumps(answer.get("result") or answer["error"], indent=2))
+    sys.exit(0 if "result" in answer else 1)
 
 
 @main.command()
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -217,3 +217,15 @@
     running.log(token)
     assert running.process.wait(5) == 0
     running.stop()
+
+
+def test_call_and_state_commands(gatekeeper):
+    from click.testing import CliRunner
+
+    from anisefront.cli.main import main
+    where = gatekeeper.where["jsonrpc"]
+    done = CliRunner().invoke(main, ["call", where, "GET", "/stock-view", "-H", "X-Api-Key: me"])
+    assert done.exit_code == 0 and '"status": 200' in done.output
+    assert CliRunner().invoke(main, ["call", where, "GET", "/nowhere"]).exit_code == 1
+    assert '"state": "serving"' in CliRunner().invoke(main, ["state", where]).output
+    assert CliRunner().invoke(main, ["state", "127.0.0.1:1"]).exit_code == 1
