--- a/anisefront/core/ledger.py
+++ b/anisefront/core/ledger.py
@@ -35,7 +35,7 @@
     Woken,
 )
 
-GRAIN_MS = 1.0  # wake-ups are kept to this grain, so that those of one moment are one
+GRAIN_MS = 5.0  # wake-ups are kept to this grain, so that those of one moment are one turn and not many
 STANDSTILL_MS = 250.0  # a turn so late after its time means that the whole process stood still
 DRY_TURNS, MOST_TURNS = 3, 20  # after a standstill wake-ups wait for so many turns without news, or so many at all
 
