Fronts share one piece of backpressure; what the change made dead is gone

Found on reading the whole change once more: both fronts had the same lines for a peer that does not read, and a field of an exchange and a type of the recorder were used by nobody.

--- a/anisefront/carriers/proxied.py
+++ b/anisefront/carriers/proxied.py
@@ -49,7 +49,6 @@
 
     request_id: str
     number: int
-    due_ms: float
     reply: Reply | None  # an open check
     attempt: int = -1  # the last one that was sent
     out: bool = False  # its OK has gone to the proxy, its log has not come
@@ -99,7 +98,7 @@
         if number is None:
             reply(Answer(Verdict.REFUSED, retry_in_ms=1000.0, reason="held-requests"))
             return None
-        self.exchanges[number] = Exchange(request_id, number, due_ms, reply, peer=peer)
+        self.exchanges[number] = Exchange(request_id, number, reply, peer=peer)
         if request_id:
             self._by_id[request_id] = number
         return number
--- a/anisefront/daemon/recorder.py
+++ b/anisefront/daemon/recorder.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Callable
 
 from anisefront.config.types import Recording
 from anisefront.policy.interface import Arrival, ClientGone, Fail, Fleet, Outcome, Refuse, Result, Send
@@ -95,6 +94,3 @@
         self._size += len(data)
         if self._size > self._wanted.rotate:
             self._open_file()
-
-
-See = Callable[[float, object], None]
--- a/anisefront/fronts/grpcserver.py
+++ b/anisefront/fronts/grpcserver.py
@@ -13,6 +13,7 @@
 from twisted.internet import protocol
 from twisted.python.failure import Failure
 
+from anisefront.fronts.backpressure import Backpressure
 from anisefront.wire import grpc, http2
 
 
@@ -131,20 +132,20 @@
                 self.service.gone()
 
 
-class GrpcConnection(protocol.Protocol):
+class GrpcConnection(Backpressure):
     """One connection of a client."""
 
     def __init__(self, factory: GrpcFactory) -> None:
         self.factory, self.http2 = factory, http2.Connection(factory.limits.http2)
         self.calls: dict[int, Call] = {}
-        self._flush_due, self._stuck, self._spoken = False, None, False
+        self._flush_due, self._spoken = False, False
 
     def connectionMade(self) -> None:
         factory, transport = self.factory, self.transport
         factory.connections.add(self)
         transport.setTcpNoDelay(True)
         transport.setTcpKeepAlive(True)
-        transport.registerProducer(self, True)
+        self.watch_reader(factory.reactor, factory.limits.stuck_s, self._cut)
         self._preface = factory.reactor.callLater(factory.limits.preface_s, self._silent)
         if len(factory.connections) > factory.limits.connections:
             factory.counts["connections_refused"] += 1
@@ -216,9 +217,9 @@
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         self.factory.connections.discard(self)
-        for timer in (self._preface, self._stuck):
-            if timer is not None and timer.active():
-                timer.cancel()
+        self.forget_reader()
+        if self._preface.active():
+            self._preface.cancel()
         for call in list(self.calls.values()):
             call.lost()
 
@@ -227,20 +228,6 @@
         self.http2.leave()
         self._flush()
 
-    # The transport's buffer is full, and free again: who does not read is not read from.
-
-    def pauseProducing(self) -> None:
-        self.transport.pauseProducing()
-        self._stuck = self.factory.reactor.callLater(self.factory.limits.stuck_s, self._cut)
-
-    def resumeProducing(self) -> None:
-        if self._stuck is not None and self._stuck.active():
-            self._stuck.cancel()
-        self.transport.resumeProducing()
-
-    def stopProducing(self) -> None:
-        """The transport is closing."""
-
     def _cut(self) -> None:
         self.factory.counts["connections_stuck"] += 1
         self.transport.abortConnection()
--- a/anisefront/fronts/jsonrpc.py
+++ b/anisefront/fronts/jsonrpc.py
@@ -18,6 +18,7 @@
 
 from anisefront.carriers.own import Answer, Job, Own
 from anisefront.core.routing import Router, Unmapped
+from anisefront.fronts.backpressure import Backpressure
 from anisefront.wire import http1, jsonrpc
 
 REFUSED, FAILED, UNMAPPED = -32001, -32002, -32003
@@ -109,19 +110,19 @@
 
 
 @implementer(interfaces.IHalfCloseableProtocol)
-class JsonRpcConnection(protocol.Protocol):
+class JsonRpcConnection(Backpressure):
     """One connection of a client. Answers come as they are ready, not in the order of the calls."""
 
     def __init__(self, factory: JsonRpcFactory) -> None:
         self.factory, self._lines = factory, jsonrpc.Lines(factory.most_line)
         self._open: set[int] = set()  # requests that this client waits for
-        self._waiting, self._done_reading, self._stuck = 0, False, None
+        self._waiting, self._done_reading = 0, False
 
     def connectionMade(self) -> None:
         self.factory.connections.add(self)
         self.transport.setTcpNoDelay(True)
         self.transport.setTcpKeepAlive(True)
-        self.transport.registerProducer(self, True)
+        self.watch_reader(self.factory.reactor, self.factory.stuck_s, self.transport.abortConnection)
         if len(self.factory.connections) > self.factory.most_connections:
             self.factory.counts["connections_refused"] += 1
             self._refuse("too many connections")
@@ -208,26 +209,11 @@
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         self.factory.connections.discard(self)
-        if self._stuck is not None and self._stuck.active():
-            self._stuck.cancel()
+        self.forget_reader()
         for number in list(self._open):
             self.factory.desk.own.withdraw(number)
         self._open.clear()
 
-    def pauseProducing(self) -> None:
-        """Who does not read is not read from, and is cut off after a while."""
-        self.transport.pauseProducing()
-        self._stuck = self.factory.reactor.callLater(self.factory.stuck_s, self.transport.abortConnection)
-
-    def resumeProducing(self) -> None:
-        """It reads again."""
-        if self._stuck is not None and self._stuck.active():
-            self._stuck.cancel()
-        self.transport.resumeProducing()
-
-    def stopProducing(self) -> None:
-        """The transport is closing."""
-
 
 class JsonRpcFactory(protocol.ServerFactory):
     """A listener and its caps."""
