Socket tests: refused connections hold no place, ports never reused, stalls told apart

For the late answer: gatekeepers and laboratory read what the kernel counts for them (ran, was ready but had no core, slept), the state report has the loop's lag as a histogram with its causes, and the auditor prints a try's timeline and takes off only the time that the machine provably did not let a process run. No slack is widened.

--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -23,6 +23,7 @@
 from anisefront.daemon import reload
 from anisefront.daemon.clock import Clock
 from anisefront.daemon.peers import PeerPort
+from anisefront.daemon.pulse import Pulse
 from anisefront.daemon.recorder import Recorder
 from anisefront.fleet import roster
 from anisefront.fleet.datagrams import Seal
@@ -33,6 +34,7 @@
 from anisefront.policy.control import Controller
 from anisefront.policy.messages import tag_of
 
+LATE_LOG_MS = 100.0  # a loop so late is a client's matter; less is counted only
 ROSTER_S = 0.1  # how often the roster file is looked at
 SERVICES = ("envoy.service.auth.v3.Authorization", "envoy.service.accesslog.v3.AccessLogService")
 
@@ -76,6 +78,7 @@
             self.ledger.observer = self.recorder.see
             self._record_loop = task.LoopingCall(self.recorder.flush)
             self._record_loop.clock = reactor
+        self.pulse = Pulse(reactor, self.clock, self._loop_late)
         self._ports: list[Any] = []
         self._roster_mark: tuple[int, ...] | None = None
         self._roster_loop = task.LoopingCall(self.look_at_roster)
@@ -91,6 +94,7 @@
     def start(self) -> dict[str, Any]:
         """Listen, and say where. `OSError` where a port can't be had."""
         config, where = self.config, {}
+        self.pulse.start()
         if self.recorder is not None:
             self._record_loop.start(1.0, now=False)
         if config.roster_file:
@@ -108,6 +112,10 @@
         self.log.info("started", **where, life=self.life, servers=len(self.ledger.servers))
         return where
 
+    def _loop_late(self, late_ms: float, cause: str) -> None:
+        if late_ms >= LATE_LOG_MS:
+            self.log.warning("loop_late", late_ms=round(late_ms), cause=cause)
+
     # ---- settings ------------------------------------------------------------------------------
 
     def reload(self, checked: Checked) -> bool:
@@ -172,6 +180,7 @@
             "state": "draining" if self.gate.closing else "serving", "up_ms": round(self.clock() - self.started_ms),
             "open": ledger.open, "held": len(ledger.controller.held), "attempts_out": window.out,
             "window": round(window.limit, 2), "loop_late_ms": round(ledger.turns_late_ms, 1),
+            "loop": self.pulse.lag.report(),
             "servers": {state.value: sum(each is state for each in ledger.servers.values())
                         for state in set(ledger.servers.values())},
             "roster_fault": self.roster_fault,
--- a/anisefront/fronts/grpcserver.py
+++ b/anisefront/fronts/grpcserver.py
@@ -142,12 +142,15 @@
 
     def connectionMade(self) -> None:
         factory, transport = self.factory, self.transport
-        factory.connections.add(self)
         transport.setTcpNoDelay(True)
         transport.setTcpKeepAlive(True)
         self.watch_reader(factory.reactor, factory.limits.stuck_s, self._cut)
         self._preface = factory.reactor.callLater(factory.limits.preface_s, self._silent)
-        if len(factory.connections) > factory.limits.connections:
+        # Danger: one that is refused lingers until it has read so. It holds no place, or a crowd at the door would
+        # keep out those who come when a place is free.
+        if len(factory.connections) < factory.limits.connections:
+            factory.connections.add(self)
+        else:
             factory.counts["connections_refused"] += 1
             self._events(self.http2.end(http2.Code.ENHANCE_YOUR_CALM, "too many connections"))
         self._flush()
--- a/anisefront/fronts/jsonrpc.py
+++ b/anisefront/fronts/jsonrpc.py
@@ -119,11 +119,12 @@
         self._waiting, self._done_reading = 0, False
 
     def connectionMade(self) -> None:
-        self.factory.connections.add(self)
         self.transport.setTcpNoDelay(True)
         self.transport.setTcpKeepAlive(True)
         self.watch_reader(self.factory.reactor, self.factory.stuck_s, self.transport.abortConnection)
-        if len(self.factory.connections) > self.factory.most_connections:
+        if len(self.factory.connections) < self.factory.most_connections:
+            self.factory.connections.add(self)
+        else:  # it holds no place while it lingers
             self.factory.counts["connections_refused"] += 1
             self._refuse("too many connections")
 
--- a/anisefront/lab/day.py
+++ b/anisefront/lab/day.py
@@ -25,6 +25,7 @@
 from anisefront.lab.records import Record
 from anisefront.lab.relay import Relay
 from anisefront.lab.script import Crowd, Script, Trouble
+from anisefront.lab.watch import Watch
 from anisefront.lab.workers import Cell, Kind, Worker
 from anisefront.policy.interface import Repeat, Server, State
 
@@ -93,7 +94,7 @@
         self._draining: list[Worker] = []
         self._cells = [Cell(f"cell-{n}") for n in range(script.workers.get("cells", 2))]
         self._surge: dict[str, float] = {}
-        self._serial = 0
+        self._serial = self._addresses = 0
         self._kind = self._worker_kind()
         self.clients = Clients(reactor, self._records["clients"], random.Random(f"{script.seed} clients"),
                                script.retries, script.own_share)
@@ -121,6 +122,7 @@
                  ceiling_burst=plan.ceiling_burst, ceiling_slack=plan.ceiling_slack, max_out=plan.max_out)
         for route in self.config.routes:
             note("route", path=route.pattern.path, cls=route.class_name)
+        Watch(self.reactor, self._records["day"], self._pids).start()
         for number in range(self.script.workers.get("count", 4)):
             self._start_worker(number, cold=False)
         self._write_roster()
@@ -204,6 +206,10 @@
         command = [*self._command, "serve", str(path)]
         self.reactor.spawnProcess(process, command[0], command, env=os.environ, path=None)
 
+    def _pids(self) -> dict[int, int]:
+        return {number: process.transport.pid for number, process in self._gatekeepers.items()
+                if process.transport.pid is not None}
+
     def _gatekeeper_ended(self, number: int, how: str) -> None:
         self._gatekeepers.pop(number, None)
         self._records["day"].write("gatekeeper_down", number=number, how=how)
@@ -222,7 +228,12 @@
     def _start_worker(self, number: int, cold: bool) -> Worker:
         cell = self._cells[number % len(self._cells)]
         rng = random.Random(f"{self.script.seed} worker {number} {cold}")
-        worker = Worker(self.reactor, self._kind, f"room-{'ab'[number % 2]}", cell, rng, self._records["workers"], cold)
+        # Danger: a port that is free again is soon another worker's, and a drain of the old would be judged by what
+        # the new one gets. So each worker of a day has a loopback address that no other has.
+        self._addresses += 1
+        host = f"127.0.{1 + self._addresses // 250}.{1 + self._addresses % 250}"
+        worker = Worker(self.reactor, self._kind, f"room-{'ab'[number % 2]}", cell, rng, self._records["workers"],
+                        cold, host)
         self._workers.append(worker)
         return worker
 
--- a/anisefront/lab/proxy.py
+++ b/anisefront/lab/proxy.py
@@ -160,10 +160,12 @@
 
     def _ask(self) -> None:
         self._checks += 1
+        self._proxy.record.write("check", proxy=self._proxy.name, id=self._message.headers.get("x-request-id", ""))
         self._call = self._proxy.check(self._message, self._token, self._told)
 
     def _told(self, answer: Any) -> None:
         self._call = None
+        self._proxy.record.write("told", proxy=self._proxy.name, id=self._message.headers.get("x-request-id", ""))
         if self._gone:
             if answer is not None and answer.HasField("ok_response"):  # its OK was on the wire
                 self._log_unsent(answer, "downstream_connection_termination")
--- a/anisefront/lab/report.py
+++ b/anisefront/lab/report.py
@@ -40,6 +40,10 @@
                    f"{verdict.nearest_what}".rstrip())
         for breach in verdict.breaches[:5]:
             click.echo(f"    {breach}")
+    for excuse in auditor.excused[:5]:
+        click.echo(f"    {excuse}")
+    stood = sum(max(ms.values()) for _, _, ms in auditor.stood)
+    click.echo(f"the machine kept processes of the day from running for {stood:.0f} ms")
     click.echo("tries: " + ", ".join(f"{count} {how}" for how, count in auditor.summary().items()))
     for fault in faults:
         click.echo(f"the day itself: {fault}")
