--- a/anisefront/lab/audit.py
+++ b/anisefront/lab/audit.py
@@ -133,6 +133,8 @@
                 self.excused.append(f"{name}: answered {late:.0f} ms after its time, {machine:.0f} ms of them while "
                                     "the machine did not let it run")
             late -= machine
+            if answer["how"] == "none" and machine and late <= ANSWER_SLACK_MS:
+                continue  # the client's patience ran out while the machine stood: nothing is known of the answer
             if answer["how"] in ("lost", "none") and not excused:
                 verdict.breaches.append(f"{name}: ended as {answer['how']!r} at a running gatekeeper")
             elif late > ANSWER_SLACK_MS and not excused:
--- a/anisefront/lab/sabotage.py
+++ b/anisefront/lab/sabotage.py
@@ -9,6 +9,7 @@
 
 import runpy
 import sys
+import time
 from collections.abc import Callable
 
 from anisefront.core.ledger import Ledger
@@ -29,6 +30,18 @@
     Ledger._carry_out = carry_out
 
 
+def _loop_blocked() -> None:
+    """Rule 1 by our own doing: the loop sleeps in a call. The kernel counts that as no lack of a core."""
+    kept, last = Ledger._turn, [time.monotonic()]
+
+    def turn(self: Ledger) -> None:
+        if time.monotonic() - last[0] > 4.0:
+            time.sleep(3.0)
+            last[0] = time.monotonic()
+        kept(self)
+    Ledger._turn = turn
+
+
 def _repeats_anywhere() -> None:
     """Rule 2: every class is taken for safe to repeat, and may be refused whatever ran."""
     control.Controller.allowed = lambda self, request: None
@@ -79,8 +92,8 @@
 
 
 GUARDS: dict[str, Callable[[], None]] = {
-    "one-answer": _answers_lost, "no-effect-twice": _repeats_anywhere, "drains": _drains_ignored,
-    "cold": _cold_as_warm, "ceilings": _ceilings_open}
+    "one-answer": _answers_lost, "loop-blocked": _loop_blocked, "no-effect-twice": _repeats_anywhere,
+    "drains": _drains_ignored, "cold": _cold_as_warm, "ceilings": _ceilings_open}
 
 
 if __name__ == "__main__":
