--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 RUN = .venv/bin/python
 
-.PHONY: test day lint bench bench-config fuzz
+.PHONY: test day lint bench bench-config fuzz steady
 .venv/made: pyproject.toml requirements.txt requirements-run.txt requirements-dev.txt
 	test -d .venv || $(PYTHON) -m venv .venv
 	$(RUN) -m pip -q --disable-pip-version-check install -r requirements.txt -r requirements-run.txt -r requirements-dev.txt
@@ -24,5 +24,9 @@
 bench-config: .venv/made
 	$(RUN) -m benchmarks.config
 
+# Twenty rounds of the tests, ten of them beside eight busy processes; about forty minutes.
+steady: .venv/made
+	$(RUN) tests/steady.py
+
 fuzz: .venv/made
 	$(RUN) tests/fuzz_config.py 60
