Homes of customers are spread over the whole fleet, not over even numbers alone

The first gateway of a customer's set and its home within the set came from the same remainder of the tag, so that in a fleet of even size the home was twice that remainder: half of the gatekeepers kept all quotas. A partition in the model that parted odd from even rooms and lost not one message showed it. The first gateway now comes from other bits.

--- a/anisefront/core/routing.py
+++ b/anisefront/core/routing.py
@@ -11,6 +11,7 @@
 
 from anisefront.core.paths import Unclear, normal
 from anisefront.core.patterns import Pattern, rank
+from anisefront.policy.messages import tag_of
 
 # Danger: keys are what callers write. One that reads like a listed customer's name would spend that customer's quota,
 # so the names of the two kinds begin differently.
@@ -217,6 +218,14 @@
                       target)
 
 
+def first_gateway(customer: str, tag_key: bytes, gateways: int) -> int:
+    """The first of the gateways that a customer comes through; the same at every gatekeeper.
+
+    Danger: the module chooses the home within the set by the tag's remainder. From the same remainder here, homes in a
+    fleet of even size would all have even numbers, and half of the gatekeepers would keep all quotas."""
+    return (tag_of(customer, tag_key) >> 40) % gateways
+
+
 def _number(text: str, fallback: float) -> float | None:
     """The number in a header, `fallback` where there is none, None where it can't be read."""
     if not text:
--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -20,6 +20,7 @@
 from anisefront.config.checker import Checked
 from anisefront.config.types import Config
 from anisefront.core.ledger import Ledger
+from anisefront.core.routing import first_gateway
 from anisefront.daemon import reload
 from anisefront.daemon.clock import Clock
 from anisefront.daemon.peers import PeerPort
@@ -32,7 +33,6 @@
 from anisefront.fronts.health import Health, Serving
 from anisefront.fronts.jsonrpc import Desk, JsonRpcFactory
 from anisefront.policy.control import Controller
-from anisefront.policy.messages import tag_of
 
 LATE_LOG_MS = 100.0  # a loop so late is a client's matter; less is counted only
 ROSTER_S = 0.1  # how often the roster file is looked at
@@ -89,7 +89,8 @@
 
     def gateways_of(self, customer: str) -> tuple[int, int]:
         """The first gateway of a customer's set and how many there are; the same at every gatekeeper."""
-        return tag_of(customer, self.config.settings.tag_key) % self.config.settings.gateways, self.config.spread
+        settings = self.config.settings
+        return first_gateway(customer, settings.tag_key, settings.gateways), self.config.spread
 
     def start(self) -> dict[str, Any]:
         """Listen, and say where. `OSError` where a port can't be had."""
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -231,3 +231,12 @@
     with pytest.raises(BadParams, match="'x-api-key' is there twice"):
         job_from({"path": "/", "headers": {"X-Api-Key": "mine", "x-api-key": "yours"}})
     assert job_from({"path": "/", "headers": {"X-Api-Key": "mine"}})[0].headers == {"x-api-key": "mine"}
+
+
+def test_homes_are_spread_over_the_whole_fleet():
+    """With the first gateway and the home from one remainder, only even numbers were homes in an even fleet."""
+    from collections import Counter
+
+    from anisefront.core.routing import first_gateway
+    homes = Counter((first_gateway(f"c{n}", b"k", 10) + messages.tag_of(f"c{n}", b"k") % 10) % 10 for n in range(5000))
+    assert len(homes) == 10 and max(homes.values()) < 1.3 * min(homes.values())
