--- a/anisefront/cli/main.py
+++ b/anisefront/cli/main.py
@@ -10,7 +10,8 @@
 
 from anisefront.cli.config import checked, load
 from anisefront.cli.config import config as config_group
-from anisefront.cli.model import model, trace
+from anisefront.cli.model import model
+from anisefront.cli.trace import trace
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
--- a/anisefront/daemon/recorder.py
+++ b/anisefront/daemon/recorder.py
@@ -53,7 +53,7 @@
         match thing:
             case Arrival():
                 return ["arrive", at, thing.id, self._name(thing.customer), thing.class_name, thing.plan_name,
-                        thing.units, round(thing.due_ms - at, 1), int(thing.is_repeat)]
+                        thing.units, round(thing.due_ms - at, 1), int(thing.is_repeat), int(thing.copies)]
             case Send():
                 return ["send", at, thing.id, -1, thing.server]
             case Outcome():
--- a/anisefront/lab/model/compare.py
+++ b/anisefront/lab/model/compare.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import numpy as np
 
-MEASURES = ("service", "worst_10_s", "p95_wait_ms", "refused")
+from anisefront.lab.model.measures import MEASURES
+
 MORE_IS_BETTER = {"service": True, "worst_10_s": True, "p95_wait_ms": False, "refused": False}
 LEAST_RUNS = 8
 DRAWS = 4000
@@ -77,21 +77,17 @@
     return out
 
 
-def compare(play: Callable[[int, int], dict[str, float]], most_runs: int, narrow: float = 0.005,
-            level: float = 0.9) -> tuple[list[Finding], int]:
-    """Pairs of runs, `play(option, seed)` each, until the service's interval is narrow enough or the runs are used."""
-    first: list[dict[str, float]] = []
-    second: list[dict[str, float]] = []
-    while len(first) < most_runs:
-        seed = len(first) + 1
-        first.append(play(0, seed))
-        second.append(play(1, seed))
-        if len(first) >= LEAST_RUNS:
-            difference = np.array([b["service"] - a["service"] for a, b in zip(first, second, strict=True)])
-            low, high = interval(difference, level)
-            if high - low <= 2 * narrow:
-                break
-    return findings(first, second, level), len(first)
+def enough(first: list[dict[str, float]], second: list[dict[str, float]], narrow: float = 0.005,
+           level: float = 0.9) -> int | None:
+    """After how many of these pairs the service's interval was narrow enough; None where it is not yet.
+
+    It looks at the width alone and never at which side nothing lies, so that stopping favours no verdict."""
+    difference = np.array([b["service"] - a["service"] for a, b in zip(first, second, strict=True)])
+    for runs in range(LEAST_RUNS, len(difference) + 1):
+        low, high = interval(difference[:runs], level)
+        if high - low <= 2 * narrow:
+            return runs
+    return None
 
 
 def words(finding: Finding, runs: int) -> str:
--- /dev/null
+++ b/anisefront/lab/model/fit.py
@@ -0,0 +1,172 @@
+"""What workers are like, from what gatekeepers recorded: service times, cores, the way there and back, cold starts.
+
+Every figure comes with its uncertainty: blocks of time are drawn again (Künsch, "The jackknife and the bootstrap for
+general stationary observations", 1989) and all is fitted anew, so that a forecast can carry what the trace leaves open.
+"""
+
+from __future__ import annotations
+
+import bisect
+from dataclasses import asdict, dataclass
+from typing import Any
+
+import numpy as np
+
+from anisefront.lab.model.pool import Workers
+from anisefront.lab.model.traces import Attempt, Trace
+from anisefront.lab.model.world import Network
+
+BLOCK_MS = 2000.0  # longer than what one attempt's trouble lasts
+DRAWS, POINTS, LEAST, MOST_CORES = 40, 65, 200, 16
+
+
+class TooShort(Exception):
+    """A trace that tells too little; the text says what is missing."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fitted:
+    """One set of figures. Milliseconds; `way_ms` there and back together."""
+
+    service_ms: float
+    way_ms: float
+    cores: int
+    cold_from: float
+    shape: tuple[float, ...]
+
+    def workers(self, like: Workers) -> Workers:
+        """Workers with these figures, and all else as `like`."""
+        from dataclasses import replace
+        return replace(like, service_ms=self.service_ms, cores=self.cores, cold_from=self.cold_from, shape=self.shape)
+
+    def network(self, like: Network) -> Network:
+        """Ways with this figure."""
+        from dataclasses import replace
+        return replace(like, worker_ms=max(0.05, self.way_ms / 2))
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """The figures, and draws of what they might as well be."""
+
+    best: Fitted
+    draws: tuple[Fitted, ...]
+    attempts: int
+    cold_attempts: int
+
+    def interval(self, name: str, level: float = 0.9) -> tuple[float, float]:
+        """Of one figure."""
+        values = [getattr(each, name) for each in self.draws]
+        low, high = np.quantile(values, [(1 - level) / 2, (1 + level) / 2])
+        return float(low), float(high)
+
+    def to_json(self) -> dict[str, Any]:
+        """Plain values, for a file."""
+        return {"best": asdict(self.best), "draws": [asdict(each) for each in self.draws], "attempts": self.attempts,
+                "cold_attempts": self.cold_attempts}
+
+    @staticmethod
+    def from_json(data: dict[str, Any]) -> Fit:
+        """Back from `to_json`; raises `ValueError` where it is no fit."""
+        try:
+            made = [Fitted(each["service_ms"], each["way_ms"], each["cores"], each["cold_from"], tuple(each["shape"]))
+                    for each in (data["best"], *data["draws"])]
+            return Fit(made[0], tuple(made[1:]), data["attempts"], data["cold_attempts"])
+        except (KeyError, TypeError) as problem:
+            raise ValueError(f"no fit: {problem} is missing") from problem
+
+
+def fit(trace: Trace, warm_up_ms: float, draws: int = DRAWS, seed: int = 1) -> Fit:
+    """All figures of a trace; raises `TooShort`. `warm_up_ms` is the settings'."""
+    rows = _rows(trace.attempts)
+    warm = rows[(rows[:, _AGE] < 0) | (rows[:, _AGE] >= warm_up_ms)]
+    if len(warm) < LEAST:
+        raise TooShort(f"{len(warm)} attempts that warm workers served: too few to tell anything, {LEAST} are due")
+    best = _fit(rows, warm_up_ms)
+    rng, blocks = np.random.default_rng(seed), (rows[:, _AT] // BLOCK_MS).astype(int)
+    groups = [np.flatnonzero(blocks == block) for block in np.unique(blocks)]
+    drawn = []
+    for _ in range(draws):
+        chosen = np.concatenate([groups[n] for n in rng.integers(0, len(groups), len(groups))])
+        drawn.append(_fit(rows[chosen], warm_up_ms))
+    return Fit(best, tuple(drawn), len(rows), len(rows) - len(warm))
+
+
+_AT, _TOOK, _UNITS, _OTHERS, _AGE = range(5)
+
+
+def _rows(attempts: list[Attempt]) -> np.ndarray:
+    """Attempts that were served: when, how long, units, how many others were at that worker, its age (-1: old)."""
+    spans: dict[str, tuple[list[float], list[float]]] = {}
+    for each in sorted(attempts, key=lambda one: one.at):
+        spans.setdefault(each.worker, ([], []))[0].append(each.at)
+        spans[each.worker][1].append(each.at + each.took)
+    for _, ends in spans.values():
+        ends.sort()
+    rows = []
+    for each in attempts:
+        if each.result == "ok":
+            begins, ends = spans[each.worker]
+            others = bisect.bisect_left(begins, each.at) - bisect.bisect_right(ends, each.at)
+            age = each.at - each.started if each.started else -1.0
+            rows.append((each.at, each.took, each.units, others, age))
+    return np.array(rows, dtype=float).reshape(-1, 5)
+
+
+def _fit(rows: np.ndarray, warm_up_ms: float) -> Fitted:
+    old = (rows[:, _AGE] < 0) | (rows[:, _AGE] >= warm_up_ms)
+    alone = rows[old & (rows[:, _OTHERS] <= 0)]
+    if len(alone) < 30:
+        alone = rows[old & (rows[:, _OTHERS] <= np.quantile(rows[old, _OTHERS], 0.2))]
+    service, way = _line(alone)
+    shape = np.quantile(np.maximum(0.02, (alone[:, _TOOK] - way) / (service * alone[:, _UNITS])),
+                        (np.arange(POINTS) + 0.5) / POINTS)
+    mean = float(shape.mean())
+    service, shape = service * mean, shape / mean
+    cores = _cores(rows[old], service, way)
+    return Fitted(float(service), float(way), cores, _cold(rows[~old], service, way, cores, warm_up_ms, shape),
+                  tuple(float(value) for value in shape))
+
+
+def _line(rows: np.ndarray) -> tuple[float, float]:
+    """Time of a unit and time of the way, by least squares over the units. Where all are of one size the way can't be
+    told from the work: it is taken as half of the shortest time, 2 ms at most."""
+    units, took = rows[:, _UNITS], rows[:, _TOOK]
+    least = float(took.min())
+    if units.std() > 0:
+        slope = float(((units - units.mean()) * (took - took.mean())).mean() / units.var())
+        way = float(took.mean() - slope * units.mean())
+        if slope > 0 and 0 <= way <= least:
+            return slope, way
+    way = min(2.0, least / 2)
+    return float(((took - way) / units).mean()), way
+
+
+def _cores(rows: np.ndarray, service: float, way: float) -> int:
+    """How many are served at once: with `n` cores who finds `k` others waits for k - n + 1 ends, n at a time."""
+    others, took = np.clip(rows[:, _OTHERS], 0, 40).astype(int), (rows[:, _TOOK] - way) / rows[:, _UNITS]
+    counts = np.bincount(others, minlength=41)
+    seen = np.flatnonzero(counts >= 20)
+    if not len(seen):
+        return 2
+    means = np.array([np.median(took[others == k]) for k in seen])
+    base, weights = means[0], np.sqrt(counts[seen])
+    errors = [float((weights * (means / base - 1 - np.maximum(0, seen - n + 1) / n) ** 2).sum())
+              for n in range(1, MOST_CORES + 1)]
+    # Where no worker was ever full, more cores than were used at once can't be told apart: the fewest that fit.
+    return 1 + int(np.argmin(np.round(errors, 6)))
+
+
+def _cold(rows: np.ndarray, service: float, way: float, cores: int, warm_up_ms: float,
+          shape: np.ndarray) -> float:
+    """The share of its capacity that a worker has at first, by least squares of the logarithms."""
+    rows = rows[rows[:, _OTHERS] < cores]
+    if len(rows) < 20:
+        return 1.0 if not len(rows) else 0.5
+    slowed = np.log(np.maximum(0.05, (rows[:, _TOOK] - way) / (service * rows[:, _UNITS])))
+    grid = np.linspace(0.05, 1.0, 96)
+    age = np.clip(rows[:, _AGE] / warm_up_ms, 0, 1)
+    expected = -np.log(grid[:, None] + (1 - grid[:, None]) * age)
+    # The mean of the logarithms is less than the logarithm of the mean, for a warm worker's times as for these.
+    errors = ((slowed - np.log(shape).mean() - expected) ** 2).mean(axis=1)
+    return float(grid[int(np.argmin(errors))])
--- /dev/null
+++ b/anisefront/lab/model/imported.py
@@ -0,0 +1,73 @@
+"""Proxies' access logs as a trace: `envoy.data.accesslog.v3.HTTPAccessLogEntry` as protobuf's JSON, a line each."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from envoy.data.accesslog.v3 import accesslog_pb2
+from google.protobuf import json_format
+
+from anisefront.carriers.outcomes import of_flags
+from anisefront.lab.model.traces import Arrival, Attempt, Trace
+from anisefront.policy.interface import Result
+from anisefront.wire import trace
+
+MOST_PROBLEMS = 20
+
+
+def read(lines: Iterable[str], classes: dict[str, str], customer_header: str, plan: str, left_ms: float,
+         key: bytes) -> Trace:
+    """The trace in some lines. `classes` gives the class by path prefix, the longest that fits. What can't be taken is
+    told by its line and left out."""
+    out, left_out = Trace(), 0
+    prefixes = sorted(classes, key=len, reverse=True)
+    rows: list[tuple[float, Arrival, Attempt | None]] = []
+    for number, line in enumerate(lines, 1):
+        if not line.strip():
+            continue
+        entry = accesslog_pb2.HTTPAccessLogEntry()
+        try:
+            json_format.Parse(line, entry, ignore_unknown_fields=True)
+        except json_format.ParseError as problem:
+            left_out += 1
+            if len(out.problems) < MOST_PROBLEMS:
+                out.problems.append(f"line {number}: no access log entry: {str(problem)[:120]}")
+            continue
+        request, common = entry.request, entry.common_properties
+        name = next((classes[prefix] for prefix in prefixes if request.path.startswith(prefix)), "")
+        customer = request.request_headers.get(customer_header, "")
+        if not name or not customer or not common.HasField("start_time"):
+            left_out += 1
+            missing = "its path has no class" if not name else f"it has no {customer_header}" if not customer else \
+                "it has no start time"
+            if len(out.problems) < MOST_PROBLEMS:
+                out.problems.append(f"line {number}: {missing}")
+            continue
+        at = common.start_time.ToMicroseconds() / 1000
+        rows.append((at, Arrival(at, trace.pseudonym(key, customer), name, plan, 1.0, left_ms, -1),
+                     _attempt(entry, at, name)))
+    if left_out:
+        out.problems.append(f"{left_out} lines left out")
+    rows.sort(key=lambda row: row[0])
+    if rows:
+        out.begin, out.end = rows[0][0], rows[-1][0]
+    for at, arrival, attempt in rows:
+        out.arrivals.append(replace(arrival, at=at - out.begin))
+        if attempt is not None:
+            out.attempts.append(replace(attempt, at=attempt.at - out.begin))
+            out.answers["served" if attempt.result == "ok" else "failed"] += 1
+    return out
+
+
+def _attempt(entry: accesslog_pb2.HTTPAccessLogEntry, at: float, name: str) -> Attempt | None:
+    common = entry.common_properties
+    if not common.HasField("upstream_remote_address"):
+        return None
+    where = common.upstream_remote_address.socket_address
+    sent = common.time_to_first_upstream_tx_byte.ToMicroseconds() / 1000
+    took = common.time_to_last_upstream_rx_byte.ToMicroseconds() / 1000 - sent
+    flags = {field.name for field, _ in common.response_flags.ListFields()}
+    result = of_flags(flags, entry.response.response_code.value, entry.response.response_headers).result
+    return Attempt(at + sent, f"{where.address}:{where.port_value}", name, 1.0, result.value,
+                   max(0.0, took), 0.0) if result is not Result.MOOT else None
--- /dev/null
+++ b/anisefront/lab/model/scripted.py
@@ -0,0 +1,50 @@
+"""A day's script as traffic for the model: the same crowds, mix and deadlines that the loopback day plays.
+
+Every customer has a generator of its own, so that one crowd more changes no other's arrivals.
+"""
+
+from __future__ import annotations
+
+from anisefront.config.types import Config
+from anisefront.lab.model.draws import Cause, Draws
+from anisefront.lab.model.traces import Arrival
+from anisefront.lab.script import Script
+
+STEP_MS = 500.0  # customers who would come later than this ask themselves again, so that a surge is felt by all
+
+
+def arrivals(script: Script, config: Config, seed: int) -> list[Arrival]:
+    """What comes over the script's length, in order of time; surges are in it."""
+    draws, out, customer = Draws(seed), [], 0
+    plans = {plan.name: plan for plan in config.settings.plans}
+    kinds = {kind.name: kind for kind in config.settings.classes}
+    counted = {route.class_name: bool(route.units_header) for route in config.routes}
+    names, shares = list(script.mix), [share / sum(script.mix.values()) for share in script.mix.values()]
+    for crowd in script.crowds:
+        for number in range(crowd.count):
+            customer += 1
+            rng = draws.generator(Cause.TRAFFIC, customer)
+            rate = (crowd.per_s or plans[crowd.plan].rate_per_s * crowd.of_quota) / 1000
+            at = 0.0
+            while at < script.length_ms:
+                now_rate = rate * _surge(script, crowd.plan, at)
+                step = float(rng.exponential(1 / now_rate)) if now_rate else STEP_MS * 2
+                at += min(step, STEP_MS)
+                if step <= STEP_MS and at < script.length_ms:
+                    name = names[int(rng.choice(len(names), p=shares))]
+                    units = float(rng.choice((1, 1, 1, 2))) if counted.get(name) else 1.0
+                    left = kinds[name].deadline_ms * float(rng.uniform(0.6, 1.0))
+                    out.append(Arrival(at, f"customer:{crowd.plan}-{number}", name, crowd.plan, units, left,
+                                       int(rng.integers(script.gatekeepers)), False,
+                                       bool(rng.random() < script.own_share)))
+    out.sort(key=lambda each: each.at)
+    return out
+
+
+def _surge(script: Script, plan: str, at: float) -> float:
+    times = 1.0
+    for trouble in script.troubles:
+        if trouble.name == "surge" and trouble.values["plan"] == plan \
+                and trouble.at_ms <= at < trouble.at_ms + trouble.values.get("for", 5000.0):
+            times = trouble.values.get("times", 3.0)
+    return times
--- a/anisefront/lab/model/traces.py
+++ b/anisefront/lab/model/traces.py
@@ -5,12 +5,14 @@
 import bisect
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import numpy as np
 
 from anisefront.wire import trace
 
+_BLOCK_RECORDS = 5000
+
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
@@ -22,7 +24,22 @@
     plan: str
     units: float
     left: float
-    gateway: int
+    gateway: int  # -1: any
+    is_repeat: bool = False
+    copies: bool = True  # its way allows two attempts out at once
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One attempt that ended, as its gatekeeper saw it. Times in milliseconds from the trace's begin."""
+
+    at: float
+    worker: str
+    class_name: str
+    units: float
+    result: str
+    took: float
+    started: float  # when the worker started, by the trace's clock; 0: long ago
 
 
 @dataclass(slots=True)
@@ -30,7 +47,8 @@
     """What one or more gatekeepers recorded, in order of time."""
 
     arrivals: list[Arrival] = field(default_factory=list)
-    took: dict[str, list[float]] = field(default_factory=dict)  # of attempts that were served, by class
+    attempts: list[Attempt] = field(default_factory=list)
+    waits: list[float] = field(default_factory=list)  # from an arrival to its first attempt
     answers: Counter[str] = field(default_factory=Counter)
     begin: float = 0.0  # Unix milliseconds
     end: float = 0.0
@@ -48,9 +66,11 @@
 
 
 def merge(read: list[tuple[str, tuple[list[trace.Record], str]]]) -> Trace:
-    """One trace of several. Instances whose clocks differ are moved by what their shared fleet lists tell."""
+    """One trace of several. Instances whose clocks differ are moved by what their shared fleet lists tell.
+
+    It holds as much as the files do: the callers choose these."""
     out, first, rows = Trace(), None, []
-    for path, (records, fault) in read:
+    for place, (path, (records, fault)) in enumerate(read):
         if fault:
             out.problems.append(f"{path}: {fault}; {len(records)} records before it are used")
         lists = {repr(each[2]): each[1] for each in records if each[0] == "fleet"}
@@ -63,33 +83,68 @@
         back = sum(b[1] < a[1] - 1 for a, b in zip(records, records[1:], strict=False))
         if back:
             out.problems.append(f"{path}: the clock steps back {back} times; records are sorted by time")
-        rows += [(each[1] + skew, number, each) for number, each in enumerate(records)]
-    rows.sort(key=lambda row: row[:2])
+        instance = _Instance()
+        rows += [(each[1] + skew, place, number, instance, each) for number, each in enumerate(records)]
+    rows.sort(key=lambda row: row[:3])
     if not rows:
         return out
     out.begin, out.end = rows[0][0], rows[-1][0]
-    gateway, classes = 0, {}
-    for at, _, record in rows:
+    for at, _, _, instance, record in rows:
+        instance.take(out, at - out.begin, record)
+    return out
+
+
+class _Instance:
+    """One gatekeeper's records, taken in order: what is needed to put ends to their sends."""
+
+    def __init__(self) -> None:
+        self._gateway, self._skew = 0, 0.0
+        self._arrivals: dict[int, tuple[float, str, float]] = {}
+        self._sends: dict[int, list[tuple[float, str]]] = {}
+        self._started: dict[str, float] = {}
+
+    def take(self, out: Trace, at: float, record: trace.Record) -> None:
         kind = record[0]
         if kind == "life":
-            gateway = record[2]
+            self._gateway = record[2]
+            self._arrivals.clear()
+            self._sends.clear()
+        elif kind == "fleet":
+            self._started = {row[0]: row[4] - out.begin if row[4] else 0.0 for row in record[2]}
         elif kind == "arrive":
-            classes[record[2]] = record[4]
-            out.arrivals.append(Arrival(at - out.begin, record[3], record[4], record[5], record[6], record[7], gateway))
-        elif kind == "end" and record[4] == "ok":
-            out.took.setdefault(classes.get(record[2], ""), []).append(record[5])
+            name, customer, class_name, plan, units, left, repeat = record[2:9]
+            self._arrivals[name] = (at, class_name, units)
+            copies = bool(record[9]) if len(record) > 9 else True
+            gateway = record[10] if len(record) > 10 else self._gateway
+            out.arrivals.append(Arrival(at, customer, class_name, plan, units, left, gateway, bool(repeat), copies))
+        elif kind == "send":
+            if record[2] in self._arrivals and record[2] not in self._sends:
+                out.waits.append(at - self._arrivals[record[2]][0])
+            self._sends.setdefault(record[2], []).append((at, record[4]))
+        elif kind == "end":
+            sends = self._sends.get(record[2], ())
+            if record[2] in self._arrivals and record[3] < len(sends):
+                sent, worker = sends[record[3]]
+                _, class_name, units = self._arrivals[record[2]]
+                out.attempts.append(Attempt(sent, worker, class_name, units, record[4], record[5],
+                                            self._started.get(worker, 0.0)))
         elif kind == "answer":
             out.answers[record[3]] += 1
-    return out
+        elif kind == "tried":
+            _, _, worker, class_name, units, result, took, started = record
+            out.attempts.append(Attempt(at, worker, class_name, units, result, took, started and started - out.begin))
+        elif kind == "totals":
+            out.answers.update(record[2])
 
 
 def cut(whole: Trace, begin_ms: float, end_ms: float) -> Trace:
     """The part between two times from the trace's begin."""
     times = [each.at for each in whole.arrivals]
     low, high = bisect.bisect_left(times, begin_ms), bisect.bisect_left(times, end_ms)
-    moved = [Arrival(e.at - begin_ms, e.customer, e.class_name, e.plan, e.units, e.left, e.gateway)
-             for e in whole.arrivals[low:high]]
-    return Trace(moved, whole.took, whole.answers, whole.begin + begin_ms, whole.begin + end_ms, list(whole.problems))
+    moved = [replace(each, at=each.at - begin_ms) for each in whole.arrivals[low:high]]
+    tried = [replace(each, at=each.at - begin_ms, started=each.started and each.started - begin_ms)
+             for each in whole.attempts if begin_ms <= each.at < end_ms]
+    return Trace(moved, tried, [], Counter(), whole.begin + begin_ms, whole.begin + end_ms, list(whole.problems))
 
 
 def scale(whole: Trace, times: int, seed: int) -> Trace:
@@ -102,10 +157,10 @@
         for copy in range(times):
             shift = shifts.setdefault((each.customer, copy), 0.0 if copy == 0 else float(rng.uniform(0, length)))
             name = each.customer if copy == 0 else f"{each.customer}+{copy}"
-            arrivals.append(Arrival((each.at + shift) % length, name, each.class_name, each.plan, each.units, each.left,
-                                    each.gateway))
+            arrivals.append(replace(each, at=(each.at + shift) % length, customer=name,
+                                    gateway=each.gateway if copy == 0 else -1))
     arrivals.sort(key=lambda each: each.at)
-    return Trace(arrivals, whole.took, whole.answers, whole.begin, whole.end, list(whole.problems))
+    return replace(whole, arrivals=arrivals, problems=list(whole.problems))
 
 
 def describe(whole: Trace) -> dict[str, object]:
@@ -124,3 +179,39 @@
             "classes": dict(Counter(each.class_name for each in whole.arrivals)),
             "plans": dict(Counter(each.plan for each in whole.arrivals)), "answers": dict(whole.answers),
             "problems": whole.problems}
+
+
+def written(whole: Trace) -> bytes:
+    """The trace as a file of one instance's records; what `load` reads back."""
+    records: list[trace.Record] = [["life", whole.begin, -1, "merged"]]
+    place, seen = 0, {}
+    rows: list[tuple[float, int, trace.Record]] = []
+    for number, each in enumerate(whole.arrivals, 1):
+        rows.append((each.at, 0, ["arrive", whole.begin + each.at, number, each.customer, each.class_name, each.plan,
+                                  each.units, each.left, int(each.is_repeat), int(each.copies), each.gateway]))
+    for each in whole.attempts:
+        place -= 1  # an attempt goes with a request of its own kind; ids below 0 are no arrivals
+        rows.append((each.at, 1, ["tried", whole.begin + each.at, each.worker, each.class_name, each.units, each.result,
+                                  round(each.took, 2), whole.begin + each.started if each.started else 0]))
+    rows.sort(key=lambda row: row[:2])
+    records += [row[2] for row in rows]
+    for how, count in whole.answers.items():
+        seen[how] = count
+    records.append(["totals", whole.end, seen])
+    out = [trace.HEAD]
+    for at in range(0, len(records), _BLOCK_RECORDS):
+        out.append(trace.block(records[at:at + _BLOCK_RECORDS]))
+    return b"".join(out)
+
+
+def anonymised(whole: Trace, key: bytes) -> Trace:
+    """Other pseudonyms for customers, workers by number; rhythms and figures stay."""
+    names: dict[str, str] = {}
+    workers: dict[str, str] = {}
+    for each in whole.arrivals:
+        if each.customer not in names:
+            names[each.customer] = trace.pseudonym(key, each.customer)
+    for each in whole.attempts:
+        workers.setdefault(each.worker, f"worker-{len(workers)}")
+    return replace(whole, arrivals=[replace(each, customer=names[each.customer]) for each in whole.arrivals],
+                   attempts=[replace(each, worker=workers[each.worker]) for each in whole.attempts], problems=[])
--- a/anisefront/lab/model/world.py
+++ b/anisefront/lab/model/world.py
@@ -1,19 +1,24 @@
-"""Discrete events: gatekeepers with the real module, workers, messages and clients, from one seed.
+"""Discrete events: gatekeepers with the real module, their messages, the clients and the workers, from one seed.
 
-Each cause of chance has a stream of its own, and what is drawn for a request hangs on the request alone, so that two
-options meet the same world. Times in milliseconds of the model; nothing here reads a clock.
+What is drawn for a wish hangs on the wish alone (`draws.py`), so that two options meet the same world. What a client
+does after a refusal depends on the option, and from there on arrivals differ; their draws stay the wish's own. Times
+in milliseconds of the model; nothing here reads a clock.
 """
 
 from __future__ import annotations
 
 import heapq
-from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass, field, replace
-
-import numpy as np
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
 
+from anisefront.core.routing import first_gateway
+from anisefront.lab.model.draws import Cause, Draws
+from anisefront.lab.model.measures import Played
+from anisefront.lab.model.pool import Job, Pool, Workers
 from anisefront.lab.model.traces import Arrival as Recorded
+from anisefront.lab.model.traces import Attempt
+from anisefront.lab.model.troubles import Troubles
+from anisefront.lab.script import Trouble
 from anisefront.policy.control import Controller
 from anisefront.policy.interface import (
     Arrival,
@@ -24,274 +29,324 @@
     Heard,
     Outcome,
     Refuse,
+    Repeat,
     Result,
     Send,
-    Server,
     Settings,
-    State,
     Tell,
     Wake,
     Woken,
 )
-from anisefront.policy.messages import tag_of
 
-NET_MS, LOSS, PEER_MS = 1.0, 0.02, (2.0, 10.0)
-ROSTER_LAG_MS = 500.0
-DRAWS = 16  # service times drawn ahead for one request
+GRAIN_MS = 5.0  # wake-ups are kept to it, as the gatekeeper's ledger does
+LAST_MS = 30_000.0  # after the last arrival: longer than any deadline
+MOST_TRIES = 4  # of one wish; each has its own columns of the wish's draws
+_DOOR, _PAUSE, _LEFT, _SERVICE = 0, 4, 8, 12  # first columns of a wish's row
 
 
 @dataclass(frozen=True, slots=True)
-class Workers:
-    """The workers' side of a model."""
+class Network:
+    """What the ways take and lose. Milliseconds, one way."""
 
-    count: int = 10
-    cores: int = 2
-    queue: int = 32
-    service_ms: float = 20.0
-    spread: float = 0.5  # of the logarithm of service times
-    warm_up_ms: float = 10_000.0
-    cold_from: float = 0.2
+    front_ms: float = 0.5  # between a client, over its proxy, and a gatekeeper
+    worker_ms: float = 1.0
+    peers_ms: tuple[float, float] = (2.0, 10.0)
+    lose: float = 0.02  # of messages between gatekeepers
+    roster_ms: float = 500.0
 
 
 @dataclass(frozen=True, slots=True)
-class Trouble:
-    """One thing that goes wrong: "slow" (all workers, `size` times), "deploy" (all replaced over `length_ms`),
-    "freeze" (gatekeeper number `size`), "surge" (arrivals are drawn `size` times)."""
+class Clients:
+    """What those do that are refused."""
 
-    kind: str
-    at_ms: float
-    length_ms: float
-    size: float = 1.0
+    retries: int = 0
+    pause_ms: tuple[float, float] = (200.0, 1000.0)
 
 
 @dataclass(frozen=True, slots=True)
 class Option:
-    """What is compared: settings as a gatekeeper has them, how many gatekeepers, the workers."""
+    """What is compared: settings as a gatekeeper has them, how many gatekeepers, the workers, the ways, the clients."""
 
     settings: Settings
     gateways: int = 3
     spread: int = 3
     workers: Workers = Workers()  # noqa: RUF009 - frozen
+    network: Network = Network()  # noqa: RUF009 - frozen
+    clients: Clients = Clients()  # noqa: RUF009 - frozen
+    zones: tuple[str, ...] = ()  # gatekeepers and workers are spread over them in turn; none: all in the settings' own
+
 
+class Try:
+    """One request as a gatekeeper knows it."""
 
-@dataclass(slots=True)
-class Played:
-    """What a run came to. `service` is worth answered within the aim over worth asked for."""
+    __slots__ = ("at", "attempts", "due", "ended", "gate", "recorded", "tries", "wish")
 
-    asked: float = 0.0
-    served: float = 0.0
-    waits: list[float] = field(default_factory=list)
-    answers: dict[str, int] = field(default_factory=dict)
-    by_second: dict[int, list[float]] = field(default_factory=dict)
+    def __init__(self, recorded: Recorded, wish: int, tries: int, at: float, due: float, gate: int) -> None:
+        self.recorded, self.wish, self.tries, self.at, self.due, self.gate = recorded, wish, tries, at, due, gate
+        self.attempts, self.ended = 0, False
 
-    def measures(self) -> dict[str, float]:
-        """The figures that options are compared by."""
-        windows = [sum(self.by_second.get(s, (0, 0))[i] for s in range(first, first + 10))
-                   for first in sorted(self.by_second)[:-9] or [0] for i in (0, 1)]
-        parts = [good / all_ for good, all_ in zip(windows[::2], windows[1::2], strict=True) if all_]
-        total = max(1, sum(self.answers.values()))
-        return {"service": self.served / self.asked if self.asked else 1.0,
-                "worst_10_s": min(parts, default=1.0),
-                "p95_wait_ms": float(np.percentile(self.waits, 95)) if self.waits else 0.0,
-                "refused": self.answers.get("refused", 0) / total}
 
+class Gate:
+    """One gatekeeper: its module, and whether it runs."""
 
-class _Worker:
-    __slots__ = ("busy", "id", "queue", "started", "state", "zone")
+    __slots__ = ("controller", "dead", "frozen", "life", "wakes")
 
-    def __init__(self, number: int, started: float, zone: str) -> None:
-        self.id, self.started, self.zone = f"10.0.{number >> 8}.{number & 255}:80", started, zone
-        self.busy, self.queue, self.state = 0, deque[tuple](), State.READY
+    def __init__(self, controller: Controller) -> None:
+        self.controller, self.life, self.dead = controller, 0, False
+        self.frozen: list[Event] | None = None  # what came while it stood still
+        self.wakes: set[float] = set()
 
 
 class World:
     """One run of one option."""
 
-    def __init__(self, option: Option, arrivals: list[Recorded], troubles: tuple[Trouble, ...], seed: int) -> None:
-        self._option, self._arrivals, self._troubles = option, arrivals, troubles
-        streams = np.random.SeedSequence(seed).spawn(4)
-        draw = [np.random.Generator(np.random.PCG64(each)) for each in streams]
-        sigma = option.workers.spread
-        self._service = draw[0].lognormal(-sigma * sigma / 2, sigma, (max(1, len(arrivals)), DRAWS))
-        self._doors, self._net = draw[1].random(max(1, len(arrivals))), draw[2]
-        self._seeds = draw[3].integers(0, 1 << 48, 1024)
-        self._now, self._order, self._heap = 0.0, 0, list[tuple[float, int, Callable[..., None], tuple]]()
-        self._slow, self._frozen, self._played = 1.0, dict[int, list[Event]](), Played()
-        self._workers: dict[str, _Worker] = {}
-        self._number = 0
-        self._requests: dict[int, tuple[Recorded, int]] = {}
-        self._attempts: dict[int, int] = {}
-        self._ended: set[int] = set()
-        self._cancelled: set[tuple[int, int]] = set()
-        self._gates = [Controller(replace(option.settings, gateways=option.gateways, number=n), int(self._seeds[n]))
-                       for n in range(option.gateways)]
-        self._classes = {kind.name: kind for kind in option.settings.classes}
-        self._plans = {plan.name: plan for plan in option.settings.plans}
+    def __init__(self, option: Option, arrivals: Sequence[Recorded], troubles: Sequence[Trouble] = (),
+                 seed: int = 1) -> None:
+        self.option, self.arrivals, self.draws, self.played = option, arrivals, Draws(seed), Played()
+        self.now, self._order, self._heap = 0.0, 0, list[tuple[float, int, Callable[..., None], tuple]]()
+        settings = option.settings
+        self.zones = option.zones or (settings.zone,)
+        self.pool = Pool(option.workers, self.zones, self.at, self._ended)
+        self.troubles = Troubles(self, troubles)
+        self._classes = {kind.name: kind for kind in settings.classes}
+        self._plans = {plan.name: plan for plan in settings.plans}
+        self._tries: dict[int, Try] = {}
+        self._jobs: dict[tuple[int, int], Job] = {}
+        self._counts: dict[int, int] = {}  # attempts so far, by try
+        self._told = [0] * (option.gateways * option.gateways)  # messages of each pair so far
+        self._serial = self._out = 0
+        self._homes: dict[str, int] = {}
+        self.attempts: list[Attempt] | None = None  # a list here is given all attempts that ended
+        self.lives = 0
+        self.gates = [Gate(self.module(n)) for n in range(option.gateways)]
+
+    def module(self, number: int) -> Controller:
+        """A gatekeeper's module as it is when its process starts."""
+        self.lives += 1
+        seed = int(self.draws.row(Cause.SEEDS, self.lives)[0] * (1 << 48))
+        settings = replace(self.option.settings, gateways=self.option.gateways, number=number,
+                           zone=self.zones[number % len(self.zones)])
+        return Controller(settings, seed)
 
     def run(self) -> Played:
         """Play to the end of the last request."""
-        for _ in range(self._option.workers.count):
-            self._add_worker(0.0)
-        fleet = self._fleet()
-        for gate in range(len(self._gates)):
-            self._at(0.0, self._hand, gate, fleet)
-        for index, recorded in enumerate(self._arrivals):
-            self._at(recorded.at, self._arrive, index, recorded)
-        for trouble in self._troubles:
-            self._at(trouble.at_ms, getattr(self, "_on_" + trouble.kind), trouble)
-        last = (self._arrivals[-1].at if self._arrivals else 0.0) + 30_000.0
-        while self._heap and self._heap[0][0] <= last:
-            self._now, _, call, values = heapq.heappop(self._heap)
-            call(*values)
-        return self._played
-
-    def _at(self, at: float, call: Callable[..., None], *values: object) -> None:
+        for place in range(self.option.workers.count):
+            self.pool.add(place)
+        for gate in range(len(self.gates)):
+            self.at(0.0, self.hand, gate, self.fleet())
+        self.troubles.plan()
+        self.at(1000.0, self._each_second)
+        arrivals, place, heap = self.arrivals, 0, self._heap
+        last = (arrivals[-1].at if arrivals else 0.0) + LAST_MS
+        while True:
+            due = arrivals[place].at if place < len(arrivals) else float("inf")
+            if heap and heap[0][0] < due:
+                if heap[0][0] > last:
+                    break
+                self.now, _, call, values = heapq.heappop(heap)
+                self.pool.now = self.now
+                call(*values)
+            elif place < len(arrivals):
+                self.now = self.pool.now = due
+                for copy in range(self.troubles.copies(arrivals[place], place)):
+                    self._wish(place if copy == 0 else -place * 8 - copy, arrivals[place])
+                place += 1
+            else:
+                break
+            if place == len(arrivals) and not self._tries:
+                break
+        self.played.fallen = self.pool.fallen
+        return self.played
+
+    def at(self, at: float, call: Callable[..., None], *values: object) -> None:
+        """Plan a call."""
         self._order += 1
         heapq.heappush(self._heap, (at, self._order, call, values))
 
+    def _each_second(self) -> None:
+        self.played.out_at[int(self.now // 1000)] = float(self._out)
+        self.at(self.now + 1000.0, self._each_second)
+
     # ---- gatekeepers ---------------------------------------------------------------------------
 
-    def _hand(self, gate: int, *events: Event) -> None:
-        if gate in self._frozen:
-            self._frozen[gate] += events
+    def hand(self, number: int, *events: Event) -> None:
+        """Events for a gatekeeper, and what its module makes of them."""
+        gate = self.gates[number]
+        if gate.dead:
             return
-        for action in self._gates[gate].handle(self._now, list(events)):
-            match action:
-                case Send(number, server, allow):
-                    attempt = self._attempts.get(number, -1) + 1
-                    self._attempts[number] = attempt
-                    if attempt == 0:
-                        self._played.waits.append(self._now - self._requests[number][0].at)
-                    self._at(self._now + NET_MS, self._reach, gate, number, attempt, server, self._now)
-                    self._at(self._now + max(0.0, allow), self._time_out, gate, number, attempt, server, self._now)
-                case Wake(after, name):
-                    self._at(self._now + max(0.01, after), self._hand, gate, Woken(name))
-                case Tell(receiver, data):
-                    if self._net.random() >= LOSS:
-                        self._at(self._now + self._net.uniform(*PEER_MS), self._hand, receiver, Heard(gate, data))
-                case Refuse(number):
-                    self._answer(number, "refused")
-                case Fail(number):
-                    self._answer(number, "failed")
-                case Cancel(number, attempt):
-                    self._cancelled.add((number, attempt))
-                    self._at(self._now, self._end, gate, number, attempt, "", self._now, Result.CANCELLED)
-
-    def _arrive(self, index: int, recorded: Recorded) -> None:
-        first, spread = tag_of(recorded.customer) % len(self._gates), min(self._option.spread, len(self._gates))
-        gate = (first + int(self._doors[index] ** 2 * spread)) % len(self._gates)  # some doors are busier
-        number = index + 1
-        self._requests[number] = (recorded, index)
-        worth = self._worth(recorded)
-        self._played.asked += worth
-        self._second(recorded)[1] += worth
-        self._hand(gate, Arrival(number, recorded.customer, recorded.class_name, recorded.plan,
-                                 self._now + recorded.left, recorded.units, first, spread))
+        if gate.frozen is not None:
+            gate.frozen += events
+            return
+        now = self.now
+        for action in gate.controller.handle(now, list(events)):
+            if isinstance(action, Wake):
+                at = -(-(now + action.after_ms) // GRAIN_MS) * GRAIN_MS
+                if at not in gate.wakes:
+                    gate.wakes.add(at)
+                    self.at(max(at, now + 0.01), self._wake, number, gate.life, at, action.name)
+            elif isinstance(action, Send):
+                self._send(number, gate, action)
+            elif isinstance(action, Tell):
+                self._tell(number, action)
+            elif isinstance(action, Refuse):
+                self._answer(action.id, "refused", action.reason.value)
+            elif isinstance(action, Fail):
+                self._answer(action.id, "failed")
+            elif isinstance(action, Cancel):
+                job = self._jobs.get((action.id, action.attempt))
+                if job is not None:
+                    self.at(now, self._ended, job, Result.CANCELLED, ())
+
+    def _wake(self, number: int, life: int, at: float, name: str) -> None:
+        gate = self.gates[number]
+        if gate.life == life:
+            gate.wakes.discard(at)
+            self.hand(number, Woken(name))
+
+    def _tell(self, sender: int, action: Tell) -> None:
+        pair = sender * len(self.gates) + action.receiver
+        self._told[pair] += 1
+        network, row = self.option.network, self.draws.row(Cause.MESSAGES, pair * 131_071 + self._told[pair])
+        if row[0] < max(network.lose, self.troubles.lose) or self.troubles.parted(sender, action.receiver):
+            return
+        low, high = network.peers_ms
+        for copy in range(1 + (row[1] < self.troubles.double)):
+            self.at(self.now + low + (high - low) * row[2 + copy], self.hand, action.receiver,
+                    Heard(sender, action.data))
+
+    def stop(self, number: int) -> None:
+        """The process is killed: what it held is lost."""
+        gate = self.gates[number]
+        gate.dead, gate.life = True, gate.life + 1
+        for name, each in list(self._tries.items()):
+            if each.gate == number:
+                self._answer(name, "lost")
+
+    def start(self, number: int) -> None:
+        """A new life with nothing but the fleet list."""
+        gate = self.gates[number]
+        gate.controller, gate.dead, gate.frozen, gate.wakes = self.module(number), False, None, set()
+        self.hand(number, self.fleet())
+
+    def thaw(self, number: int) -> None:
+        """A gatekeeper that stood still hears all that came. Clients whose time is up have gone."""
+        gate = self.gates[number]
+        events, gate.frozen = gate.frozen or [], None
+        for name, each in list(self._tries.items()):
+            if each.gate == number and each.due < self.now:
+                self._answer(name, "none")
+        if not gate.dead:
+            self.hand(number, *events)
+
+    # ---- clients -------------------------------------------------------------------------------
+
+    def _wish(self, wish: int, recorded: Recorded) -> None:
+        self.played.wish(int(recorded.at // 1000), recorded.class_name, recorded.plan, self._worth(recorded))
+        self._try(wish, recorded, 0, recorded.left)
+
+    def _home(self, customer: str) -> int:
+        home = self._homes.get(customer)
+        if home is None:
+            home = self._homes[customer] = first_gateway(customer, self.option.settings.tag_key, len(self.gates))
+        return home
+
+    def _try(self, wish: int, recorded: Recorded, tries: int, left: float) -> None:
+        row, gates = self.draws.row(Cause.REQUESTS, abs(wish)), len(self.gates)
+        first, spread = self._home(recorded.customer), min(self.option.spread, gates)
+        if tries == 0 and 0 <= recorded.gateway < gates:
+            number = recorded.gateway
+        else:
+            number = (first + int(row[_DOOR + tries] * spread)) % gates
+        self._serial += 1
+        name, sent = self._serial, self.now
+        self._tries[name] = Try(recorded, wish, tries, sent, sent + left, number)
+        if self.gates[number].dead:
+            self.at(sent + self.option.network.front_ms, self._answer, name, "lost")
+            return
+        self.at(sent + self.option.network.front_ms, self.hand, number, Arrival(
+            name, recorded.customer, recorded.class_name, recorded.plan, sent + self.option.network.front_ms + left,
+            recorded.units, first, spread, tries > 0 or recorded.is_repeat, recorded.copies))
 
     def _worth(self, recorded: Recorded) -> float:
         return self._classes[recorded.class_name].worth * self._plans[recorded.plan].value * recorded.units
 
-    def _second(self, recorded: Recorded) -> list[float]:
-        return self._played.by_second.setdefault(int(recorded.at // 1000), [0.0, 0.0])
-
-    def _answer(self, number: int, how: str) -> None:
-        if number in self._ended:
+    def _answer(self, name: int, how: str, reason: str = "") -> None:
+        each = self._tries.get(name)
+        if each is None or each.ended:
             return
-        self._ended.add(number)
-        self._played.answers[how] = self._played.answers.get(how, 0) + 1
-        recorded = self._requests[number][0]
-        if how == "served" and self._now - recorded.at <= self._classes[recorded.class_name].aim_ms:
-            self._played.served += self._worth(recorded)
-            self._second(recorded)[0] += self._worth(recorded)
-
-    # ---- workers -------------------------------------------------------------------------------
-
-    def _add_worker(self, started: float) -> _Worker:
-        worker = _Worker(self._number, started, self._option.settings.zone)
-        self._number += 1
-        self._workers[worker.id] = worker
-        return worker
-
-    def _fleet(self) -> Fleet:
-        return Fleet(tuple(Server(w.id, w.zone, 0, w.state, 1.0, w.started) for w in self._workers.values()))
-
-    def _tell_fleet(self) -> None:
-        fleet = self._fleet()
-        for gate in range(len(self._gates)):
-            self._at(self._now + ROSTER_LAG_MS, self._hand, gate, fleet)
-
-    def _reach(self, gate: int, number: int, attempt: int, server: str, sent: float) -> None:
-        worker, kind = self._workers.get(server), self._option.workers
-        if worker is None:
-            self._end(gate, number, attempt, server, sent, Result.CONNECT_FAILED)
-        elif worker.busy + len(worker.queue) >= kind.cores + kind.queue:
-            self._at(self._now + NET_MS, self._end, gate, number, attempt, server, sent, Result.FULL)
-        else:
-            worker.queue.append((gate, number, attempt, sent))
-            self._next(worker)
-
-    def _next(self, worker: _Worker) -> None:
-        kind = self._option.workers
-        while worker.queue and worker.busy < kind.cores:
-            gate, number, attempt, sent = worker.queue.popleft()
-            if (number, attempt) in self._cancelled:
-                continue
-            warmth = 1.0 if not worker.started else min(1.0, kind.cold_from + (1 - kind.cold_from) * (
-                self._now - worker.started) / kind.warm_up_ms)
-            recorded, index = self._requests[number]
-            took = kind.service_ms * recorded.units * self._slow * self._service[index, attempt % DRAWS] / warmth
-            worker.busy += 1
-            self._at(self._now + took, self._served, worker, gate, number, attempt, sent)
-
-    def _served(self, worker: _Worker, gate: int, number: int, attempt: int, sent: float) -> None:
-        worker.busy -= 1
-        self._next(worker)
-        if worker.id in self._workers:
-            self._at(self._now + NET_MS, self._end, gate, number, attempt, worker.id, sent, Result.OK)
-
-    def _time_out(self, gate: int, number: int, attempt: int, server: str, sent: float) -> None:
-        if (number, attempt) not in self._cancelled:
-            self._cancelled.add((number, attempt))
-            self._told(gate, number, attempt, server, sent, Result.TIMEOUT)
-
-    def _end(self, gate: int, number: int, attempt: int, server: str, sent: float, result: Result) -> None:
-        if result is not Result.CANCELLED:
-            if (number, attempt) in self._cancelled:
-                return
-            self._cancelled.add((number, attempt))
-        self._told(gate, number, attempt, server, sent, result)
-
-    def _told(self, gate: int, number: int, attempt: int, server: str, sent: float, result: Result) -> None:
-        if result is Result.OK:
-            self._answer(number, "served")
-        self._hand(gate, Outcome(number, attempt, server, self._now - sent, result, number in self._ended))
-
-    # ---- troubles ------------------------------------------------------------------------------
-
-    def _on_slow(self, trouble: Trouble) -> None:
-        self._slow = trouble.size
-        self._at(self._now + trouble.length_ms, setattr, self, "_slow", 1.0)
-
-    def _on_freeze(self, trouble: Trouble) -> None:
-        gate = int(trouble.size) % len(self._gates)
-        self._frozen[gate] = []
-        self._at(self._now + trouble.length_ms, self._thaw, gate)
-
-    def _thaw(self, gate: int) -> None:
-        self._hand(gate, *self._frozen.pop(gate))
-
-    def _on_deploy(self, trouble: Trouble) -> None:
-        old = list(self._workers)
-        for number, name in enumerate(old):
-            at = self._now + trouble.length_ms * number / len(old)
-            self._at(at, self._replace, name)
-
-    def _replace(self, name: str) -> None:
-        self._workers[name].state = State.DRAINING
-        self._add_worker(max(0.001, self._now))
-        self._tell_fleet()
-        self._at(self._now + 3000.0, self._retire, name)
-
-    def _retire(self, name: str) -> None:
-        self._workers.pop(name, None)
-        self._tell_fleet()
+        each.ended = True
+        recorded, came = each.recorded, self.now + self.option.network.front_ms
+        self.played.answered(int(recorded.at // 1000), how, reason)
+        if how == "served" and came - each.at <= self._classes[recorded.class_name].aim_ms:
+            self.played.granted(int(recorded.at // 1000), recorded.class_name, recorded.plan, self._worth(recorded))
+        elif how == "refused" and each.tries < min(self.option.clients.retries, MOST_TRIES - 1):
+            row, (low, high) = self.draws.row(Cause.REQUESTS, abs(each.wish)), self.option.clients.pause_ms
+            self.at(came + low + (high - low) * row[_PAUSE + each.tries], self._try, each.wish, recorded,
+                    each.tries + 1, recorded.left)
+        if not each.attempts:
+            del self._tries[name]
+
+    # ---- attempts ------------------------------------------------------------------------------
+
+    def _send(self, number: int, gate: Gate, action: Send) -> None:
+        each = self._tries.get(action.id)
+        if each is None:
+            self.hand(number, Outcome(action.id, 0, action.server, 0.0, Result.MOOT, True))
+            return
+        recorded, attempt = each.recorded, self._attempt(action.id)
+        if attempt == 0:
+            self.played.waited(int(recorded.at // 1000), self.now - each.at - self.option.network.front_ms)
+            self.played.units[recorded.plan] = self.played.units.get(recorded.plan, 0.0) + recorded.units
+        row = self.draws.row(Cause.REQUESTS, abs(each.wish))
+        keyed = self._classes[recorded.class_name].repeat is Repeat.KEYED
+        job = Job(number, gate.life, action.id, attempt, action.server, self.now, self.now + action.allow_ms,
+                  recorded.units, each.wish if keyed else -1, row[_SERVICE + (4 * each.tries + attempt) % 16])
+        self._jobs[action.id, attempt] = job
+        each.attempts += 1
+        self._out += 1
+        self.at(self.now + self.option.network.worker_ms, self.pool.reach, job)
+        self.at(job.allow_until, self._ended, job, Result.TIMEOUT, ())
+
+    def _attempt(self, name: int) -> int:
+        count = self._counts.get(name, 0)
+        self._counts[name] = count + 1
+        return count
+
+    def _ended(self, job: Job, result: Result, load: tuple[float, ...]) -> None:
+        """The first end of an attempt counts; the gatekeeper hears of it after the way back."""
+        if job.over:
+            return
+        job.over = True
+        delay = 0.0 if result in (Result.TIMEOUT, Result.CANCELLED) else self.option.network.worker_ms
+        self.at(self.now + delay, self._heard, job, result, load)
+
+    def _heard(self, job: Job, result: Result, load: tuple[float, ...]) -> None:
+        self._jobs.pop((job.number, job.attempt), None)
+        self._out -= 1
+        each, gate = self._tries.get(job.number), self.gates[job.gate]
+        if self.attempts is not None and each is not None:
+            worker = self.pool.workers.get(job.server)
+            self.attempts.append(Attempt(job.sent, job.server, each.recorded.class_name, job.units, result.value,
+                                         self.now - job.sent, worker.started if worker else 0.0))
+        if gate.life == job.life and gate.frozen is None and result is Result.OK:
+            self._answer(job.number, "served")
+        if each is not None:
+            each.attempts -= 1
+            if each.ended and not each.attempts:
+                self._tries.pop(job.number, None)
+                self._counts.pop(job.number, None)
+        if gate.life == job.life:
+            self.hand(job.gate, Outcome(job.number, job.attempt, job.server, self.now - job.sent, result,
+                                        each is None or each.ended, 0.0, 0, load))
+
+    # ---- discovery -----------------------------------------------------------------------------
+
+    def fleet(self) -> Fleet:
+        """A complete list of now."""
+        return Fleet(self.pool.listed())
+
+    def tell_fleet(self, after_ms: float | None = None) -> None:
+        """All gatekeepers hear of the workers as they are now, after a while."""
+        fleet, delay = self.fleet(), self.option.network.roster_ms if after_ms is None else after_ms
+        for gate in range(len(self.gates)):
+            self.at(self.now + delay, self.hand, gate, fleet)
--- a/anisefront/lab/script.py
+++ b/anisefront/lab/script.py
@@ -58,6 +58,8 @@
     "kill-gatekeeper": {"number": WHOLE, "back-after": TIME},
     "datagrams": {"lose": NUMBER, "double": NUMBER, "for": TIME},
     "replay-datagrams": {},
+    "partition": {"for": TIME},
+    "preempt": {"workers": WHOLE, "notice": TIME, "for": TIME},
     "surge": {"plan": NAME, "times": NUMBER, "for": TIME},
     "logs": {"late": TIME, "doubled": NAME, "for": TIME},
     "broken-roster": {"for": TIME},
--- a/anisefront/wire/trace.py
+++ b/anisefront/wire/trace.py
@@ -6,10 +6,14 @@
 A file that was cut off, by a crash or a full disk, is read up to the last whole block.
 
     ["life", at, gatekeeper, life]                             a gatekeeper began
-    ["arrive", at, id, customer, class, plan, units, left, repeat]
+    ["arrive", at, id, customer, class, plan, units, left, repeat, copies]
     ["send", at, id, attempt, worker]      ["end", at, id, attempt, result, took]
     ["answer", at, id, how, reason]        ["fleet", at, [[worker, zone, cell, state, started], ...]]
 
+A trace that was made of others has instead of sends and ends, and with the gatekeeper after each arrival's `copies`:
+
+    ["tried", at, worker, class, units, result, took, started]     ["totals", at, {how: answers}]
+
 Times are Unix milliseconds, `left` and `took` milliseconds. Customers are pseudonyms.
 """
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -11,7 +11,9 @@
 from anisefront.daemon.recorder import Recorder
 from anisefront.lab.model import compare, traces
 from anisefront.lab.model.traces import Arrival, Trace
-from anisefront.lab.model.world import Option, Trouble, Workers, World
+from anisefront.lab.model.pool import Workers
+from anisefront.lab.model.world import Option, World
+from anisefront.lab.script import Trouble
 from anisefront.policy import interface as face
 from anisefront.wire import trace
 
@@ -102,8 +104,13 @@
     assert sum(first.answers.values()) == 600 and first.measures()["service"] > 0.9
 
 
-@pytest.mark.parametrize("trouble", [Trouble("slow", 5000, 8000, 6.0), Trouble("deploy", 4000, 8000),
-                                     Trouble("freeze", 5000, 6000, 1)])
+@pytest.mark.parametrize("trouble", [
+    Trouble(5000, "slow", {"workers": 4, "times": 6.0, "for": 8000.0}), Trouble(4000, "deploy", {"over": 8000.0}),
+    Trouble(5000, "freeze-gatekeeper", {"number": 1, "for": 6000.0}),
+    Trouble(5000, "kill-gatekeeper", {"number": 1, "back-after": 4000.0}),
+    Trouble(5000, "silence", {"workers": 3, "for": 5000.0}), Trouble(5000, "errors", {"workers": 4, "for": 5000.0}),
+    Trouble(5000, "kill-workers", {"workers": 3}), Trouble(5000, "freeze-workers", {"workers": 4, "for": 5000.0}),
+    Trouble(5000, "preempt", {"workers": 3, "notice": 500.0, "for": 6000.0})], ids=lambda each: each.name)
 def test_troubles_cost_service_and_every_request_ends(trouble):
     option = Option(SETTINGS, workers=Workers(count=4, service_ms=35.0))
     quiet = World(option, traffic(20), (), 1).run()
@@ -125,9 +132,10 @@
     arrivals, fine = traffic(15), Option(SETTINGS, workers=Workers(count=5, service_ms=40.0))
     poor = Option(SETTINGS, workers=Workers(count=1, service_ms=40.0))
     both = [fine, poor]
-    found, runs = compare.compare(
-        lambda option, seed: World(both[option], arrivals, (), seed).run().measures(), 8)
-    assert runs == 8 and {each.measure: each.verdict for each in found}["service"] == "worse"
+    played = [[World(option, arrivals, (), seed).run().measures() for seed in range(1, 9)] for option in both]
+    found = compare.findings(*played)
+    assert {each.measure: each.verdict for each in found}["service"] == "worse"
+    assert compare.enough(played[0], played[0]) == 8 and compare.enough(*played, narrow=1e-6) is None
     rng, alarms = np.random.default_rng(2), 0
     pool = [World(fine, arrivals, (), seed).run().measures() for seed in range(24)]
     for _ in range(60):
--- /dev/null
+++ b/tests/test_study.py
@@ -0,0 +1,324 @@
+"""Studies: the same world for all options, resumed to the same bytes, fitted, searched, reported; traces of traces."""
+
+import json
+import pathlib
+import re
+import shutil
+
+import numpy as np
+import pytest
+from click.testing import CliRunner
+from test_model import SETTINGS, traffic
+
+from anisefront.cli.main import main
+from anisefront.lab import script as scripts
+from anisefront.lab.day import settings_text
+from anisefront.lab.model import fit as fitting
+from anisefront.lab.model import imported, search, traces
+from anisefront.lab.model.draws import Cause, Draws, lognormal, quantile
+from anisefront.lab.model.pool import Workers
+from anisefront.lab.model.store import Store
+from anisefront.lab.model.study import OptionSpec, Runner, Study, Traffic, Unfit, collect, play
+from anisefront.lab.model.traces import Arrival, Attempt, Trace
+from anisefront.lab.model.world import Clients, Network, Option, World
+from anisefront.lab.script import Trouble
+
+ROOT = pathlib.Path(__file__).parent.parent
+DAY = """length 8s
+seed 1
+gatekeepers 2
+settings gatekeeper.conf
+workers 4 cores 2 service 30ms queue 24
+customers stall count 8 of-quota 0.8
+customers market count 1 of-quota 0.8
+mix stock-view 0.7 pre-order 0.3
+"""
+SCRIPT, _ = scripts.read(DAY)
+CONF = settings_text((ROOT / "examples/bad-saturday/gatekeeper.conf").read_text(), 0, SCRIPT, "r.json",
+                     {1: "127.0.0.1:9"})
+
+
+def study(*options, day=DAY, **more):
+    made = [OptionSpec(f"o{n}", CONF, 2, 4, service_ms=30.0, **values) for n, values in enumerate(options or ({},))]
+    return Study(tuple(made), Traffic(day=day), **more)
+
+
+# ---- chance and worlds ----------------------------------------------------------------------------------------
+
+
+def test_draws_hang_on_seed_cause_and_index_alone():
+    one, other = Draws(3), Draws(3)
+    wanted = [0, 5000, 3, 10**9, 5000, 1023, 1024]
+    rows = [one.row(Cause.REQUESTS, index) for index in wanted]
+    assert rows == [other.row(Cause.REQUESTS, index) for index in reversed(wanted)][::-1]
+    assert one.row(Cause.MESSAGES, 3) != one.row(Cause.REQUESTS, 3) != Draws(4).row(Cause.REQUESTS, 3)
+    for index in range(0, 1024 * 200, 1024):  # blocks are let go, and made again the same
+        one.row(Cause.REQUESTS, index)
+    assert len(one._blocks) <= 64 and one.row(Cause.REQUESTS, 5000) == rows[1]
+
+
+def test_quantiles_of_a_shape():
+    shape = lognormal(0.5)
+    assert np.mean(shape) == pytest.approx(1) and quantile(shape, 0) == shape[0] and quantile(shape, 1) == shape[-1]
+    drawn = [quantile(shape, u) for u in np.random.default_rng(1).random(4000)]
+    assert np.mean(drawn) == pytest.approx(1, abs=0.03) and np.std(np.log(drawn)) == pytest.approx(0.48, abs=0.03)
+
+
+def test_options_that_differ_late_are_the_same_until_then():
+    """Nothing of an option may reach back: a trouble at the end of an hour leaves the hour before as it was."""
+    late = "at 6s slow workers 4 times 20 for 2s"
+    made = study({}, {"troubles": (late,)})
+    first, second = (play(made, option, 5)["series"] for option in (0, 1))
+    assert [first["service"][str(n)] for n in range(5)] == [second["service"][str(n)] for n in range(5)]
+    assert first["waits"]["3"] == second["waits"]["3"] and first["service"] != second["service"]
+
+
+def test_repeats_of_clients_hang_on_the_option_and_their_draws_on_the_wish():
+    arrivals, option = traffic(15, rate=150), Option(SETTINGS, workers=Workers(count=4, service_ms=40.0))
+    from dataclasses import replace
+    once = World(option, arrivals, (), 2).run()
+    again = World(replace(option, clients=Clients(retries=2)), arrivals, (), 2).run()
+    assert sum(once.answers.values()) == len(arrivals) < sum(again.answers.values()) <= 3 * len(arrivals)
+    assert again.asked == once.asked  # a wish counts once, however often it is tried
+
+
+def test_surges_come_from_a_trace_too():
+    arrivals = traffic(10)
+    surge = Trouble(2000, "surge", {"plan": "small", "times": 2.5, "for": 4000.0})
+    plain, more = (World(Option(SETTINGS), arrivals, troubles, 1).run() for troubles in ((), (surge,)))
+    extra = sum(2000 <= each.at < 6000 for each in arrivals)
+    assert sum(more.answers.values()) - sum(plain.answers.values()) == pytest.approx(1.5 * extra, rel=0.1)
+
+
+def test_a_partition_parts_rooms_and_heals():
+    option = Option(SETTINGS, gateways=4, spread=4, zones=("a", "b"), network=Network(lose=0.0))
+    world = World(option, traffic(5), (Trouble(1000, "partition", {"for": 2000.0}),), 1)
+    seen = []
+    kept = world.troubles.parted
+    world.troubles.parted = lambda sender, receiver: seen.append(
+        (world.now, sender, receiver, kept(sender, receiver))) or seen[-1][3]
+    world.run()
+    lost = [row for row in seen if row[3]]
+    assert lost and all(1000 <= at < 3000 and a % 2 != b % 2 for at, a, b, _ in lost)
+    assert any(a % 2 == b % 2 for at, a, b, _ in seen if 1000 <= at < 3000)
+    assert any(a % 2 != b % 2 for at, a, b, gone in seen if at > 3000 and not gone)
+
+
+def test_cold_workers_that_are_sent_too_much_fall():
+    workers = Workers(count=2, service_ms=60.0, fall_multiple=0.3, fall_window_ms=1000.0, warm_up_ms=8000.0)
+    played = World(Option(SETTINGS, workers=workers), traffic(15), (Trouble(1000, "deploy", {"over": 500.0}),), 1).run()
+    assert played.fallen
+
+
+# ---- studies --------------------------------------------------------------------------------------------------
+
+
+def test_a_study_stopped_and_resumed_gives_the_same_bytes(tmp_path):
+    made, seeds = study({}, {"retries": 0}), list(range(1, 5))
+
+    def rows(path):
+        import sqlite3
+        with sqlite3.connect(path) as base:
+            return base.execute("select study, option, seed, figures from runs order by 1, 2, 3").fetchall()
+
+    def go(path, processes, die_after):
+        with Store(str(path)) as store, Runner(processes) as runner:
+            name, kept = store.begin(made, "compare"), []
+
+            def keep(option, seed, figures):
+                store.keep(name, option, seed, figures)
+                kept.append(seed)
+                if len(kept) == die_after:
+                    raise KeyboardInterrupt
+            return collect(runner, made, seeds, store.known(name), keep), len(kept)
+    with pytest.raises(KeyboardInterrupt):
+        go(tmp_path / "a", 1, 3)
+    assert len(rows(tmp_path / "a")) == 3
+    resumed, played = go(tmp_path / "a", 2, 99)
+    assert played == 5
+    whole, _ = go(tmp_path / "b", 2, 99)
+    assert resumed == whole and rows(tmp_path / "a") == rows(tmp_path / "b")
+
+
+def test_a_studys_name_hangs_on_all_that_its_figures_hang_on(tmp_path):
+    plain = study()
+    assert plain.identity() == study({}).identity()
+    others = [study({"queue": 5}), study(day=DAY + "seed 2\n"), study(series=False),
+              study({"troubles": ("at 1s replay-datagrams",)})]
+    assert len({each.identity() for each in [plain, *others]}) == 5
+    with Store(str(tmp_path / "s")) as store:
+        name = store.begin(plain, "run")
+        assert store.study(name[:5]) == plain and store.listed()[0]["id"] == name
+        with pytest.raises(KeyError):
+            store.study("zz")
+
+
+def test_another_version_of_the_module_plays_in_the_same_world(tmp_path):
+    shutil.copytree(ROOT / "anisefront/policy", tmp_path / "policy")
+    path = tmp_path / "policy/control.py"
+    path.write_text(re.sub(r"^START_PER_SERVER = .*$", "START_PER_SERVER = 0.2", path.read_text(), flags=re.M))
+    made = study({}, {"module": str(tmp_path / "policy")})
+    with Runner(1) as runner:
+        here, there = collect(runner, made, [1], {}, lambda *_: None)
+    assert here[0] == play(made, 0, 1) and here[0]["measures"] != there[0]["measures"]
+    path.write_text(path.read_text().replace("    def handle(", "    def handle(self, now_ms, events):\n"
+                                             "        raise ArithmeticError('broken')\n\n    def was(", 1))
+    with Runner(1) as runner, pytest.raises(Unfit, match="option o1, seed 1, 0.000 s into the day: ArithmeticError"):
+        collect(runner, made, [1], {}, lambda *_: None)
+    with Runner(1) as runner, pytest.raises(Unfit, match="no control.py there"):
+        collect(runner, study({}, {"module": str(tmp_path)}), [1], {}, lambda *_: None)
+
+
+# ---- fit ------------------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("service", "cold"), [(40.0, 0.2), (20.0, 0.5)])
+def test_a_fit_finds_the_workers_that_made_the_trace(service, cold):
+    workers = Workers(count=5, service_ms=service, cold_from=cold, warm_up_ms=8000, shape=lognormal(0.4))
+    world = World(Option(SETTINGS, workers=workers), traffic(40, rate=90.0),
+                  (Trouble(6000, "deploy", {"over": 8000.0, "drain": 2000.0}),), 3)
+    world.attempts = []
+    world.run()
+    found = fitting.fit(Trace(attempts=world.attempts), 8000.0, draws=20)
+    assert found.best.service_ms == pytest.approx(service, rel=0.06)
+    assert found.best.cold_from == pytest.approx(cold, abs=0.08) and found.best.cores == 2
+    low, high = found.interval("service_ms")
+    assert low < found.best.service_ms < high and (high - low) / service < 0.2
+    back = fitting.Fit.from_json(json.loads(json.dumps(found.to_json())))
+    assert back == found
+    with pytest.raises(fitting.TooShort, match="200 are due"):
+        fitting.fit(Trace(attempts=world.attempts[:150]), 8000.0)
+    with pytest.raises(ValueError, match="is missing"):
+        fitting.Fit.from_json({"best": {}})
+
+
+def test_units_tell_the_way_from_the_work():
+    rng = np.random.default_rng(1)
+    attempts = [Attempt(n * 50.0, f"w{n % 9}", "view", units, "ok", 7.0 + 10.0 * units * rng.uniform(0.8, 1.2), 0.0)
+                for n in range(2000) for units in (float(rng.integers(1, 4)),)]
+    found = fitting.fit(Trace(attempts=attempts), 5000.0, draws=5)
+    assert found.best.service_ms == pytest.approx(10, rel=0.05) and found.best.way_ms == pytest.approx(7, abs=0.7)
+
+
+# ---- search ---------------------------------------------------------------------------------------------------
+
+
+def direct(made, seeds):
+    return [play(made, 0, seed)["measures"] for seed in seeds]
+
+
+def test_the_weakest_day_is_worse_than_the_plain_one_and_the_same_again():
+    made = study(series=False)
+    found = search.weakest_day(made, direct, "service", ("slow", "freeze-gatekeeper", "partition"), 48)
+    assert found["difference"][1] < -0.05 and found["with"] < found["without"] and "at " in found["trouble"]
+    assert scripts.read(found["trouble"])[1] == []
+    with pytest.raises(Unfit, match="--kind storm: known are deploy"):
+        search.weakest_day(made, direct, "service", ("storm",), 48)
+
+
+def test_the_smallest_fleet_keeps_what_one_less_does_not():
+    def played(made, seeds):
+        rng = np.random.default_rng(seeds[0])
+        return [{"service": min(1.0, made.options[0].workers / 20) - 0.01 * rng.random()} for _ in seeds]
+    found = search.smallest_fleet(study(), played, "service", 0.72, "workers", 40, 80)
+    assert found["smallest"] == 15 and found["tried"][14]["verdict"] == "falls short"
+    assert search.smallest_fleet(study(), played, "service", 0.99, "workers", 12, 80)["smallest"] is None
+
+
+# ---- commands -------------------------------------------------------------------------------------------------
+
+
+def invoke(*arguments):
+    done = CliRunner().invoke(main, [str(each) for each in arguments])
+    return done.exit_code, done.output
+
+
+def test_from_two_settings_to_a_page(tmp_path):
+    now, then, day, store = (tmp_path / name for name in ("now.conf", "then.conf", "d.script", "s.sqlite"))
+    now.write_text(CONF)
+    then.write_text(CONF.replace("quota stall rate 6/s burst 12", "quota stall rate 1/s burst 2"))
+    day.write_text(DAY)
+    asked = ("model", "compare", now, then, "--day", day, "--store", store, "--runs", 8, "--processes", 2)
+    code, said = invoke(*asked)
+    assert code == 1 and re.search(r"^service .*: worse", said, re.M), said
+    assert invoke(*asked) == (code, said)  # from the store
+    code, listed = invoke("model", "list", "--store", store)
+    assert listed.count("\n") == 1 and "16 runs" in listed
+    code, _ = invoke("model", "report", listed[:6], "--store", store, "-o", tmp_path / "r.html", "--plots",
+                     tmp_path / "p")
+    page = (tmp_path / "r.html").read_text()
+    assert code == 0 and page.count("<img ") == 8 == len(list((tmp_path / "p").glob("*.png")))
+    assert "http" not in page.replace("data:image", "") and "class='worse'" in page
+
+
+@pytest.mark.parametrize(("arguments", "said"), [
+    (("run", "now.conf"), "what comes is due"), (("run", "none.conf", "--day", "d.script"), "none.conf: "),
+    (("run", "now.conf,wings=2", "--day", "d.script"), "'wings=2' in"),
+    (("run", "now.conf,workers=0", "--day", "d.script"), "at least one gatekeeper, worker"),
+    (("run", "now.conf", "--day", "d.script", "--trouble", "at 1s flood"), "at TIME TROUBLE is due"),
+    (("run", "d.script", "--day", "d.script"), "error"),
+    (("compare", "now.conf", "now.conf", "--day", "d.script", "--runs", "3"), "at least 8 pairs"),
+    (("report", "zz", "--store", "s"), "names no study")])
+def test_faults_are_one_clear_line(tmp_path, monkeypatch, arguments, said):
+    monkeypatch.chdir(tmp_path)
+    (tmp_path / "now.conf").write_text(CONF)
+    (tmp_path / "d.script").write_text(DAY)
+    Store(str(tmp_path / "s"))
+    code, output = invoke("model", *arguments)
+    assert code in (1, 2) and said in output and "Traceback" not in output, output
+
+
+def test_traces_are_cut_merged_scaled_and_anonymised(tmp_path):
+    arrivals = [Arrival(each.at, each.customer, each.class_name, each.plan, each.units, each.left, n % 3, n % 7 == 0,
+                        n % 2 == 0) for n, each in enumerate(traffic(20))]
+    attempts = [Attempt(each.at + 2, "10.0.0.1:80", "view", 1.0, "ok", 30.5, 500.0 * (n % 2)) for n, each in
+                enumerate(arrivals)]
+    whole = Trace(arrivals, attempts, [], begin=1.7e12, end=1.7e12 + 20_000)
+    whole.answers["served"] = 1200
+    path = tmp_path / "t.trace"
+    path.write_bytes(traces.written(whole))
+    back = traces.load([str(path)])
+    assert len(back.arrivals) == 1200 and back.answers == whole.answers and not back.problems
+    for kept, given in zip(back.arrivals, arrivals, strict=True):
+        assert kept.at == pytest.approx(given.at, abs=0.01) and kept.gateway == given.gateway
+        assert (kept.customer, kept.is_repeat, kept.copies) == (given.customer, given.is_repeat, given.copies)
+    assert [each.started for each in back.attempts[:2]] == pytest.approx([0.0, 500.0], abs=0.01)
+    for command, more in (("cut", ("--from", 5, "--to", 9)), ("scale", ("--times", 4)), ("merge", ()),
+                          ("anonymise", ("--key", "another"))):
+        out = tmp_path / command
+        code, said = invoke("trace", command, path, *more, "-o", out)
+        assert code == 0, said
+        described = json.loads(invoke("trace", "info", out)[1])
+        wanted = {"cut": 240, "scale": 4800, "merge": 1200, "anonymise": 1200}[command]
+        assert described["arrivals"] == pytest.approx(wanted, rel=0.15)
+        assert described["customers"] == {"scale": 48}.get(command, 12)
+    assert b"c3" not in str(trace_records(tmp_path / "anonymise")).encode()
+    assert invoke("trace", "cut", path, "--from", 9, "--to", 5, "-o", tmp_path / "x")[0] == 1
+
+
+def trace_records(path):
+    from anisefront.wire import trace
+    return [record for record in trace.read(path.read_bytes())[0] if record[0] == "arrive"]
+
+
+def test_access_logs_of_proxies_become_a_trace(tmp_path):
+    def entry(number, **more):
+        return {"common_properties": {
+            "start_time": f"2026-03-07T06:00:{number % 60:02}.250Z", "time_to_first_upstream_tx_byte": "0.002s",
+            "time_to_last_upstream_rx_byte": "0.042s", "upstream_remote_address": {
+                "socket_address": {"address": "10.1.0.7", "port_value": 8080}}, **more},
+            "request": {"path": "/stock-view?x=1" if number % 2 else "/pre-order",
+                        "request_headers": {"x-api-key": f"k{number % 5}"}, "some_new_field": 1},
+            "response": {"response_code": 200}}
+    lines = [json.dumps(entry(n)) for n in range(120)]
+    lines += ["{", json.dumps(entry(3) | {"request": {"path": "/stock-view"}}),
+              json.dumps(entry(1, response_flags={"upstream_request_timeout": True}))]
+    whole = imported.read(lines, {"/stock": "view", "/pre-order": "order"}, "x-api-key", "small", 2000.0, b"k")
+    assert len(whole.arrivals) == 121 and whole.answers == {"served": 120, "failed": 1}
+    assert {each.class_name for each in whole.arrivals} == {"view", "order"} and whole.attempts[0].took == 40.0
+    assert len({each.customer for each in whole.arrivals}) == 5 and "k1" not in str(whole.arrivals[:9])
+    assert [problem.split(":")[0] for problem in whole.problems] == ["line 121", "line 122", "2 lines left out"]
+    (tmp_path / "log").write_text("\n".join(lines))
+    code, said = invoke("trace", "import", tmp_path / "log", "--class-of", "/stock=view", "--class-of",
+                        "/pre-order=order", "--plan", "small", "--key", "k", "-o", tmp_path / "out")
+    assert code == 0 and "121 arrivals, 121 attempts" in said
