--- a/anisefront/cli/main.py
+++ b/anisefront/cli/main.py
@@ -87,7 +87,8 @@
 @click.option("--keep", type=click.Path(), help="Folder for the day's records; else they go with the day.")
 @click.option("--seed", type=int, help="Another seed than the script's.")
 @click.option("--break", "guard", help="Take out one rule's guard (see anisefront/lab/sabotage.py): it must be caught.")
-def day(script: str, keep: str | None, seed: int | None, guard: str | None) -> None:
+@click.option("--record", is_flag=True, help="Gatekeepers record what they see into the folder, for the model.")
+def day(script: str, keep: str | None, seed: int | None, guard: str | None, record: bool) -> None:
     """Play a SCRIPT of troubles (or its folder) against gatekeepers, proxies and workers on loopback, and judge it.
 
     Exit 0 only if no rule broke and the day itself could be played."""
@@ -99,4 +100,4 @@
     with tempfile.TemporaryDirectory() as made:
         folder = Path(keep or made)
         folder.mkdir(parents=True, exist_ok=True)
-        sys.exit(judge(path, folder, seed, guard))
+        sys.exit(judge(path, folder, seed, guard, record))
--- a/anisefront/cli/model.py
+++ b/anisefront/cli/model.py
@@ -19,6 +19,7 @@
 _KEYS: dict[str, tuple[str, Callable[[str], Any]]] = {
     "gatekeepers": ("gatekeepers", int), "workers": ("workers", int), "cores": ("cores", int),
     "service": ("service_ms", float), "queue": ("queue", int), "cells": ("cells", int), "retries": ("retries", int),
+    "lose": ("lose", float), "start": ("start_ms", float),
     "zones": ("zones", lambda text: tuple(text.split("+"))), "module": ("module", str), "name": ("name", str)}
 
 
@@ -37,7 +38,8 @@
     """Play traffic through a model of the fleet and compare options.
 
     An OPTION is a settings file, with what differs behind it: now.conf,workers=86,gatekeepers=460. Known are
-    gatekeepers, workers, cores, service (ms), queue, cells, retries, zones (a+b), module (a folder with another
+    gatekeepers, workers, cores, service (ms), queue, cells, retries, lose (share of messages),
+    start (ms of a gatekeeper's process), zones (a+b), module (a folder with another
     version's decision files) and name."""
 
 
--- a/anisefront/lab/day.py
+++ b/anisefront/lab/day.py
@@ -74,9 +74,10 @@
 class Day:
     """One day, from its script to its records."""
 
-    def __init__(self, reactor: Any, script: Script, template: str, folder: Path, command: list[str]) -> None:
+    def __init__(self, reactor: Any, script: Script, template: str, folder: Path, command: list[str],
+                 record: bool = False) -> None:
         self.reactor, self.script, self.folder, self._command = reactor, script, folder, command
-        self._template = template
+        self._template, self._record = template, record
         self._roster_file = str(folder / "roster.json")
         text = settings_text(template, 0, script, self._roster_file, {})
         checked = checker.check(loader.load_text(text, script.settings))
@@ -89,7 +90,8 @@
         self.done: defer.Deferred[None] = defer.Deferred()
         self._gatekeepers: dict[int, _Gatekeeper] = {}
         self._proxies: dict[int, Proxy] = {}
-        self._relays = [Relay(reactor, random.Random(f"{script.seed} relay {n}")) for n in range(script.gatekeepers)]
+        self._relays = [Relay(reactor, random.Random(f"{script.seed} relay {n}"), n)
+                        for n in range(script.gatekeepers)]
         self._workers: list[Worker] = []
         self._draining: list[Worker] = []
         self._cells = [Cell(f"cell-{n}") for n in range(script.workers.get("cells", 2))]
@@ -143,7 +145,7 @@
         self._records["day"].write("begin")
         for crowd in self.script.crowds:
             for number in range(crowd.count):
-                self._next_wish(crowd, f"{crowd.plan}-{number}")
+                self._next_wish(crowd, f"{crowd.plan}-{number}", self.reactor.seconds())
         for trouble in self.script.troubles:
             self.reactor.callLater(trouble.at_ms / 1000, self._trouble, trouble)
         self.reactor.callLater(self.script.length_ms / 1000, self._last_wish)
@@ -189,7 +191,10 @@
     def _start_gatekeeper(self, number: int) -> None:
         path = self.folder / f"gatekeeper-{number}.conf"
         peers = {n: relay.address for n, relay in enumerate(self._relays)}
-        path.write_text(settings_text(self._template, number, self.script, self._roster_file, peers))
+        text = settings_text(self._template, number, self.script, self._roster_file, peers)
+        if self._record:
+            text += f'record "{self.folder / f"gatekeeper-{number}.trace"}" rotate 256MiB keep 8 key day\n'
+        path.write_text(text)
 
         def ready(where: dict[str, str]) -> None:
             host, _, port = where["peers"].rpartition(":")
@@ -253,15 +258,19 @@
 
     # ---- traffic -------------------------------------------------------------------------------
 
-    def _next_wish(self, crowd: Crowd, customer: str) -> None:
+    def _next_wish(self, crowd: Crowd, customer: str, due_s: float) -> None:
+        """Plan a customer's next wish; `due_s` is when the one before was due. Danger: counted from when it came, each
+        lateness of ours would thin the traffic out, and a surge would be less than the script says."""
         plan = next(plan for plan in self.config.settings.plans if plan.name == crowd.plan)
         rate = (crowd.per_s or plan.rate_per_s * crowd.of_quota) * self._surge.get(crowd.plan, 1.0)
         delay = self.rng.expovariate(rate) if rate > 0 else math.inf
         # no longer ahead than this, so that a surge is felt by those who would come seldom
         step = min(delay, 0.5)
-        self.reactor.callLater(step, self._wish, crowd, customer, delay <= 0.5)
+        due_s += step
+        self.reactor.callLater(max(0.0, due_s - self.reactor.seconds()), self._wish, crowd, customer, delay <= 0.5,
+                               due_s)
 
-    def _wish(self, crowd: Crowd, customer: str, comes: bool) -> None:
+    def _wish(self, crowd: Crowd, customer: str, comes: bool, due_s: float) -> None:
         if self._over:
             return
         if comes:
@@ -274,7 +283,7 @@
             units = self.rng.choice((1, 1, 1, 2)) if route.units_header else 1
             self.clients.wish(Wish(f"w{self._serial}", customer, crowd.plan, name, method, route.pattern.path, units,
                                    kind.deadline_ms))
-        self._next_wish(crowd, customer)
+        self._next_wish(crowd, customer, due_s)
 
     # ---- trouble -------------------------------------------------------------------------------
 
@@ -380,6 +389,29 @@
         self._set_logs(values.get("late", 0.0) / 1000, values.get("doubled", "no") == "yes")
         self._later(values, self._set_logs, 0.0, False)
 
+    def _on_preempt(self, values: dict[str, Any]) -> None:
+        """Workers are taken away after a short notice, and cold ones come in their place after a while."""
+        for place, worker in enumerate(self._some(values)):
+            self._workers.remove(worker)
+            self._draining.append(worker)
+            self.reactor.callLater(values.get("notice", 2000.0) / 1000, self._retire, worker)
+            self._later(values, self._cold, place)
+        self._write_roster()
+
+    def _cold(self, place: int) -> None:
+        self._start_worker(place, cold=True)
+        self.reactor.callLater(ROSTER_LAG_S, self._write_roster)
+
+    def _on_partition(self, values: dict[str, Any]) -> None:
+        """The rooms can't reach each other: gatekeepers of odd and of even numbers."""
+        for relay in self._relays:
+            relay.parted = True
+        self._later(values, self._heal)
+
+    def _heal(self) -> None:
+        for relay in self._relays:
+            relay.parted = False
+
     def _on_broken_roster(self, values: dict[str, Any]) -> None:
         """Half a file, as a writer that does not rename leaves it; then nothing; then the whole again."""
         path = Path(self._roster_file)
@@ -389,10 +421,11 @@
         self._later(values, self._write_roster)
 
 
-def play(script: Script, template: str, folder: Path, command: list[str] | None = None) -> list[str]:
+def play(script: Script, template: str, folder: Path, command: list[str] | None = None,
+         record: bool = False) -> list[str]:
     """Play a day to its end and return what went wrong with the playing itself. Runs the reactor: once a process."""
     from twisted.internet import reactor
-    day = Day(reactor, script, template, folder, command or [sys.executable, "-m", "anisefront"])
+    day = Day(reactor, script, template, folder, command or [sys.executable, "-m", "anisefront"], record)
     day.done.addBoth(lambda _: reactor.stop())
     reactor.callWhenRunning(day.start)
     reactor.run()
--- a/anisefront/lab/model/fit.py
+++ b/anisefront/lab/model/fit.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import bisect
+import math
 from dataclasses import asdict, dataclass
 from typing import Any
 
@@ -17,6 +18,7 @@
 from anisefront.lab.model.world import Network
 
 BLOCK_MS = 2000.0  # longer than what one attempt's trouble lasts
+PEERS_MS, MOST_ROUND_MS = (2.0, 10.0), 60.0  # where nothing tells them; a home that answers later was asked again
 DRAWS, POINTS, LEAST, MOST_CORES = 40, 65, 200, 16
 
 
@@ -33,6 +35,7 @@
     cores: int
     cold_from: float
     shape: tuple[float, ...]
+    peers_ms: tuple[float, float]  # a message between gatekeepers, least and most
 
     def workers(self, like: Workers) -> Workers:
         """Workers with these figures, and all else as `like`."""
@@ -42,7 +45,7 @@
     def network(self, like: Network) -> Network:
         """Ways with this figure."""
         from dataclasses import replace
-        return replace(like, worker_ms=max(0.05, self.way_ms / 2))
+        return replace(like, worker_ms=max(0.05, self.way_ms / 2), peers_ms=self.peers_ms)
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +72,8 @@
     def from_json(data: dict[str, Any]) -> Fit:
         """Back from `to_json`; raises `ValueError` where it is no fit."""
         try:
-            made = [Fitted(each["service_ms"], each["way_ms"], each["cores"], each["cold_from"], tuple(each["shape"]))
+            made = [Fitted(each["service_ms"], each["way_ms"], each["cores"], each["cold_from"], tuple(each["shape"]),
+                           tuple(each["peers_ms"]))
                     for each in (data["best"], *data["draws"])]
             return Fit(made[0], tuple(made[1:]), data["attempts"], data["cold_attempts"])
         except (KeyError, TypeError) as problem:
@@ -82,16 +86,27 @@
     warm = rows[(rows[:, _AGE] < 0) | (rows[:, _AGE] >= warm_up_ms)]
     if len(warm) < LEAST:
         raise TooShort(f"{len(warm)} attempts that warm workers served: too few to tell anything, {LEAST} are due")
-    best = _fit(rows, warm_up_ms)
-    rng, blocks = np.random.default_rng(seed), (rows[:, _AT] // BLOCK_MS).astype(int)
-    groups = [np.flatnonzero(blocks == block) for block in np.unique(blocks)]
+    waits = np.array(trace.waits, dtype=float).reshape(-1, 2)
+    best = _fit(rows, waits, warm_up_ms)
+    rng, first = np.random.default_rng(seed), float(rows[:, _AT].min())
+    last = int((rows[:, _AT].max() - first) // BLOCK_MS) + 1
+    groups, asked = (_blocks(times - first, last) for times in (rows[:, _AT], waits[:, 0]))
     drawn = []
     for _ in range(draws):
-        chosen = np.concatenate([groups[n] for n in rng.integers(0, len(groups), len(groups))])
-        drawn.append(_fit(rows[chosen], warm_up_ms))
+        chosen = rng.integers(0, last, last)
+        again = rows[np.concatenate([groups[n] for n in chosen])]
+        if len(again) < LEAST // 4:
+            continue
+        drawn.append(_fit(again, waits[np.concatenate([asked[n] for n in chosen])], warm_up_ms))
     return Fit(best, tuple(drawn), len(rows), len(rows) - len(warm))
 
 
+def _blocks(times: np.ndarray, count: int) -> list[np.ndarray]:
+    """Places of the times in each block."""
+    numbers = (times // BLOCK_MS).astype(int)
+    return [np.flatnonzero(numbers == block) for block in range(count)]
+
+
 _AT, _TOOK, _UNITS, _OTHERS, _AGE = range(5)
 
 
@@ -113,7 +128,7 @@
     return np.array(rows, dtype=float).reshape(-1, 5)
 
 
-def _fit(rows: np.ndarray, warm_up_ms: float) -> Fitted:
+def _fit(rows: np.ndarray, waits: np.ndarray, warm_up_ms: float) -> Fitted:
     old = (rows[:, _AGE] < 0) | (rows[:, _AGE] >= warm_up_ms)
     alone = rows[old & (rows[:, _OTHERS] <= 0)]
     if len(alone) < 30:
@@ -125,7 +140,18 @@
     service, shape = service * mean, shape / mean
     cores = _cores(rows[old], service, way)
     return Fitted(float(service), float(way), cores, _cold(rows[~old], service, way, cores, warm_up_ms, shape),
-                  tuple(float(value) for value in shape))
+                  tuple(float(value) for value in shape), _peers(waits[:, 1]))
+
+
+def _peers(waits: np.ndarray) -> tuple[float, float]:
+    """What a message between gatekeepers takes. A request that its home lends to waits for two of them, each evenly
+    spread, so that their sum is a triangle: its middle and its fifth part in a hundred give both ends."""
+    asked = waits[(waits > 0.5) & (waits < MOST_ROUND_MS)]
+    if len(asked) < 50:
+        return PEERS_MS
+    low, middle = (float(each) for each in np.quantile(asked, [0.05, 0.5]))
+    spread = max(0.1, (middle - low) / (1 - math.sqrt(0.1)))
+    return max(0.05, (middle - spread) / 2), (middle + spread) / 2
 
 
 def _line(rows: np.ndarray) -> tuple[float, float]:
--- a/anisefront/lab/model/study.py
+++ b/anisefront/lab/model/study.py
@@ -37,6 +37,8 @@
     queue: int = 32
     cells: int = 1
     retries: int = 2
+    lose: float = 0.0  # share of messages between gatekeepers
+    start_ms: float = 800.0  # of a gatekeeper's process
     zones: tuple[str, ...] = ()
     fit: str = ""  # JSON of a `Fit`
     troubles: tuple[str, ...] = ()  # lines of a script, "at 30s slow workers 10 times 3 for 10s"
@@ -126,7 +128,8 @@
     workers = Workers(spec.workers, spec.cores, spec.queue, spec.service_ms, warm_up_ms=settings.warm_up_ms,
                       cold_from=settings.cold_from, fall_multiple=settings.fall_multiple,
                       fall_window_ms=settings.fall_window_ms, cells=spec.cells, reports=bool(settings.report_fields))
-    option = Option(settings, spec.gatekeepers, min(config.spread, spec.gatekeepers), workers, Network(),
+    option = Option(settings, spec.gatekeepers, min(config.spread, spec.gatekeepers), workers,
+                    Network(lose=spec.lose, start_ms=spec.start_ms),
                     Clients(spec.retries), spec.zones)
     if not spec.fit:
         return (option,)
--- a/anisefront/lab/model/traces.py
+++ b/anisefront/lab/model/traces.py
@@ -48,7 +48,7 @@
 
     arrivals: list[Arrival] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
-    waits: list[float] = field(default_factory=list)  # from an arrival to its first attempt
+    waits: list[tuple[float, float]] = field(default_factory=list)  # of first attempts: when, and how long
     answers: Counter[str] = field(default_factory=Counter)
     begin: float = 0.0  # Unix milliseconds
     end: float = 0.0
@@ -119,7 +119,7 @@
             out.arrivals.append(Arrival(at, customer, class_name, plan, units, left, gateway, bool(repeat), copies))
         elif kind == "send":
             if record[2] in self._arrivals and record[2] not in self._sends:
-                out.waits.append(at - self._arrivals[record[2]][0])
+                out.waits.append((at, at - self._arrivals[record[2]][0]))
             self._sends.setdefault(record[2], []).append((at, record[4]))
         elif kind == "end":
             sends = self._sends.get(record[2], ())
--- a/anisefront/lab/model/troubles.py
+++ b/anisefront/lab/model/troubles.py
@@ -111,7 +111,8 @@
     def _on_kill_gatekeeper(self, number: int, values: dict[str, Any]) -> None:
         gate = values.get("number", 0) % len(self._world.gates)
         self._world.stop(gate)
-        self._world.at(self._world.now + values.get("back-after", 1500.0), self._world.start, gate)
+        back = values.get("back-after", 1500.0) + self._world.option.network.start_ms
+        self._world.at(self._world.now + back, self._world.start, gate)
 
     def _on_datagrams(self, number: int, values: dict[str, Any]) -> None:
         self.lose, self.double = values.get("lose", 0.0), values.get("double", 0.0)
--- a/anisefront/lab/model/world.py
+++ b/anisefront/lab/model/world.py
@@ -51,8 +51,9 @@
     front_ms: float = 0.5  # between a client, over its proxy, and a gatekeeper
     worker_ms: float = 1.0
     peers_ms: tuple[float, float] = (2.0, 10.0)
-    lose: float = 0.02  # of messages between gatekeepers
+    lose: float = 0.0  # of messages between gatekeepers
     roster_ms: float = 500.0
+    start_ms: float = 800.0  # from a gatekeeper's process being started to its first request
 
 
 @dataclass(frozen=True, slots=True)
--- a/anisefront/lab/relay.py
+++ b/anisefront/lab/relay.py
@@ -14,8 +14,9 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, rng: random.Random) -> None:
-        self._reactor, self._rng = reactor, rng
+    def __init__(self, reactor: Any, rng: random.Random, number: int = 0) -> None:
+        self._reactor, self._rng, self._number = reactor, rng, number
+        self.parted = False  # nothing comes from the other room: from numbers that are odd where ours is even
         self.target: tuple[str, int] | None = None
         self.lose, self.double, self.delay_ms = 0.0, 0.0, (1.0, 8.0)
         self.counts: Counter[str] = Counter()
@@ -31,6 +32,9 @@
         self.counts["came"] += 1
         if len(self._kept) < 200:
             self._kept.append(datagram)
+        if self.parted and len(datagram) > 3 and (datagram[2] ^ self._number) & 1:  # the sender is bytes 1 and 2
+            self.counts["parted"] += 1
+            return
         if self._rng.random() < self.lose:
             self.counts["lost"] += 1
             return
--- a/anisefront/lab/report.py
+++ b/anisefront/lab/report.py
@@ -13,7 +13,7 @@
 from anisefront.lab.audit import Auditor, load
 
 
-def judge(path: Path, folder: Path, seed: int | None, guard: str | None) -> int:
+def judge(path: Path, folder: Path, seed: int | None, guard: str | None, record: bool = False) -> int:
     """Play the script at `path`, keep its records in `folder`, print the verdict; the exit code."""
     from anisefront.lab import day
     text = path.read_text()
@@ -28,7 +28,7 @@
     if guard is not None:
         command = [sys.executable, "-m", "anisefront.lab.sabotage", guard]
     try:
-        faults = day.play(script, (path.parent / script.settings).read_text(), folder, command)
+        faults = day.play(script, (path.parent / script.settings).read_text(), folder, command, record)
     except day.Unfit as problem:
         click.echo(str(problem), err=True)
         return 2
--- a/tests/test_study.py
+++ b/tests/test_study.py
@@ -196,7 +196,9 @@
     rng = np.random.default_rng(1)
     attempts = [Attempt(n * 50.0, f"w{n % 9}", "view", units, "ok", 7.0 + 10.0 * units * rng.uniform(0.8, 1.2), 0.0)
                 for n in range(2000) for units in (float(rng.integers(1, 4)),)]
-    found = fitting.fit(Trace(attempts=attempts), 5000.0, draws=5)
+    waits = [(n * 50.0, float(rng.uniform(3, 9) + rng.uniform(3, 9)) * (n % 2)) for n in range(2000)]
+    found = fitting.fit(Trace(attempts=attempts, waits=waits), 5000.0, draws=5)
+    assert found.best.peers_ms == pytest.approx((3, 9), abs=0.5)
     assert found.best.service_ms == pytest.approx(10, rel=0.05) and found.best.way_ms == pytest.approx(7, abs=0.7)
 
 
