anisefront load: open-loop replay over both fronts, latencies from the schedule

Operators had no way to rehearse a morning against a running gatekeeper. Recorded or scripted traffic is sent at its scheduled times by several processes, over gRPC as a proxy asks and over JSON-RPC; latencies count from the schedule (hdrhistogram) and the tool says when it fell behind.

--- a/anisefront/cli/main.py
+++ b/anisefront/cli/main.py
@@ -10,6 +10,7 @@
 
 from anisefront.cli.config import checked, load
 from anisefront.cli.config import config as config_group
+from anisefront.cli.load import load as load_command
 from anisefront.cli.model import model
 from anisefront.cli.trace import trace
 
@@ -24,6 +25,7 @@
 main.add_command(config_group.commands["check"], "check")
 main.add_command(model)
 main.add_command(trace)
+main.add_command(load_command)
 
 
 @main.command()
