--- a/anisefront/cli/model.py
+++ b/anisefront/cli/model.py
@@ -76,7 +76,8 @@
     click.option("--from", "begin_s", default=0.0, help="Second of the trace to begin at."),
     click.option("--to", "end_s", default=0.0, help="Second to end at."),
     click.option("--trouble", "troubles", multiple=True, help="A line of a script: 'at 30s slow workers 9 for 10s'."),
-    click.option("--fit", "fitted", type=click.Path(exists=True, dir_okay=False), help="Workers as `fit` found them."),
+    click.option("--fit", "fitted", multiple=True, type=click.Path(exists=True, dir_okay=False),
+                 help="Workers as `fit` found them; several days' fits tell how days differ."),
     click.option("--store", "store_path", default="anisefront-model.sqlite", help="Keeps the runs."),
     click.option("--processes", default=os.cpu_count() or 1)]
 
@@ -92,7 +93,12 @@
         raise Unfit("what comes is due: --trace FILE for each gatekeeper, or --day SCRIPT")
     shared: dict[str, Any] = {"troubles": tuple(more["troubles"])}
     if more["fitted"]:
-        shared["fit"] = Path(more["fitted"]).read_text()
+        from anisefront.lab.model.fit import Fit
+        try:
+            fits = [Fit.from_json(json.loads(Path(path).read_text())) for path in more["fitted"]]
+        except ValueError as problem:
+            raise Unfit(f"--fit: {problem}; make it with `anisefront model fit`") from problem
+        shared["fit"] = json.dumps(Fit.joined(fits).to_json())
     day = Path(more["day"]).read_text() if more["day"] else ""
     if day:
         shared |= _of_day(day)
--- a/anisefront/lab/day.py
+++ b/anisefront/lab/day.py
@@ -327,6 +327,12 @@
         self._set(workers, "error_share", values.get("share", 0.8))
         self._later(values, self._set, workers, "error_share", 0.0)
 
+    def _on_broken_answers(self, values: dict[str, Any]) -> None:
+        """The work is done and its answer is an error: what only seems not to have run."""
+        workers = self._some(values)
+        self._set(workers, "broken_share", values.get("share", 0.5))
+        self._later(values, self._set, workers, "broken_share", 0.0)
+
     def _on_slow(self, values: dict[str, Any]) -> None:
         workers = self._some(values)
         self._set(workers, "slow", values.get("times", 4.0))
--- a/anisefront/lab/model/draws.py
+++ b/anisefront/lab/model/draws.py
@@ -44,11 +44,24 @@
             self._blocks[cause, block] = rows
         return rows[place]
 
+    def one(self, cause: Cause, index: int, column: int) -> float:
+        """One number of a thing among so many that their rows would be made and let go again and again: SplitMix64
+        (Steele, Lea and Flood, 2014) over seed, cause, index and column."""
+        mixed = _mix(_mix(self._seed ^ cause << 56) ^ index) + column
+        return (_mix(mixed) >> 11) * 2.0 ** -53
+
     def generator(self, cause: Cause, number: int) -> np.random.Generator:
         """A generator of its own."""
         return np.random.Generator(np.random.Philox(key=[self._seed & (1 << 63) - 1, cause], counter=[0, 0, 0, number]))
 
 
+def _mix(value: int) -> int:
+    value = (value + 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
+    value = (value ^ value >> 30) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
+    value = (value ^ value >> 27) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
+    return value ^ value >> 31
+
+
 def lognormal(sigma: float, points: int = 65) -> tuple[float, ...]:
     """Quantiles, evenly spaced and of mean 1, of times whose logarithm spreads by `sigma`."""
     from statistics import NormalDist
--- a/anisefront/lab/model/fit.py
+++ b/anisefront/lab/model/fit.py
@@ -8,6 +8,7 @@
 
 import bisect
 import math
+from collections.abc import Sequence
 from dataclasses import asdict, dataclass
 from typing import Any
 
@@ -57,6 +58,15 @@
     attempts: int
     cold_attempts: int
 
+    @staticmethod
+    def joined(fits: Sequence[Fit]) -> Fit:
+        """One of several days' fits: days differ by more than one day's blocks tell, and a forecast is to carry that.
+
+        As many draws of each as the one with the fewest has."""
+        least = min(len(each.draws) for each in fits)
+        return Fit(fits[0].best, tuple(draw for each in fits for draw in each.draws[:least]),
+                   sum(each.attempts for each in fits), sum(each.cold_attempts for each in fits))
+
     def interval(self, name: str, level: float = 0.9) -> tuple[float, float]:
         """Of one figure."""
         values = [getattr(each, name) for each in self.draws]
--- a/anisefront/lab/model/pool.py
+++ b/anisefront/lab/model/pool.py
@@ -48,13 +48,14 @@
 class Worker:
     """One worker."""
 
-    __slots__ = ("busy", "cell", "error_share", "fallen", "frozen", "id", "queue", "silent", "slow", "started", "state",
-                 "waiting", "work", "zone")
+    __slots__ = ("broken_share", "busy", "cell", "error_share", "fallen", "frozen", "id", "queue", "silent", "slow",
+                 "started", "state", "waiting", "work", "zone")
 
     def __init__(self, number: int, started: float, zone: str, cell: int) -> None:
         self.id, self.started, self.zone = f"10.0.{number >> 8}.{number & 255}:80", started, zone
         self.busy, self.queue, self.state, self.cell = 0, deque[Job](), State.READY, cell
         self.slow, self.error_share, self.silent, self.frozen, self.fallen = 1.0, 0.0, False, False, False
+        self.broken_share = 0.0  # of answers that are errors though the work was done
         self.waiting: list[Callable[[], None]] = []  # what came or ended while it stood still
         self.work: deque[tuple[float, float]] = deque()
 
@@ -168,7 +169,8 @@
             load = ()
             if self.kind.reports:
                 load = (min(1.0, worker.busy / self.kind.cores), float(worker.busy + len(worker.queue)))
-            self._ended(job, Result.OK, load)
+            broken = worker.broken_share and job.u * 991 % 1 < worker.broken_share
+            self._ended(job, Result.ERROR if broken else Result.OK, load)
 
     def _end(self, job: Job, result: Result) -> None:
         self._ended(job, result, ())
--- a/anisefront/lab/model/troubles.py
+++ b/anisefront/lab/model/troubles.py
@@ -1,7 +1,7 @@
 """What goes wrong in a model's day: the lines of a day's script, by the same names as on loopback.
 
-    deploy, errors, slow, silence, freeze-workers, kill-workers, freeze-gatekeeper, kill-gatekeeper, datagrams, surge,
-    partition, preempt; `logs`, `broken-roster` and `replay-datagrams` change nothing in a model
+    deploy, errors, broken-answers, slow, silence, freeze-workers, kill-workers, freeze-gatekeeper, kill-gatekeeper,
+    datagrams, surge, partition, preempt; `logs`, `broken-roster` and `replay-datagrams` change nothing in a model
 """
 
 from __future__ import annotations
@@ -71,6 +71,11 @@
         self._set(workers, "error_share", values.get("share", 0.8))
         self._for(values, self._set, workers, "error_share", 0.0)
 
+    def _on_broken_answers(self, number: int, values: dict[str, Any]) -> None:
+        workers = self._some(number, values)
+        self._set(workers, "broken_share", values.get("share", 0.5))
+        self._for(values, self._set, workers, "broken_share", 0.0)
+
     def _on_slow(self, number: int, values: dict[str, Any]) -> None:
         workers = self._some(number, values)
         self._set(workers, "slow", values.get("times", 4.0))
--- a/anisefront/lab/script.py
+++ b/anisefront/lab/script.py
@@ -50,6 +50,7 @@
 TROUBLES: dict[str, dict[str, Type]] = {
     "deploy": {"over": TIME, "drain": TIME},
     "errors": {"workers": WHOLE, "share": NUMBER, "for": TIME},
+    "broken-answers": {"workers": WHOLE, "share": NUMBER, "for": TIME},
     "slow": {"workers": WHOLE, "times": NUMBER, "for": TIME},
     "silence": {"workers": WHOLE, "for": TIME},
     "freeze-workers": {"workers": WHOLE, "for": TIME},
--- a/anisefront/lab/workers.py
+++ b/anisefront/lab/workers.py
@@ -75,6 +75,7 @@
         self._busy = 0
         self._work: deque[tuple[float, float]] = deque()  # when work came, and how much of a core's time
         self.error_share, self.slow, self.silent, self.frozen, self.fallen = 0.0, 1.0, False, False, False
+        self.broken_share = 0.0  # of answers that are errors though the work was done
         self._thawed: list[Callable[[], None]] = []
         self.port = reactor.listenTCP(0, _Factory(self), backlog=256, interface=host)
         self.id = f"{host}:{self.port.getHost().port}"
@@ -158,7 +159,9 @@
             return
         self._busy -= 1
         self._note("done", job.message)
-        if not self.fallen and not self.silent:
+        if not self.fallen and not self.silent and self.broken_share and self.rng.random() < self.broken_share:
+            job.connection.answer(500, self._report(), b'{"error":"after the work"}')
+        elif not self.fallen and not self.silent:
             job.connection.answer(200, self._report(), json.dumps({"served": job.message.target}).encode())
         self._next()
 
