A turn of the loop is bounded: lines by kind in slices, logs and calls taken in a little at a time

One turn decided on all that had come, a message of a thousand log entries or a read of hundreds of calls was taken in as one, and a full garbage collection walked all that was held (120 ms with 40,000). Requests, ends and peers' bytes now wait in lines of their own, a turn takes sixteen of each in turn and begins no slice after 4 ms; fleet lists go first. Old objects are walked only when little is held.

--- a/anisefront/core/ledger.py
+++ b/anisefront/core/ledger.py
@@ -1,5 +1,9 @@
 """The ledger of one gatekeeper: requests, attempts and wake-ups between fronts, carriers and the module.
 
+What comes waits in three lines: requests (with all that must keep its place among them), ends of attempts, and peers'
+bytes. A turn takes from each in turn, in slices, until its time is up, and goes on after the loop has read its sockets.
+Fleet lists go before all: what they say of drains is true already.
+
 Everything that happens is an event for the module; everything the module says is carried out. It opens no
 socket, reads no clock of its own and decides nothing: clock, timers and the way to peers are handed in.
 """
@@ -7,11 +11,12 @@
 from __future__ import annotations
 
 import heapq
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from anisefront.core.standing import Lag
 from anisefront.policy.control import Controller
 from anisefront.policy.interface import (
     Arrival,
@@ -37,6 +42,8 @@
 
 GRAIN_MS = 5.0  # wake-ups are kept to this grain, so that those of one moment are one turn and not many
 STANDSTILL_MS = 250.0  # a turn so late after its time means that the whole process stood still
+SLICE = 16  # events of each line that the module is handed at once
+TURN_MS = 4.0  # a turn begins no further slice after so long; one slice takes less than a millisecond
 DRY_TURNS, MOST_TURNS = 3, 20  # after a standstill wake-ups wait for so many turns without news, or so many at all
 
 
@@ -101,13 +108,17 @@
         self.counts: Counter[str] = Counter()
         self.open = 0  # accepted and not ended
         self.turns_late_ms = 0.0  # how late the last turn was
-        self._events: list[Event] = []
+        # Three lines, so that a batch of logs does not hold up the checks behind it, nor the other way round: logs
+        # free slots, and starved of them checks would wait for nothing.
+        self._requests, self._ends, self._peers = (deque[Event]() for _ in range(3))
+        self._lists: list[Event] = []
+        self.turn_ms = Lag()  # how long turns took
         self._turn_due: float | None = None
         self._wakes: list[tuple[float, str]] = []
         self._known_wakes: set[tuple[float, str]] = set()
         self._alarm_ms = float("inf")
         self._dry = self._put_off = self._seen_events = 0
-        self._serial = 0
+        self._serial = self._came = 0
         self._turning = False
 
     # ---- events --------------------------------------------------------------------------------
@@ -183,9 +194,25 @@
     # ---- turns ---------------------------------------------------------------------------------
 
     def _post(self, event: Event) -> None:
-        self._events.append(event)
+        line = self._lists if isinstance(event, Fleet) else self._ends if isinstance(event, Outcome) else \
+            self._peers if isinstance(event, Heard) else self._requests
+        line.append(event)
+        self._came += 1
         self._plan_turn()
 
+    @property
+    def waiting(self) -> int:
+        """Events that no turn has taken in yet."""
+        return len(self._requests) + len(self._ends) + len(self._peers) + len(self._lists)
+
+    def _slice(self) -> list[Event]:
+        """The next events, of each line as many: ends first, since they free what the requests want."""
+        events, self._lists = self._lists, []
+        for line in (self._ends, self._requests, self._peers):
+            for _ in range(min(SLICE, len(line))):
+                events.append(line.popleft())
+        return events
+
     def _plan_turn(self) -> None:
         if self._turn_due is None and not self._turning:
             self._turn_due = self.now_ms()
@@ -207,38 +234,47 @@
             # Danger: after a standstill the loop runs timers first. A module that is woken before it hears of
             # the answers that wait in our sockets fails requests that were served, and blames the servers.
             self.counts["standstills"] += self._put_off == 0
-            self._dry = self._dry + 1 if len(self._events) == self._seen_events else 0
-            self._seen_events, self._put_off = len(self._events), self._put_off + 1
+            self._dry = self._dry + 1 if self._came == self._seen_events else 0
+            self._seen_events, self._put_off = self._came, self._put_off + 1
             self._turn_due = now
             self._timers.callLater(0.001, self._turn)
             return
-        self._dry = self._put_off = self._seen_events = 0
-        events, self._events = self._events, []
+        self._dry = self._put_off = 0
         names: set[str] = set()
         while self._wakes and self._wakes[0][0] <= now:
             wake = heapq.heappop(self._wakes)
             self._known_wakes.discard(wake)
             names.add(wake[1])
-        events.extend(Woken(name) for name in sorted(names))
-        self._turning = True
+        woken = [Woken(name) for name in sorted(names)]
+        self._turning, began = True, now
         for call in self.before_turn:
             call()
-        if self.observer is not None:
-            for event in events:
-                self.observer(now, event)
         try:
-            for action in self._decide(now, events):
-                if self.observer is not None:
-                    self.observer(now, action)
-                self._carry_out(now, action)
+            while True:
+                self._hand_in(now, self._slice() + woken)
+                woken, now = [], max(now, self.now_ms())
+                # Danger: a turn without end would hold up sockets and timers, and with them answers that are due.
+                if self.stopped or not self.waiting or now - began >= TURN_MS:
+                    break
         finally:
             self._turning = False
+        self.turn_ms.take(now - began)
         for call in self.after_turn:
             call()
-        if self._events:  # carriers may have answered at once
+        if self.waiting:  # more than a turn may take, or carriers that answered at once
             self._plan_turn()
         self._set_alarm(now)
 
+    def _hand_in(self, now: float, events: list[Event]) -> None:
+        """Events for the module, and what it says, carried out."""
+        if self.observer is not None:
+            for event in events:
+                self.observer(now, event)
+        for action in self._decide(now, events):
+            if self.observer is not None:
+                self.observer(now, action)
+            self._carry_out(now, action)
+
     def _decide(self, now: float, events: list[Event]) -> list[object]:
         try:
             return self.controller.handle(now, events)
--- /dev/null
+++ b/anisefront/daemon/collector.py
@@ -0,0 +1,47 @@
+"""Python's cycle collector, kept from stopping the loop: a full collection walks all that is held.
+
+What lives at the start is frozen. Young objects are collected often and little at a time. Old ones, of which nearly all
+go by their reference counts, are walked only when little is held, or at last after half an hour.
+"""
+
+from __future__ import annotations
+
+import gc
+import time
+from collections.abc import Callable
+from typing import Any
+
+from anisefront.core.standing import Lag
+
+YOUNG, MIDDLE, OLD = 5000, 4, 1_000_000  # thresholds of the three generations; the last means: not by itself
+EVERY_S, MOST_S, FEW_HELD = 60.0, 1800.0, 500
+
+
+class Collector:
+    """`held` says how many requests are held now. `pauses` has all collections, in milliseconds."""
+
+    def __init__(self, reactor: Any, held: Callable[[], int]) -> None:
+        self._reactor, self._held = reactor, held
+        self.pauses, self._began, self._last = Lag(), 0.0, 0.0
+
+    def start(self) -> None:
+        """Take over; once a process."""
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(YOUNG, MIDDLE, OLD)
+        gc.callbacks.append(self._note)
+        self._last = self._reactor.seconds()
+        self._reactor.callLater(EVERY_S, self._look)
+
+    def _note(self, phase: str, info: dict[str, int]) -> None:
+        if phase == "start":
+            self._began = time.perf_counter()
+        else:
+            self.pauses.take((time.perf_counter() - self._began) * 1000)
+
+    def _look(self) -> None:
+        now = self._reactor.seconds()
+        if self._held() <= FEW_HELD or now - self._last >= MOST_S:
+            self._last = now
+            gc.collect()
+        self._reactor.callLater(EVERY_S, self._look)
--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -21,8 +21,9 @@
 from anisefront.config.types import Config
 from anisefront.core.ledger import Ledger
 from anisefront.core.routing import first_gateway
-from anisefront.daemon import reload
+from anisefront.daemon import memory, reload
 from anisefront.daemon.clock import Clock
+from anisefront.daemon.collector import Collector
 from anisefront.daemon.peers import PeerPort
 from anisefront.daemon.pulse import Pulse
 from anisefront.daemon.recorder import Recorder
@@ -33,7 +34,12 @@
 from anisefront.fronts.health import Health, Serving
 from anisefront.fronts.jsonrpc import Desk, JsonRpcFactory
 from anisefront.policy.control import Controller
+from anisefront.policy.interface import Fleet, Plan, RequestClass, Settings
+from anisefront.policy.state import Account, Backend
 
+_SHARED = (Settings, Plan, RequestClass, Controller, Ledger, proxied.Proxied, Own, Pool, Account, Backend, GrpcFactory,
+           JsonRpcFactory, Fleet)  # things that many refer to: none of them is any one's own
+MEASURE_MS = 1000.0
 LATE_LOG_MS = 100.0  # a loop so late is a client's matter; less is counted only
 ROSTER_S = 0.1  # how often the roster file is looked at
 SERVICES = ("envoy.service.auth.v3.Authorization", "envoy.service.accesslog.v3.AccessLogService")
@@ -79,6 +85,20 @@
             self._record_loop = task.LoopingCall(self.recorder.flush)
             self._record_loop.clock = reactor
         self.pulse = Pulse(reactor, self.clock, self._loop_late)
+        self.collector = Collector(reactor, lambda: self.ledger.open)
+        controller, self._measured = self.ledger.controller, (0.0, {})
+        self._purposes = (
+            memory.Purpose("accounts", lambda: controller.quota.accounts, lambda: self.config.settings.most_customers),
+            memory.Purpose("stores", lambda: controller.quota.stores, lambda: self.config.settings.most_customers),
+            memory.Purpose("requests", lambda: self.ledger.entries, lambda: self.config.most_open),
+            memory.Purpose("attempts", lambda: controller.attempts),
+            memory.Purpose("exchanges", lambda: self.proxied.exchanges, lambda: self.config.most_open),
+            memory.Purpose("agenda", lambda: controller.agenda),
+            memory.Purpose("peers", lambda: self.seal.peers if self.peer_port else {},
+                           lambda: self.config.settings.gateways),
+            memory.Purpose("workers", lambda: controller.servers.known),
+            memory.Purpose("connections", lambda: [*self.grpc.connections, *self.jsonrpc.connections],
+                           lambda: 2 * self.config.most_connections))
         self._ports: list[Any] = []
         self._roster_mark: tuple[int, ...] | None = None
         self._roster_loop = task.LoopingCall(self.look_at_roster)
@@ -181,7 +201,8 @@
             "state": "draining" if self.gate.closing else "serving", "up_ms": round(self.clock() - self.started_ms),
             "open": ledger.open, "held": len(ledger.controller.held), "attempts_out": window.out,
             "window": round(window.limit, 2), "loop_late_ms": round(ledger.turns_late_ms, 1),
-            "loop": self.pulse.lag.report(),
+            "loop": self.pulse.lag.report(), "turn": ledger.turn_ms.report(), "pauses": self.collector.pauses.report(),
+            "memory": self._memory(),
             "servers": {state.value: sum(each is state for each in ledger.servers.values())
                         for state in set(ledger.servers.values())},
             "roster_fault": self.roster_fault,
@@ -194,6 +215,12 @@
             "grpc": dict(self.grpc.counts), "jsonrpc": dict(self.jsonrpc.counts),
             "peers": dict(self.seal.counts) if self.peer_port else {}}
 
+    def _memory(self) -> dict[str, dict[str, int]]:
+        """By purpose; made anew once a second at most, since anybody may ask for the state as often as he likes."""
+        if self.clock() - self._measured[0] >= MEASURE_MS:
+            self._measured = self.clock(), memory.report(self._purposes, _SHARED)
+        return self._measured[1]
+
     # ---- the end -------------------------------------------------------------------------------
 
     def drain(self) -> defer.Deferred[None]:
--- a/anisefront/daemon/process.py
+++ b/anisefront/daemon/process.py
@@ -42,6 +42,7 @@
             if workers is not None:
                 gatekeeper.ledger.roster(workers(reactor))
             where = gatekeeper.start()
+            gatekeeper.collector.start()
         except OSError as problem:
             log.error("not_started", fault=str(problem))
             code[0] = 1
--- a/anisefront/fleet/datagrams.py
+++ b/anisefront/fleet/datagrams.py
@@ -36,7 +36,7 @@
             raise ValueError(f"secret: {len(secret)} bytes, at least {LEAST_SECRET} are due")
         self._secret, self.number, self.incarnation = secret, number, incarnation
         self._sequence: dict[int, int] = {}
-        self._peers: dict[int, _Peer] = {}
+        self.peers: dict[int, _Peer] = {}
         self.counts: Counter[str] = Counter()
 
     def _mac(self, data: bytes) -> bytes:
@@ -66,7 +66,7 @@
         if abs(now_ms - sent_ms) > MOST_AGE_MS:
             # Danger: what was kept from an earlier life would be taken by a receiver that has just started.
             return "too_old", None
-        peer = self._peers.setdefault(sender, _Peer())
+        peer = self.peers.setdefault(sender, _Peer())
         if incarnation < peer.incarnation:
             return "earlier_life", None
         if incarnation > peer.incarnation:
--- a/anisefront/fronts/accesslog.py
+++ b/anisefront/fronts/accesslog.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from envoy.service.accesslog.v3 import als_pb2
 from google.protobuf.message import DecodeError
 
@@ -16,6 +18,7 @@
 from anisefront.wire import grpc, orca
 
 PATH = b"/envoy.service.accesslog.v3.AccessLogService/StreamAccessLogs"
+SLICE = 64  # entries taken in before others have their turn: about a millisecond
 _DONE = als_pb2.StreamAccessLogsResponse().SerializeToString()
 
 
@@ -25,18 +28,30 @@
 
 
 class _Stream:
-    __slots__ = ("_call", "_fields", "_proxied")
+    __slots__ = ("_call", "_ended", "_fields", "_proxied", "_waiting")
 
     def __init__(self, proxied: Proxied, fields: tuple[str, ...], call: Call) -> None:
         self._proxied, self._fields, self._call = proxied, fields, call
+        self._waiting, self._ended = deque[object](), False
 
     def message(self, data: bytes) -> None:
         try:
             entries = als_pb2.StreamAccessLogsMessage.FromString(data).http_logs.log_entry
         except DecodeError as problem:
             raise grpc.CallFault(grpc.Status.INVALID_ARGUMENT, "no StreamAccessLogsMessage") from problem
-        for entry in entries:
-            self._entry(entry)
+        idle = not self._waiting
+        self._waiting.extend(entries)
+        if idle:
+            self._work()
+
+    def _work(self) -> None:
+        # Danger: a proxy that was away sends thousands at once. Taken in as one, they hold up every check meanwhile.
+        for _ in range(min(SLICE, len(self._waiting))):
+            self._entry(self._waiting.popleft())
+        if self._waiting:
+            self._call.later(self._work)
+        elif self._ended:
+            self._call.finish(_DONE)
 
     def _entry(self, entry: object) -> None:
         token = entry.request.request_headers.get(ATTEMPT, "")
@@ -57,7 +72,9 @@
         self._proxied.log(token, end.result, took, load, end.over)
 
     def half_closed(self) -> None:
-        self._call.finish(_DONE)
+        self._ended = True
+        if not self._waiting:
+            self._call.finish(_DONE)
 
     def gone(self) -> None:
         """A stream that breaks takes nothing with it: what it did not tell comes as a time-out."""
--- a/anisefront/fronts/grpcserver.py
+++ b/anisefront/fronts/grpcserver.py
@@ -100,6 +100,15 @@
             self._timer.cancel()
         self._connection.calls.pop(self._stream, None)
 
+    def later(self, work: Callable[[], None]) -> None:
+        """Go on with `work` after the loop has looked at all others; until then this client is not read from."""
+        self._connection.hold()
+        self._connection.factory.reactor.callLater(0, self._again, work)
+
+    def _again(self, work: Callable[[], None]) -> None:
+        self._connection.go_on()
+        work()
+
     def limit(self, timeout_ms: float | None) -> None:
         """End the call by itself when its client no longer waits."""
         if timeout_ms is not None:
--- a/anisefront/fronts/jsonrpc.py
+++ b/anisefront/fronts/jsonrpc.py
@@ -8,7 +8,7 @@
 
 import base64
 import binascii
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -22,6 +22,7 @@
 from anisefront.fronts.backpressure import Backpressure
 from anisefront.wire import http1, jsonrpc
 
+SLICE = 16  # lines taken in before others have their turn
 REFUSED, FAILED, UNMAPPED = -32001, -32002, -32003
 # Headers of the hop between the client and us; a worker is sent our own.
 _OF_THE_HOP = {"connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length", "upgrade",
@@ -123,6 +124,7 @@
         self.factory, self._lines = factory, jsonrpc.Lines(factory.most_line)
         self._open: set[int] = set()  # requests that this client waits for
         self._waiting, self._done_reading = 0, False
+        self._unread: deque[bytes] = deque()  # lines that were read and not taken yet
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -152,11 +154,28 @@
         self._take(lines)
 
     def _take(self, lines: list[bytes]) -> None:
-        for line in lines:
-            many, calls = jsonrpc.read(line)
+        idle = not self._unread
+        self._unread.extend(lines)
+        if idle and self._unread:
+            self._work()
+
+    def _work(self) -> None:
+        # Danger: some hundred short lines come in one read; taken at once they hold up everybody else.
+        for _ in range(min(SLICE, len(self._unread))):
+            many, calls = jsonrpc.read(self._unread.popleft())
             batch = _Batch(self, many, len(calls))
             for call in calls:
                 self._call(call, batch)
+        if self._unread:
+            self.hold()
+            self.factory.reactor.callLater(0, self._again)
+        elif self._done_reading and not self._waiting:
+            self.transport.loseConnection()
+
+    def _again(self) -> None:
+        self.go_on()
+        if self.connected:
+            self._work()
 
     def _call(self, call: jsonrpc.Call | jsonrpc.Invalid, batch: _Batch) -> None:
         if isinstance(call, jsonrpc.Invalid):
@@ -180,7 +199,7 @@
             self._waiting -= 1
             self._open.discard(number)
             batch.add(None if call.notification else written(call.id, answer))
-            if self._done_reading and not self._waiting:
+            if self._done_reading and not self._waiting and not self._unread:
                 self.transport.loseConnection()
 
         if self._waiting >= self.factory.most_waiting:
@@ -208,7 +227,7 @@
         if not self._done_reading:
             self._take(self._lines.last())
         self._done_reading = True
-        if not self._waiting:
+        if not self._waiting and not self._unread:
             self.transport.loseConnection()
 
     def writeConnectionLost(self) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -308,3 +308,65 @@
     desk.ask(kind="safe")
     desk.run(1.0)
     assert len(desk.told) == 1 and desk.ledger.counts["attempts"] == 1
+
+
+# ---- the turn ------------------------------------------------------------------------------------------------------
+
+
+class Slow:
+    """A module of which every event takes a while on the desk's own clock; it notes what it was handed."""
+
+    def __init__(self, desk, each_ms):
+        self.desk, self.each_ms, self.turns = desk, each_ms, []
+
+    def handle(self, now, events):
+        self.turns.append((now, [type(event).__name__ for event in events]))
+        self.desk.clock.rightNow += self.each_ms * len(events) / 1000
+        return []
+
+
+def test_a_turn_is_bounded_and_serves_all_lines_in_turn():
+    from anisefront.core import ledger as ledgers
+    desk = Desk()
+    ledger = desk.ledger
+    slow = ledger.controller = Slow(desk, 0.05)
+    for number in range(400):
+        ledger._post(ledgers.Outcome(number, 0, "w", 1.0, Result.OK, True))
+    for _ in range(200):
+        ledger.accept(desk.proxied, "c", "safe", "wide", ledger.now_ms() + 2000)
+        ledger.hear(1, b"x")
+    ledger.roster(Fleet(SERVERS))
+    ends = []
+    ledger.after_turn.append(lambda: ends.append(len(slow.turns)))
+    desk.clock.advance(0)
+    first = [name for _, names in slow.turns[:ends[0]] for name in names]
+    assert first[0] == "Fleet" and len(first) < 200  # a turn's time is up after about 80 events of 50 microseconds
+    assert len(ends) > 5  # between them the loop reads its sockets
+    assert ledger.turn_ms.worst_ms < ledgers.TURN_MS + 3 * ledgers.SLICE * 0.05 + 0.1
+    assert abs(first.count("Outcome") - first.count("Arrival")) <= ledgers.SLICE and first.count("Heard") > 0
+    assert ledger.waiting == 0 and sum(len(names) for _, names in slow.turns) == 801
+    order = [event for event in slow.turns[0][1]]
+    assert order[1:17] == ["Outcome"] * 16 and order[17:33] == ["Arrival"] * 16 and order[33:] == ["Heard"] * 16
+
+
+def test_an_answer_that_is_due_while_a_turn_is_cut_is_given_in_time():
+    desk = Desk(Plan("narrow", 0.001, 1))
+    desk.proxied.ask("first", desk.told.append, "c", "safe", "narrow", desk.ledger.now_ms() + 2000, 1.0, 0, 1, False)
+    desk.run(0.01)
+    answers = []
+    due = desk.ledger.now_ms() + 300
+    desk.proxied.ask("held", lambda answer: answers.append(desk.ledger.now_ms()), "c", "safe", "narrow", due, 1.0, 0, 1,
+                     False)
+    desk.run(0.1)
+    kept = desk.ledger.controller.handle
+
+    def slow(now, events):
+        desk.clock.rightNow += 0.0002 * len(events)
+        return kept(now, events)
+    desk.ledger.controller.handle = slow
+    for _ in range(40):  # a flood that never lets a turn take all in
+        for number in range(60):
+            desk.ledger.outcome(10**6 + number, 0, Result.OK)
+            desk.ledger.hear(0, b"flood")
+        desk.run(0.005)
+    assert answers and answers[0] <= due
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,145 @@
+"""The process's own matters: memory by purpose, the collector, the pulse."""
+
+import gc
+import tracemalloc
+
+import pytest
+from test_module import FLEET, ask, gateway
+from test_path import Running, told
+from twisted.internet.task import Clock
+
+from anisefront.core.standing import Sample
+from anisefront.daemon import collector, memory, pulse
+from anisefront.policy.control import Controller
+from anisefront.policy.interface import Plan, RequestClass, Settings
+from anisefront.wire import grpc as wire_grpc
+
+SHARED = (Settings, Plan, RequestClass, Controller)
+
+
+def test_bytes_of_accounts_are_near_what_the_allocator_counts():
+    c = gateway(gateways=1, may_tell=False, inbox_per_s=0)
+    c.handle(1000, [FLEET])
+    c.handle(1001, [ask(1, customer="warm")])
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for number in range(4000):
+        c.quota.account(1002.0, ask(number, customer=f"customer-{number}"), c.plans["rated"])
+    taken = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    told_ = memory.report([memory.Purpose("accounts", lambda: c.quota.accounts, lambda: 7)], SHARED)["accounts"]
+    assert told_["count"] == 4001 and told_["most"] == 7
+    assert told_["bytes"] == pytest.approx(taken, rel=0.5)  # the tags' own table is in what was taken too
+
+
+def test_a_report_costs_the_same_however_much_is_kept():
+    few, many = ({n: [n] for n in range(count)} for count in (10, 100_000))
+    for kept in (few, many):
+        assert memory.report([memory.Purpose("x", lambda kept=kept: kept)], ())["x"]["count"] == len(kept)
+    loop = []
+    loop.append(loop)
+    assert memory.size(loop, ()) < 200  # what refers to itself ends
+
+
+def test_the_collector_walks_old_things_only_when_little_is_held(monkeypatch):
+    clock, held, full = Clock(), [10_000], []
+    kept = gc.get_threshold()
+    one = collector.Collector(clock, lambda: held[0])
+    try:
+        one.start()
+        assert gc.get_threshold()[2] == collector.OLD
+        gc.callbacks.append(lambda phase, info: full.append(clock.seconds())
+                            if phase == "stop" and info["generation"] == 2 else None)
+        clock.pump([60.0] * 29)
+        assert not full
+        clock.pump([60.0])
+        assert full == [1800.0]  # at last all the same
+        held[0] = 3
+        clock.pump([60.0] * 2)
+        assert full[1:] == [1860.0, 1920.0] and sum(one.pauses.counts) >= 3
+    finally:
+        gc.callbacks.clear()
+        gc.set_threshold(*kept)
+        gc.unfreeze()
+
+
+def test_a_pulse_tells_whose_time_it_was(monkeypatch):
+    clock, late = Clock(), []
+    told_ = Sample(150, 90, 5), Sample(400, 95, 195)
+    readings = iter([Sample(0, 0, 0), told_[0], told_[0], told_[1], told_[1]])
+    monkeypatch.setattr(pulse, "reading", lambda pid, now: next(readings))
+    beat = pulse.Pulse(clock, lambda: clock.seconds() * 1000, lambda *row: late.append(row))
+    beat.start()
+    clock.advance(0.15)  # due after 50 ms
+    clock.advance(0.25)
+    assert late == [(pytest.approx(100), "own"), (pytest.approx(200), "machine")]
+    assert beat.lag.report()["worst_ms"] == 200.0
+
+
+def test_a_batch_of_ten_thousand_log_entries_holds_up_no_check(tmp_path):
+    import pathlib
+
+    from envoy.service.accesslog.v3 import als_pb2
+    root = pathlib.Path(__file__).parent.parent
+    running = Running(root / "examples/loopback.conf")
+    try:
+        message = als_pb2.StreamAccessLogsMessage()
+        for number in range(1000):
+            entry = message.http_logs.log_entry.add()
+            entry.request.request_headers["x-anisefront-attempt"] = f"0123456789ab.{number}.0"
+            entry.response.response_code.value = 200
+        call = running.log_call.future(iter([message] * 10))
+        answered = []
+        while not call.done():
+            token = told(running.check(x_request_id=f"b{len(answered)}"))["x-anisefront-attempt"]
+            answered.append(token)
+            running.log(token)
+        assert call.code().name == "OK"
+        running.wait_for(lambda state: state["proxied"].get("logs_unknown", 0) == 10_000 and state["open"] == 0)
+        state = running.state()
+        assert state["counts"]["served"] == len(answered)
+        assert {"accounts", "requests", "attempts", "peers", "connections"} < set(state["memory"])
+        assert sum(state["turn"]["late"].values()) > 0
+    finally:
+        running.stop()
+
+
+def test_a_client_that_is_worked_on_is_not_read_from():
+    """The log stream's message is large; what comes behind it waits in the socket and not with us."""
+    from twisted.internet.testing import StringTransport
+
+    from anisefront.fronts.grpcserver import GrpcFactory
+    calls = []
+
+    class Service:
+        def __init__(self, call):
+            calls.append(call)
+
+        def message(self, data):
+            calls[-1].later(lambda: None)
+
+        def half_closed(self):
+            pass
+
+        def gone(self):
+            pass
+    import h2.config
+    import h2.connection
+    clock = Clock()
+    connection = GrpcFactory(clock, {b"/a.B/C": Service}).buildProtocol(None)
+    transport = StringTransport()
+    transport.setTcpNoDelay = transport.setTcpKeepAlive = lambda wanted: None
+    connection.makeConnection(transport)
+    client = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
+    client.initiate_connection()
+    client.send_headers(1, [(":method", "POST"), (":scheme", "http"), (":authority", "x"), (":path", "/a.B/C"),
+                            ("content-type", "application/grpc"), ("te", "trailers")])
+    client.send_data(1, wire_grpc.pack(b"x"))
+    connection.dataReceived(client.data_to_send())
+    assert transport.producerState == "paused"
+    connection.pauseProducing()  # its buffer is full as well
+    clock.advance(0)
+    assert transport.producerState == "paused"
+    connection.resumeProducing()
+    assert transport.producerState == "producing"
