--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 RUN = .venv/bin/python
 
-.PHONY: test day lint bench bench-config fuzz steady
+.PHONY: test day lint bench bench-model bench-config fuzz steady
 .venv/made: pyproject.toml requirements.txt requirements-run.txt requirements-dev.txt
 	test -d .venv || $(PYTHON) -m venv .venv
 	$(RUN) -m pip -q --disable-pip-version-check install -r requirements.txt -r requirements-run.txt -r requirements-dev.txt
@@ -19,8 +19,14 @@
 	$(RUN) -m anisefront day examples/bad-saturday
 
 bench: .venv/made
+	$(RUN) -m benchmarks.held
 	$(RUN) -m benchmarks.run
 
+bench-model: .venv/made
+	$(RUN) -m benchmarks.model
+	$(RUN) -m benchmarks.calibration
+	$(RUN) -m benchmarks.ordering
+
 bench-config: .venv/made
 	$(RUN) -m benchmarks.config
 
--- a/anisefront/core/ledger.py
+++ b/anisefront/core/ledger.py
@@ -44,6 +44,7 @@
 STANDSTILL_MS = 250.0  # a turn so late after its time means that the whole process stood still
 SLICE = 16  # events of each line that the module is handed at once
 TURN_MS = 4.0  # a turn begins no further slice after so long; one slice takes less than a millisecond
+MOST_HEARD = 10_000  # peers' messages that wait for a turn; more are dropped
 DRY_TURNS, MOST_TURNS = 3, 20  # after a standstill wake-ups wait for so many turns without news, or so many at all
 
 
@@ -196,6 +197,9 @@
     def _post(self, event: Event) -> None:
         line = self._lists if isinstance(event, Fleet) else self._ends if isinstance(event, Outcome) else \
             self._peers if isinstance(event, Heard) else self._requests
+        if line is self._peers and len(line) >= MOST_HEARD:
+            self.counts["heard_dropped"] += 1  # as a message lost on its way: peers ask again
+            return
         line.append(event)
         self._came += 1
         self._plan_turn()
--- a/benchmarks/calibration.py
+++ b/benchmarks/calibration.py
@@ -52,11 +52,11 @@
     return statistics.mean(row["at"] - begun for row in rows if row["kind"] == "gatekeeper_up")
 
 
-def spec(text, fitted="", start=800.0):
+def spec(text, fitted="", start=800.0, settings=SETTINGS):
     """The option that a day's script asks for."""
     script, problems = scripts.read(text)
     assert not problems, problems
-    conf = settings_text(SETTINGS.read_text(), 0, script, "roster.json", {1: "127.0.0.1:9"})
+    conf = settings_text(settings.read_text(), 0, script, "roster.json", {1: "127.0.0.1:9"})
     workers = script.workers
     return OptionSpec("day", conf, script.gatekeepers, workers["count"], workers["cores"], workers["service"],
                       workers["queue"], workers["cells"], script.retries, 0.0, start,
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -349,6 +349,16 @@
     assert order[1:17] == ["Outcome"] * 16 and order[17:33] == ["Arrival"] * 16 and order[33:] == ["Heard"] * 16
 
 
+def test_peers_messages_that_no_turn_takes_in_are_dropped_at_their_cap():
+    from anisefront.core import ledger as ledgers
+    desk = Desk()
+    for _ in range(ledgers.MOST_HEARD + 50):
+        desk.ledger.hear(1, b"x")
+    assert desk.ledger.waiting == ledgers.MOST_HEARD and desk.ledger.counts["heard_dropped"] == 50
+    desk.ask()
+    assert desk.told
+
+
 def test_an_answer_that_is_due_while_a_turn_is_cut_is_given_in_time():
     desk = Desk(Plan("narrow", 0.001, 1))
     desk.proxied.ask("first", desk.told.append, "c", "safe", "narrow", desk.ledger.now_ms() + 2000, 1.0, 0, 1, False)
