--- a/anisefront/lab/model/world.py
+++ b/anisefront/lab/model/world.py
@@ -40,6 +40,7 @@
 
 GRAIN_MS = 5.0  # wake-ups are kept to it, as the gatekeeper's ledger does
 LAST_MS = 30_000.0  # after the last arrival: longer than any deadline
+SOCKET_HOLDS = 250  # messages in a datagram socket of the usual size
 MOST_TRIES = 4  # of one wish; each has its own columns of the wish's draws
 _DOOR, _PAUSE, _LEFT, _SERVICE = 0, 4, 8, 12  # first columns of a wish's row
 
@@ -90,12 +91,13 @@
 class Gate:
     """One gatekeeper: its module, and whether it runs."""
 
-    __slots__ = ("controller", "dead", "frozen", "life", "wakes")
+    __slots__ = ("controller", "dead", "frozen", "life", "unread", "wakes")
 
     def __init__(self, controller: Controller) -> None:
         self.controller, self.life, self.dead = controller, 0, False
         self.frozen: list[Event] | None = None  # what came while it stood still
         self.wakes: set[float] = set()
+        self.unread = 0  # messages that came while it stood still
 
 
 class World:
@@ -176,6 +178,10 @@
         if gate.dead:
             return
         if gate.frozen is not None:
+            if isinstance(events[0], Heard):
+                gate.unread += 1
+                if gate.unread > SOCKET_HOLDS:
+                    return  # nobody reads the socket, and it is full
             gate.frozen += events
             return
         now = self.now
@@ -236,7 +242,7 @@
     def thaw(self, number: int) -> None:
         """A gatekeeper that stood still hears all that came. Clients whose time is up have gone."""
         gate = self.gates[number]
-        events, gate.frozen = gate.frozen or [], None
+        events, gate.frozen, gate.unread = gate.frozen or [], None, 0
         for name, each in list(self._tries.items()):
             if each.gate == number and each.due < self.now:
                 self._answer(name, "none")
