A quota raised lets go at once what waited for the old one; troubles of one shape in one table

A store that waited by the old figures was looked at again only when these would have had units, perhaps an hour later: a held request died of it while its quota was free. It is served at once.

--- a/anisefront/lab/script.py
+++ b/anisefront/lab/script.py
@@ -65,6 +65,11 @@
     "logs": {"late": TIME, "doubled": NAME, "for": TIME},
     "broken-roster": {"for": TIME},
 }
+# Troubles that set one figure of some workers for a while: its name, the word of the line that gives it, the figure
+# where there is none, and the figure afterwards.
+WORKER_FIGURES: dict[str, tuple[str, str, Any, Any]] = {
+    "errors": ("error_share", "share", 0.8, 0.0), "broken-answers": ("broken_share", "share", 0.5, 0.0),
+    "slow": ("slow", "times", 4.0, 1.0), "silence": ("silent", "", True, False)}
 
 
 class _Fault(Exception):
--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -174,6 +174,9 @@
             store.plan = settings.plans[self.plan_numbers[store.plan.name]]
             store.level = min(store.plan.burst, store.level)
             store.ceiling = min(store.plan.ceiling_burst * HOME_CEILING, store.ceiling)
+            if store.waiting:  # what waits went by the old figures: perhaps for an hour more
+                store.wake_ms = now
+                self.plan_at(now, "store", tag)
         self.number_names()
 
     def forget(self, now: float) -> None:
