Read once more: dead counters and an unused parameter gone, first gateways named as what they are

No behaviour changes. What traces are written with needs no serial of attempts and no copy loop; the fit of cores takes no service time; the model's look-up of a customer's first gateway is no longer called its home.

--- a/anisefront/lab/model/fit.py
+++ b/anisefront/lab/model/fit.py
@@ -179,7 +179,7 @@
                         (np.arange(POINTS) + 0.5) / POINTS)
     mean = float(shape.mean())
     service, shape = service * mean, shape / mean
-    cores = _cores(rows[old], service, way)
+    cores = _cores(rows[old], way)
     return Fitted(float(service), float(way), cores, _cold(rows[~old], service, way, cores, warm_up_ms, shape),
                   tuple(float(value) for value in shape), _peers(waits[:, 1]))
 
@@ -210,7 +210,7 @@
     return float(((took - way) / units).mean()), way
 
 
-def _cores(rows: np.ndarray, service: float, way: float) -> int:
+def _cores(rows: np.ndarray, way: float) -> int:
     """How many are served at once: with `n` cores who finds `k` others waits for k - n + 1 ends, n at a time."""
     others, took = np.clip(rows[:, _OTHERS], 0, 40).astype(int), (rows[:, _TOOK] - way) / rows[:, _UNITS]
     counts = np.bincount(others, minlength=41)
--- a/anisefront/lab/model/study.py
+++ b/anisefront/lab/model/study.py
@@ -127,8 +127,7 @@
                       cold_from=settings.cold_from, fall_multiple=settings.fall_multiple,
                       fall_window_ms=settings.fall_window_ms, cells=spec.cells, reports=bool(settings.report_fields))
     return Option(settings, spec.gatekeepers, min(config.spread, spec.gatekeepers), workers,
-                    Network(lose=spec.lose, start_ms=spec.start_ms),
-                    Clients(spec.retries), spec.zones)
+                  Network(lose=spec.lose, start_ms=spec.start_ms), Clients(spec.retries), spec.zones)
 
 
 @functools.lru_cache(maxsize=4)
--- a/anisefront/lab/model/traces.py
+++ b/anisefront/lab/model/traces.py
@@ -98,7 +98,7 @@
     """One gatekeeper's records, taken in order: what is needed to put ends to their sends."""
 
     def __init__(self) -> None:
-        self._gateway, self._skew = 0, 0.0
+        self._gateway = 0
         self._arrivals: dict[int, tuple[float, str, float]] = {}
         self._sends: dict[int, list[tuple[float, str]]] = {}
         self._started: dict[str, float] = {}
@@ -184,20 +184,16 @@
 def written(whole: Trace) -> bytes:
     """The trace as a file of one instance's records; what `load` reads back."""
     records: list[trace.Record] = [["life", whole.begin, -1, "merged"]]
-    place, seen = 0, {}
     rows: list[tuple[float, int, trace.Record]] = []
     for number, each in enumerate(whole.arrivals, 1):
         rows.append((each.at, 0, ["arrive", whole.begin + each.at, number, each.customer, each.class_name, each.plan,
                                   each.units, each.left, int(each.is_repeat), int(each.copies), each.gateway]))
     for each in whole.attempts:
-        place -= 1  # an attempt goes with a request of its own kind; ids below 0 are no arrivals
         rows.append((each.at, 1, ["tried", whole.begin + each.at, each.worker, each.class_name, each.units, each.result,
                                   round(each.took, 2), whole.begin + each.started if each.started else 0]))
     rows.sort(key=lambda row: row[:2])
     records += [row[2] for row in rows]
-    for how, count in whole.answers.items():
-        seen[how] = count
-    records.append(["totals", whole.end, seen])
+    records.append(["totals", whole.end, dict(whole.answers)])
     out = [trace.HEAD]
     for at in range(0, len(records), _BLOCK_RECORDS):
         out.append(trace.block(records[at:at + _BLOCK_RECORDS]))
--- a/anisefront/lab/model/world.py
+++ b/anisefront/lab/model/world.py
@@ -118,7 +118,7 @@
         self._counts: dict[int, int] = {}  # attempts so far, by try
         self._told = [0] * (option.gateways * option.gateways)  # messages of each pair so far
         self._serial = self._out = 0
-        self._homes: dict[str, int] = {}
+        self._firsts: dict[str, int] = {}
         self.attempts: list[Attempt] | None = None  # a list here is given all attempts that ended
         self.lives = 0
         self.gates = [Gate(self.module(n)) for n in range(option.gateways)]
@@ -255,15 +255,17 @@
         self.played.wish(int(recorded.at // 1000), recorded.class_name, recorded.plan, self._worth(recorded))
         self._try(wish, recorded, 0, recorded.left)
 
-    def _home(self, customer: str) -> int:
-        home = self._homes.get(customer)
-        if home is None:
-            home = self._homes[customer] = first_gateway(customer, self.option.settings.tag_key, len(self.gates))
-        return home
+    def _first(self, customer: str) -> int:
+        """The first gateway of a customer's set."""
+        first = self._firsts.get(customer)
+        if first is None:
+            first = first_gateway(customer, self.option.settings.tag_key, len(self.gates))
+            self._firsts[customer] = first
+        return first
 
     def _try(self, wish: int, recorded: Recorded, tries: int, left: float) -> None:
         row, gates = self.draws.row(Cause.REQUESTS, abs(wish)), len(self.gates)
-        first, spread = self._home(recorded.customer), min(self.option.spread, gates)
+        first, spread = self._first(recorded.customer), min(self.option.spread, gates)
         if tries == 0 and 0 <= recorded.gateway < gates:
             number = recorded.gateway
         else:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -345,7 +345,7 @@
     assert ledger.turn_ms.worst_ms < ledgers.TURN_MS + 3 * ledgers.SLICE * 0.05 + 0.1
     assert abs(first.count("Outcome") - first.count("Arrival")) <= ledgers.SLICE and first.count("Heard") > 0
     assert ledger.waiting == 0 and sum(len(names) for _, names in slow.turns) == 801
-    order = [event for event in slow.turns[0][1]]
+    order = slow.turns[0][1]
     assert order[1:17] == ["Outcome"] * 16 and order[17:33] == ["Arrival"] * 16 and order[33:] == ["Heard"] * 16
 
 
