--- a/anisefront/carriers/pool.py
+++ b/anisefront/carriers/pool.py
@@ -1,23 +1,41 @@
-"""A pool of HTTP/1.1 connections to workers, on Twisted. It carries one exchange a connection at a time.
+"""A pool of connections to workers, on Twisted. It carries one exchange a connection at a time.
 
-    connecting --connected--> busy --whole answer--> idle --next exchange--> busy
+    connecting --connected--> busy --whole answer--> resting --> idle --next exchange--> busy
     cancel and time-out close the connection; a fault before the request was written proves that nothing ran
+
+What the workers speak is handed in: a reader of answers for each connection (`carriers/http.py` has HTTP/1.1's).
 """
 
 from __future__ import annotations
 
 import socket
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any, Protocol
 
-from twisted.internet import error, protocol
-from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
+from twisted.internet import protocol
 from twisted.python.failure import Failure
 
+from anisefront.carriers.http import HttpAnswers
 from anisefront.policy.interface import Result
-from anisefront.wire.http1 import Head, Message, MessageFault, Reader
 
-Done = Callable[[Result | None, Message | None], None]  # a result where no whole answer came, else the answer
+Done = Callable[[Result | None, Any], None]  # a result where no whole answer came, else the answer
+
+
+class Answers(Protocol):
+    """Reads the answers on one connection, one at a time."""
+
+    fault: type[Exception]  # what `feed` raises for what can't be read
+
+    def feed(self, data: bytes) -> tuple[Any, bool] | None:
+        """The answer that these bytes complete, and whether the connection can carry a further exchange."""
+
+    def close(self) -> Any | None:
+        """The connection has ended: the answer that this completes, if it is one."""
+
+    def begin(self, head_only: bool) -> None:
+        """A request is written: its answer is next."""
 
 
 @dataclass(slots=True)
@@ -28,56 +46,91 @@
     idle_s: float = 2.0  # well under what servers wait before they close
     idle_each: int = 32  # idle connections kept for a worker; more are closed
     most_body: int = 1 << 20
+    most: int = 0  # connections in all, being connected or open; 0: no cap of the pool's own
+    rest_s: float = 0.0  # after its answer a connection shows for so long that nothing more comes
+    stall_s: float = 0.0  # an answer that has begun goes on within this time; 0: the request's time is the bound
+
+
+def split_address(worker: str) -> tuple[str, int]:
+    """The host and port of a worker that is named by its address."""
+    host, _, port = worker.rpartition(":")
+    return host, int(port)
 
 
 class _Client(protocol.Protocol):
     """One connection."""
 
-    def __init__(self, pool: Pool, worker: str) -> None:
-        self.pool, self.worker, self.exchange = pool, worker, None
-        self.reader = Reader(requests=False, most_body=pool.limits.most_body)
-        self.idle_call = None
+    def __init__(self, pool: Pool, worker: str, address: tuple[str, int], exchange: Exchange) -> None:
+        self.pool, self.worker, self.address, self.exchange = pool, worker, address, exchange
+        self.answers = pool.answers()
+        self.idle_since = 0.0
+        self._stall: Any = None
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        exchange, self.exchange = self.exchange, None
+        exchange.connected(self)
 
     def dataReceived(self, data: bytes) -> None:
         exchange = self.exchange
         if exchange is None:  # nobody asked: what it says can't be an answer to what comes next
+            self.pool.counts["unasked"] += 1
             self.transport.abortConnection()
             return
         try:
-            for event in self.reader.feed(data):
-                if isinstance(event, Head) or event.status < 200:
-                    continue
-                self.exchange = None
-                if event.keep_alive and not self.reader.midway:
-                    self.pool.keep(self)
-                else:
-                    self.transport.loseConnection()
-                exchange.finish(None, event)
-                return
-        except MessageFault:
-            self.exchange = None
-            self.transport.abortConnection()
-            exchange.finish(Result.ERROR, None)
+            found = self.answers.feed(data)
+        except self.answers.fault:
+            self.pool.counts["spoilt"] += 1
+            self._give_up(exchange, Result.ERROR)
+            return
+        if found is None:
+            if self.pool.limits.stall_s:
+                self._watch()
+            return
+        self._unwatch()
+        self.exchange = None
+        if found[1]:
+            self.pool.keep(self)
+        else:
+            self.transport.loseConnection()
+        exchange.finish(None, found[0])
+
+    def _give_up(self, exchange: Exchange, result: Result) -> None:
+        self._unwatch()
+        self.exchange = None
+        self.transport.abortConnection()
+        exchange.finish(result, None)
+
+    def _watch(self) -> None:
+        """Danger: an answer that has begun and does not go on, as with a length that does not fit, would hold its
+        request until the whole time is gone."""
+        self._unwatch()
+        self._stall = self.pool.reactor.callLater(self.pool.limits.stall_s, self._stalled)
+
+    def _unwatch(self) -> None:
+        stall, self._stall = self._stall, None
+        if stall is not None and stall.active():
+            stall.cancel()
+
+    def _stalled(self) -> None:
+        if self.exchange is not None:
+            self.pool.counts["stalled"] += 1
+            self._give_up(self.exchange, Result.ERROR)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
-        self.pool.drop(self)
+        self._unwatch()
+        self.pool.gone(self)
         exchange, self.exchange = self.exchange, None
         if exchange is None:
             return
-        try:
-            whole = self.reader.close()
-        except MessageFault:
-            whole = []
-        if whole:
-            exchange.finish(None, whole[0])
+        whole = self.answers.close()
+        if whole is not None:
+            exchange.finish(None, whole)
         else:
             exchange.finish(Result.RESET, None)
 
     def dead(self) -> bool:
-        """Whether the other side has closed already, though the event loop has not told yet."""
+        """Whether the other side has closed or said more, though the event loop has not told yet."""
         try:
             return self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) is not None
         except BlockingIOError:
@@ -92,32 +145,41 @@
     def __init__(self, pool: Pool, worker: str, data: bytes, allow_s: float, done: Done,
                  head_only: bool) -> None:
         self._pool, self._worker, self._data, self._done = pool, worker, data, done
-        self._head_only, self._client, self._connecting = head_only, None, None
+        self._head_only, self._client, self._connector = head_only, None, None
         self._timer = pool.reactor.callLater(max(0.001, allow_s), self._end, Result.TIMEOUT)
 
     def start(self) -> None:
         client = self._pool.take(self._worker)
         if client is not None:
-            self._write(client)
+            self.connected(client)
+            return
+        address = self._pool.address_of(self._worker)
+        if address is None or not self._pool.make_room():
+            self._pool.counts["no_room" if address else "no_address"] += 1
+            self._pool.reactor.callLater(0, self.finish, Result.MOOT, None)  # the caller has not got us yet
             return
-        host, _, port = self._worker.rpartition(":")
-        make = TCP4ClientEndpoint if host.replace(".", "").isdigit() else HostnameEndpoint
-        endpoint = make(self._pool.reactor, host, int(port), timeout=self._pool.limits.connect_s)
-        self._connecting = endpoint.connect(_Factory(self._pool, self._worker))
-        self._connecting.addCallbacks(self._write, self._unconnected)
-
-    def _write(self, client: _Client) -> None:
-        self._connecting = None
+        self._pool.connecting += 1
+        self._connector = self._pool.reactor.connectTCP(
+            *address, _Factory(self._pool, self._worker, address, self), timeout=self._pool.limits.connect_s)
+
+    def connected(self, client: _Client) -> None:
+        """There is a connection that is ours to write to."""
+        self._connector = None
         if self._done is None:  # it ended while it was being connected
             client.transport.abortConnection()
             return
+        if not self._pool.may_send(self._worker):
+            # Danger: the worker may have left service while we were connecting: a send now would break its drain.
+            client.transport.loseConnection()
+            self.finish(Result.MOOT, None)
+            return
         self._client, client.exchange = client, self
-        client.reader.head_only = self._head_only
+        client.answers.begin(self._head_only)
         client.transport.write(self._data)
 
-    def _unconnected(self, failure: Failure) -> None:
-        failure.trap(error.ConnectError, error.ConnectingCancelledError, error.DNSLookupError, OSError)
-        self._connecting = None
+    def unconnected(self) -> None:
+        """No connection came up: nothing was written."""
+        self._connector = None
         self.finish(Result.CONNECT_FAILED, None)
 
     def cancel(self) -> None:
@@ -125,17 +187,18 @@
         self._end(Result.CANCELLED)
 
     def _end(self, result: Result) -> None:
-        connecting, client, self._client = self._connecting, self._client, None
-        if connecting is not None:  # nothing was written
+        connector, client = self._connector, self._client
+        self._connector = self._client = None
+        if connector is not None:  # nothing was written
             self.finish(Result.CONNECT_FAILED if result is Result.TIMEOUT else result, None)
-            connecting.cancel()
+            connector.disconnect()
             return
-        if client is not None:
+        if client is not None and client.exchange is self:
             client.exchange = None
             client.transport.abortConnection()
         self.finish(result, None)
 
-    def finish(self, result: Result | None, answer: Message | None) -> None:
+    def finish(self, result: Result | None, answer: Any) -> None:
         """The end: the answer, or how it failed."""
         done, self._done = self._done, None
         if self._timer.active():
@@ -147,63 +210,119 @@
 class _Factory(protocol.ClientFactory):
     noisy = False
 
-    def __init__(self, pool: Pool, worker: str) -> None:
-        self._pool, self._worker = pool, worker
+    def __init__(self, pool: Pool, worker: str, address: tuple[str, int], exchange: Exchange) -> None:
+        self._pool, self._worker, self._address, self._exchange = pool, worker, address, exchange
 
     def buildProtocol(self, address: object) -> _Client:
-        return _Client(self._pool, self._worker)
+        self._pool.connecting -= 1
+        self._pool.open += 1
+        return _Client(self._pool, self._worker, self._address, self._exchange)
+
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
+        self._pool.connecting -= 1
+        self._exchange.unconnected()
 
 
 class Pool:
-    """Connections to all workers."""
+    """Connections to all workers.
 
-    def __init__(self, reactor: object, limits: PoolLimits | None = None) -> None:
+    `answers` makes a reader for each connection; `address_of` tells where a worker listens (None: nowhere), `may_send`
+    whether a request may still begin there; both are asked anew each time."""
+
+    def __init__(self, reactor: Any, limits: PoolLimits | None = None, answers: Callable[[], Answers] | None = None,
+                 address_of: Callable[[str], tuple[str, int] | None] = split_address,
+                 may_send: Callable[[str], bool] = lambda worker: True) -> None:
         self.reactor, self.limits = reactor, limits or PoolLimits()
-        self._idle: dict[str, list[_Client]] = {}
+        self.answers = answers or (lambda: HttpAnswers(self.limits.most_body))
+        self.address_of, self.may_send = address_of, may_send
+        self.connecting = self.open = 0
+        self.counts: Counter[str] = Counter()
+        self._idle: dict[str, deque[_Client]] = {}  # of each worker, the longest idle first
+        self._sweep_call: Any = None
 
     def request(self, worker: str, data: bytes, allow_s: float, done: Done, head_only: bool = False) -> Exchange:
-        """Send a written request to `host:port`; `done` hears its end within `allow_s`."""
+        """Send a written request to a worker; `done` hears its end within `allow_s`."""
         exchange = Exchange(self, worker, data, allow_s, done, head_only)
         exchange.start()
         return exchange
 
     def take(self, worker: str) -> _Client | None:
-        """An idle connection that is alive, the newest first."""
-        idle = self._idle.get(worker, [])
+        """An idle connection that is alive: the newest of those that have rested."""
+        idle = self._idle.get(worker)
+        if not idle:
+            return None
+        rested = self.reactor.seconds() - self.limits.rest_s
+        resting: list[_Client] = []
+        found = None
         while idle:
             client = idle.pop()
-            client.idle_call.cancel()
-            # Danger: a connection that the worker closed while it was idle would look like a failed request.
+            if self.limits.rest_s and client.idle_since > rested:
+                resting.append(client)
+                continue
+            # Danger: a connection that the worker closed while it was idle would look like a failed request, and
+            # what it said unasked would pass for the next answer.
             if not client.dead():
-                return client
+                found = client
+                break
+            self.counts["dead"] += 1
             client.transport.abortConnection()
-        return None
+        idle.extend(reversed(resting))
+        if not idle:
+            self._idle.pop(worker, None)
+        return found
 
     def keep(self, client: _Client) -> None:
         """A connection whose exchange is over."""
-        idle = self._idle.setdefault(client.worker, [])
-        if len(idle) >= self.limits.idle_each:
+        idle = self._idle.setdefault(client.worker, deque())
+        if len(idle) >= self.limits.idle_each or self.address_of(client.worker) != client.address:
+            if not idle:
+                del self._idle[client.worker]
             client.transport.loseConnection()
             return
-        client.idle_call = self.reactor.callLater(self.limits.idle_s, self._expire, client)
+        client.idle_since = self.reactor.seconds()
         idle.append(client)
+        if self._sweep_call is None:
+            self._sweep_call = self.reactor.callLater(self.limits.idle_s, self._sweep)
+
+    def _sweep(self) -> None:
+        """Close what was idle for long. One timer for all, since one each would cost every exchange."""
+        self._sweep_call = None
+        now, first = self.reactor.seconds(), None
+        for worker, idle in list(self._idle.items()):
+            while idle and idle[0].idle_since + self.limits.idle_s <= now:
+                idle.popleft().transport.loseConnection()
+            if idle:
+                first = min(first or idle[0].idle_since, idle[0].idle_since)
+            else:
+                self._idle.pop(worker, None)
+        if first is not None:
+            self._sweep_call = self.reactor.callLater(max(0.001, first + self.limits.idle_s - now), self._sweep)
+
+    def make_room(self) -> bool:
+        """Whether one more connection may be made; the longest idle one is closed for it where that helps."""
+        if not self.limits.most or self.connecting + self.open < self.limits.most:
+            return True
+        idle = min((idle for idle in self._idle.values() if idle), key=lambda each: each[0].idle_since, default=None)
+        if idle is None:
+            return False
+        idle.popleft().transport.abortConnection()
+        return True
 
-    def _expire(self, client: _Client) -> None:
-        self.drop(client)
-        client.transport.loseConnection()
+    def drop_worker(self, worker: str) -> None:
+        """Close a worker's idle connections: it has left, or moved."""
+        for client in self._idle.pop(worker, ()):
+            client.transport.loseConnection()
 
-    def drop(self, client: _Client) -> None:
-        """A connection that is gone."""
-        idle = self._idle.get(client.worker, [])
-        if client in idle:
+    def gone(self, client: _Client) -> None:
+        """A connection that has ended."""
+        self.open -= 1
+        idle = self._idle.get(client.worker)
+        if idle is not None and client in idle:
             idle.remove(client)
-            if client.idle_call.active():
-                client.idle_call.cancel()
-        if not idle:
-            self._idle.pop(client.worker, None)
+            if not idle:
+                del self._idle[client.worker]
 
     def close(self) -> None:
         """Close what is idle."""
-        for idle in list(self._idle.values()):
-            for client in list(idle):
-                self._expire(client)
+        for worker in list(self._idle):
+            self.drop_worker(worker)
--- a/anisefront/cli/main.py
+++ b/anisefront/cli/main.py
@@ -2,32 +2,38 @@
 
 from __future__ import annotations
 
+import importlib
 import json
 import sys
 from pathlib import Path
 
 import click
 
-from anisefront.cli.config import checked, load
-from anisefront.cli.config import config as config_group
-from anisefront.cli.load import load as load_command
-from anisefront.cli.model import model
-from anisefront.cli.trace import trace
 
+# Commands with much behind them, each from its own module: a gatekeeper of little memory loads none of the others'.
+_ELSEWHERE = {"config": ("config", "config"), "check": ("config", "check"), "load": ("load", "load"),
+              "model": ("model", "model"), "trace": ("trace", "trace"), "node": ("node", "node")}
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+
+class _Commands(click.Group):
+    """The sub-commands, loaded when they are asked for."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *_ELSEWHERE])
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in _ELSEWHERE:
+            return super().get_command(ctx, name)
+        module, attribute = _ELSEWHERE[name]
+        return getattr(importlib.import_module(f"anisefront.cli.{module}"), attribute)
+
+
+@click.group(cls=_Commands, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="anisefront")
 def main() -> None:
     """A gateway that keeps quotas and priorities across a fleet."""
 
 
-main.add_command(config_group)
-main.add_command(config_group.commands["check"], "check")
-main.add_command(model)
-main.add_command(trace)
-main.add_command(load_command)
-
-
 @main.command()
 @click.argument("file", type=click.Path())
 @click.option("--log-level", default="info", type=click.Choice(["debug", "info", "warning", "error"]))
@@ -35,6 +41,7 @@
     """Run one gatekeeper by a settings FILE in the foreground.
 
     SIGHUP reads the file again, SIGTERM drains, a second one stops at once."""
+    from anisefront.cli.config import checked, load
     from anisefront.daemon import process
     config, workers = load(file), None
     if config.embedded is not None:
--- /dev/null
+++ b/anisefront/cli/node.py
@@ -0,0 +1,34 @@
+"""`anisefront node`: one gatekeeper of the platform, by what its environment tells."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+import click
+
+
+@click.command()
+@click.option("--log-level", default="info", type=click.Choice(["debug", "info", "warning", "error"]))
+def node(log_level: str) -> None:
+    """Run one gatekeeper of the platform in the foreground, by PROXY_CONFIG and the rest of its environment.
+
+    SIGHUP reads the file again, SIGTERM drains, a second one stops at once."""
+    from anisefront.daemon import process
+    from anisefront.node.config import ConfigFault, node_config, read
+    from anisefront.node.gatekeeper import NodeGatekeeper
+    path = os.environ.get("PROXY_CONFIG", "")
+    if not path:
+        raise click.ClickException("PROXY_CONFIG is not set: it names the file with the configuration")
+
+    def again():
+        try:
+            return node_config(read(path), os.environ)
+        except ConfigFault as problem:
+            return problem
+
+    config = again()
+    if isinstance(config, ConfigFault):
+        raise click.ClickException(str(config))
+    sys.exit(process.run(lambda reactor, on_fault: NodeGatekeeper(config, reactor, on_fault=on_fault), log_level,
+                         config.name, hang_up=lambda gatekeeper: gatekeeper.reload(again())))
--- a/anisefront/daemon/collector.py
+++ b/anisefront/daemon/collector.py
@@ -20,8 +20,8 @@
 class Collector:
     """`held` says how many requests are held now. `pauses` has all collections, in milliseconds."""
 
-    def __init__(self, reactor: Any, held: Callable[[], int]) -> None:
-        self._reactor, self._held = reactor, held
+    def __init__(self, reactor: Any, held: Callable[[], int], every_s: float = EVERY_S) -> None:
+        self._reactor, self._held, self._every_s = reactor, held, every_s
         self.pauses, self._began, self._last = Lag(), 0.0, 0.0
 
     def start(self) -> None:
@@ -31,7 +31,7 @@
         gc.set_threshold(YOUNG, MIDDLE, OLD)
         gc.callbacks.append(self._note)
         self._last = self._reactor.seconds()
-        self._reactor.callLater(EVERY_S, self._look)
+        self._reactor.callLater(self._every_s, self._look)
 
     def _note(self, phase: str, info: dict[str, int]) -> None:
         if phase == "start":
@@ -44,4 +44,4 @@
         if self._held() <= FEW_HELD or now - self._last >= MOST_S:
             self._last = now
             gc.collect()
-        self._reactor.callLater(EVERY_S, self._look)
+        self._reactor.callLater(self._every_s, self._look)
--- a/anisefront/daemon/process.py
+++ b/anisefront/daemon/process.py
@@ -8,26 +8,43 @@
 import sys
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
-from anisefront.config.checker import Checked
-from anisefront.config.types import Config
 from anisefront.daemon import logs
-from anisefront.policy.interface import Fleet
+
+if TYPE_CHECKING:  # a gatekeeper of another front must not pay for these
+    from anisefront.config.checker import Checked
+    from anisefront.config.types import Config
+    from anisefront.policy.interface import Fleet
 
 
 def serve(config: Config, log_level: str, workers: Callable[[Any], Fleet] | None = None,
           again: Callable[[], Checked] | None = None) -> int:
-    """Run until it is stopped; the exit code. `workers` starts an embedded fleet on the reactor, `again` reads and
-    checks the settings anew when SIGHUP asks for it."""
+    """Run the gatekeeper of the settings language; the exit code. `workers` starts an embedded fleet on the reactor,
+    `again` reads and checks the settings anew when SIGHUP asks for it."""
+    from anisefront.daemon.gatekeeper import Gatekeeper
+
+    def before(gatekeeper: Any) -> None:
+        if workers is not None:
+            gatekeeper.ledger.roster(workers(gatekeeper.reactor))
+
+    return run(lambda reactor, on_fault: Gatekeeper(config, reactor, on_fault=on_fault), log_level,
+               str(config.settings.number), before, None if again is None else lambda each: each.reload(again()))
+
+
+def run(make: Callable[[Any, Callable[[Exception], None]], Any], log_level: str, name: str,
+        before: Callable[[Any], None] = lambda gatekeeper: None,
+        hang_up: Callable[[Any], object] | None = None) -> int:
+    """Run a gatekeeper until it is stopped; the exit code.
+
+    `make(reactor, on_fault)` makes it: it has `start`, `drain`, `ledger` and `collector`. `before` is called with it
+    before its start, `hang_up` at each SIGHUP; what that raises is logged and ends nothing."""
     logs.set_up(log_level)
     logs.follow_twisted()
     from twisted.internet import reactor
-
-    from anisefront.daemon.gatekeeper import Gatekeeper
-    log = structlog.get_logger().bind(gatekeeper=config.settings.number)
+    log = structlog.get_logger().bind(gatekeeper=name)
     code = [0]
 
     def module_fault(problem: Exception) -> None:
@@ -35,12 +52,11 @@
         code[0] = 3
         reactor.callLater(0.2, end)  # the failures are being written
 
-    gatekeeper = Gatekeeper(config, reactor, on_fault=module_fault)
+    gatekeeper = make(reactor, module_fault)
 
     def begin() -> None:
         try:
-            if workers is not None:
-                gatekeeper.ledger.roster(workers(reactor))
+            before(gatekeeper)
             where = gatekeeper.start()
             gatekeeper.collector.start()
         except OSError as problem:
@@ -71,8 +87,14 @@
             reactor.stop()
 
     def on_hangup(number: int, frame: Any) -> None:
-        if again is not None:
-            reactor.callFromThread(lambda: gatekeeper.reload(again()))
+        if hang_up is not None:
+            reactor.callFromThread(take_again)
+
+    def take_again() -> None:
+        try:
+            hang_up(gatekeeper)
+        except Exception as problem:  # Danger: a file that nobody foresaw must not end a gatekeeper in service
+            log.error("reload_raised", exc_info=problem)
 
     reactor.callWhenRunning(begin)
     signal.signal(signal.SIGHUP, on_hangup)
--- /dev/null
+++ b/anisefront/node/config.py
@@ -0,0 +1,106 @@
+"""What the platform tells a gatekeeper: `PROXY_CONFIG` and the environment. Free of I/O but for the one file.
+
+What is missing or wrong is one `ConfigFault` that names the place and what is due there.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from anisefront.node.discovery import Change, DiscoveryFault, read_change
+from anisefront.policy.interface import Settings
+from anisefront.policy.settings import settings_of
+
+MOST_BYTES = 16 << 20
+Address = tuple[str, int]
+
+
+class ConfigFault(ValueError):
+    """The configuration can't be taken; the text says where and why."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeConfig:
+    """One gatekeeper's configuration. Times in milliseconds, memory in megabytes (2^20 bytes)."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: Settings
+    peer_listen: Address | None
+    peers: tuple[Address, ...]  # by their numbers in the settings
+    known: Change | None  # the fleet list that this gatekeeper last had; it may be old
+    memory_mb: float
+    sockets: int
+    connect_timeout_ms: float
+    idle_ms: float  # after which the machine closes an idle connection to a worker at the latest
+
+
+def address(text: object, where: str) -> Address:
+    """`host:port` as a pair."""
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigFault(f"{where}: {text!r} is no HOST:PORT")
+    return host, int(port)
+
+
+def read(path: str) -> dict[str, Any]:
+    """The object in the file."""
+    try:
+        with open(path, "rb") as file:
+            found = json.loads(file.read(MOST_BYTES))
+    except (OSError, ValueError) as problem:
+        raise ConfigFault(f"{path}: {problem}") from problem
+    if not isinstance(found, dict):
+        raise ConfigFault(f"{path}: an object is due")
+    return found
+
+
+def _figure(table: Mapping[str, Any], names: tuple[str, ...], fallback: float) -> float:
+    for name in names:
+        value = table.get(name)
+        if isinstance(value, int | float) and not isinstance(value, bool) and value > 0:
+            return float(value)
+    return fallback
+
+
+def node_config(found: Mapping[str, Any], environment: Mapping[str, str]) -> NodeConfig:
+    """The configuration that the file's object and the environment make; the environment's addresses stand in for
+    those that the file does not name."""
+    try:
+        settings = settings_of(found.get("settings"))
+    except ValueError as problem:
+        raise ConfigFault(f"settings: {problem}") from problem
+    limits = found.get("limits")
+    limits = limits if isinstance(limits, dict) else {}
+    peers = found.get("peers")
+    peers = peers if isinstance(peers, list) else []
+    if peers and len(peers) < settings.gateways:
+        raise ConfigFault(f"peers: {len(peers)} addresses for {settings.gateways} gatekeepers")
+    known = None
+    if found.get("known") is not None:
+        try:
+            known = read_change(found["known"])
+        except DiscoveryFault as problem:
+            raise ConfigFault(f"known: {problem}") from problem
+    seed = str(found.get("seed", "0"))
+    try:
+        seed_number = int(seed, 16)
+    except ValueError as problem:
+        raise ConfigFault(f"seed: {seed!r} is no hex number") from problem
+    raw = found["settings"]
+    pool = next((raw[name] for name in ("conn", "connections", "conns") if isinstance(raw.get(name), dict)), {})
+    peer_listen = found.get("peer_listen")
+    return NodeConfig(
+        name=str(found.get("name") or environment.get("PROXY_NAME", "")),
+        listen=address(found.get("listen") or environment.get("PROXY_LISTEN"), "listen"),
+        discovery=address(found.get("discovery") or environment.get("PROXY_DISCOVERY"), "discovery"),
+        seed=seed_number, settings=settings,
+        peer_listen=address(peer_listen, "peer_listen") if peer_listen else None,
+        peers=tuple(address(each, f"peers[{n}]") for n, each in enumerate(peers)), known=known,
+        memory_mb=_figure(limits, ("memory_mb",), 128.0), sockets=int(_figure(limits, ("sockets",), 256.0)),
+        connect_timeout_ms=_figure(pool, ("dialTimeoutMs",), 250.0), idle_ms=_figure(pool, ("idleMs",), 5000.0))
--- /dev/null
+++ b/anisefront/node/discovery.py
@@ -0,0 +1,160 @@
+"""The platform's discovery: its list and its watch, read into fleet lists for the module. Free of I/O.
+
+`Book` keeps what was told of every worker: name and address are apart, for a new worker may come at an old address.
+It decides nothing about requests. `fleet/` has the roster of our own; this is the platform's.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from anisefront.policy.interface import Fleet, Server, State
+from anisefront.wire.http1 import Head, Message, MessageFault, Part, Reader
+
+STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+MOST_LINE = 4 << 20  # bytes of one change
+MOST_WORKERS = 10_000
+QUIET_S = 5.0  # an empty line comes every 2 s: a watch that is silent for so long is dead
+
+
+class DiscoveryFault(ValueError):
+    """What discovery sent can't be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One worker as discovery tells of it."""
+
+    server: Server
+    address: tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """The whole list (`snapshot`), or the entries that changed up to version `index`."""
+
+    index: int
+    snapshot: bool
+    entries: tuple[Entry, ...]
+
+
+def _text(row: Mapping[str, Any], name: str) -> str:
+    value = row.get(name)
+    if not isinstance(value, str) or not value or len(value) > 256:
+        raise DiscoveryFault(f"{name}: {value!r} is no text")
+    return value
+
+
+def _number(row: Mapping[str, Any], name: str, fallback: float) -> float:
+    value = row.get(name, fallback)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise DiscoveryFault(f"{name}: {value!r} is no number")
+    return value
+
+
+def _entry(row: object) -> Entry:
+    if not isinstance(row, dict):
+        raise DiscoveryFault(f"{row!r} is no entry")
+    state = STATES.get(row.get("status"))
+    if state is None:
+        raise DiscoveryFault(f"status: {row.get('status')!r} is not known")
+    host, _, port = _text(row, "address").rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise DiscoveryFault(f"address: {row.get('address')!r} is no HOST:PORT")
+    server = Server(_text(row, "name"), str(row.get("zone", "")), int(_number(row, "group", 0)), state,
+                    _number(row, "weight", 1.0), _number(row, "since_ms", 0))
+    return Entry(server, (host, int(port)))
+
+
+def read_change(found: object) -> Change:
+    """The change that a JSON object tells; `DiscoveryFault` where it can't be read."""
+    if not isinstance(found, dict) or not isinstance(found.get("endpoints"), list):
+        raise DiscoveryFault("an object with endpoints is due")
+    if len(found["endpoints"]) > MOST_WORKERS:
+        raise DiscoveryFault(f"over {MOST_WORKERS} endpoints")
+    return Change(int(_number(found, "index", 0)), found.get("snapshot") is True,
+                  tuple(_entry(row) for row in found["endpoints"]))
+
+
+class Book:
+    """What is known of the workers now."""
+
+    def __init__(self) -> None:
+        self.index = 0
+        self.entries: dict[str, Entry] = {}
+
+    def apply(self, change: Change) -> tuple[Fleet | None, list[str]]:
+        """Take a change in: the list for the module (None where the change is older than what is known), and the
+        names of workers that have gone, have moved or were started anew."""
+        if not change.snapshot and change.index <= self.index and self.index:
+            return None, []  # a change that was told before, as after a reconnect
+        before, after = self.entries, {} if change.snapshot else dict(self.entries)
+        for entry in change.entries:
+            if entry.server.state is State.GONE:
+                after.pop(entry.server.id, None)
+            else:
+                after[entry.server.id] = entry
+        self.index, self.entries = change.index, after
+        moved = [name for name, old in before.items() if self._moved(old, after.get(name))]
+        return Fleet(tuple(entry.server for entry in after.values())), moved
+
+    @staticmethod
+    def _moved(old: Entry, new: Entry | None) -> bool:
+        return new is None or new.address != old.address or new.server.started_ms != old.server.started_ms
+
+    def address_of(self, worker: str) -> tuple[str, int] | None:
+        """Where a worker listens; None for one that is not listed."""
+        entry = self.entries.get(worker)
+        return entry.address if entry else None
+
+
+def watch_request(index: int, host: str) -> bytes:
+    """The request that opens a watch from a version on."""
+    return f"GET /v1/endpoints?watch=1&from={index} HTTP/1.1\r\nhost: {host}\r\n\r\n".encode()
+
+
+class WatchReader:
+    """Reads the answer to a watch: a change a line, however the chunks are cut."""
+
+    def __init__(self) -> None:
+        self._http = Reader(requests=False, parts=True)
+        self._line = bytearray()
+        self.ended = False
+
+    def feed(self, data: bytes) -> list[Change]:
+        """The changes that these bytes complete. Raises `DiscoveryFault`."""
+        try:
+            events = self._http.feed(data)
+        except MessageFault as problem:
+            raise DiscoveryFault(str(problem)) from problem
+        return list(self._changes(events))
+
+    def _changes(self, events: Iterable[Head | Part | Message]) -> Iterable[Change]:
+        for event in events:
+            if isinstance(event, Head):
+                if event.status != 200:
+                    raise DiscoveryFault(f"status {event.status}")
+            elif isinstance(event, Part):
+                yield from self._lines(event.data)
+            else:
+                self.ended = True
+                yield from self._lines(event.body + b"\n")
+
+    def _lines(self, data: bytes) -> Iterable[Change]:
+        seen = len(self._line)
+        self._line += data
+        while (end := self._line.find(b"\n", seen)) >= 0:
+            line = bytes(self._line[:end]).strip()
+            del self._line[:end + 1]
+            seen = 0
+            if line:
+                try:
+                    yield read_change(json.loads(line))
+                except (ValueError, RecursionError) as problem:
+                    raise DiscoveryFault(str(problem)) from problem
+        if len(self._line) > MOST_LINE:
+            raise DiscoveryFault(f"a line of over {MOST_LINE} bytes")
--- /dev/null
+++ b/anisefront/node/front.py
@@ -0,0 +1,306 @@
+"""Clients of the platform: connections, commands in, answers in the order of the commands, on Twisted.
+
+    young --first whole command--> busy <--> idle          closed: the longest idle where there are too many
+      |                             |
+      +---- half a command ---------+                      closed: when it does not come whole in time
+
+What can't be read ends its connection; what can be read and not used gets an error line, and its sender is read on no
+faster than others are served. Nothing here decides about requests that can be used: the ledger hears of all of them.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet import protocol
+from twisted.python.failure import Failure
+
+from anisefront.fronts.backpressure import Backpressure
+from anisefront.node import resp
+from anisefront.node.carrier import FAILED, NodeCarrier, refusal
+from anisefront.node.terms import VERBS, Reader, TermsFault
+
+FIRST_S = 2.0  # a connection's first command is due within this time, any command so long after its first byte
+IDLE_S = 2.0  # a connection without an open request may be closed after so long
+STUCK_S = 5.0  # a client that does not read its answers is cut off
+SWEEP_S = 0.25
+MOST_OPEN = 64  # commands of one connection without an answer; more at once is no client of ours
+PAUSE_S, MOST_PAUSE_S = 0.1, 1.6  # nothing is read after a command that can't be used; twice as long after each more
+BUSY_MS = 250.0  # advice where this gatekeeper is full
+PONG, OK = b"+PONG\r\n", b"+OK\r\n"
+YOUNG, HALF, IDLE, BUSY = "young", "half", "idle", "busy"
+
+
+@dataclass(slots=True)
+class FrontLimits:
+    """Caps of the front. Sizes in bytes."""
+
+    most_connections: int = 100
+    most_idle: int = 50  # of them without an open request, when they were idle for IDLE_S
+    most_bodies: int = 8 << 20  # of values held for open requests
+
+
+@dataclass(slots=True, eq=False)
+class _Slot:
+    """One command's place in the order of answers."""
+
+    answer: bytes | None = None
+    number: int | None = None  # of its request in the ledger
+    size: int = 0
+
+
+class Client(Backpressure):
+    """One connection."""
+
+    def __init__(self, front: Front) -> None:
+        self.front, self.reader = front, resp.CommandReader()
+        self.slots: deque[_Slot] = deque()
+        self.place = ""
+        self.since = 0.0  # in this place
+        self._bad = 0
+        self._ending = False
+        self._pause: Any = None
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.watch_reader(self.front.reactor, STUCK_S, self.abort)
+        self.front.put(self, YOUNG)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._ending:
+            return
+        commands = self.reader.feed(data)
+        if len(self.slots) + len(commands) > MOST_OPEN:
+            self._refuse_all(resp.RespFault("too many commands at once").line)
+            return
+        for parts in commands:
+            self._command(parts)
+        if self.reader.fault is not None:
+            self._refuse_all(self.reader.fault.line)
+            return
+        self._flush()
+
+    def _command(self, parts: list[bytes]) -> None:
+        slot = _Slot()
+        self.slots.append(slot)
+        verb = parts[0]
+        if verb in VERBS:
+            self._ask(slot, parts)
+        elif verb.upper() == b"PING" and len(parts) <= 2:
+            slot.answer = PONG if len(parts) == 1 else resp.bulk(parts[1])
+        elif verb.upper() in (b"CLIENT", b"SELECT"):
+            slot.answer = OK
+        else:
+            self._unfit(slot, f"unknown command '{verb[:20].decode('latin-1')}'")
+
+    def _ask(self, slot: _Slot, parts: list[bytes]) -> None:
+        front = self.front
+        try:
+            wanted = front.terms.read(parts)
+        except TermsFault as problem:
+            self._unfit(slot, str(problem))
+            return
+        if front.carrier.knows(wanted.id):
+            # Danger: workers know a request by its id: another's, sent on, would be taken for a second copy of it.
+            self._unfit(slot, "id: a request with this id is open")
+            return
+        slot.size = len(wanted.tail)
+        if front.bodies + slot.size > front.limits.most_bodies:
+            front.counts["full"] += 1
+            slot.answer = refusal(BUSY_MS)
+            return
+
+        def final(answer: bytes) -> None:
+            slot.answer, slot.number = answer, None
+            front.bodies -= slot.size
+            self._flush()
+
+        front.bodies += slot.size
+        slot.number = front.carrier.ask(wanted, front.due_ms(wanted.wait_ms), final)
+        if slot.number is None:
+            front.bodies -= slot.size
+            front.counts["full"] += 1
+            slot.answer = refusal(BUSY_MS)
+
+    def _unfit(self, slot: _Slot, why: str) -> None:
+        """A command that can't be used. Danger: the same again at once, without end, would take the time of all
+        others; so nothing more is read from this connection for a moment."""
+        self.front.counts["unfit"] += 1
+        slot.answer = resp.error(b"ERR " + why.encode("ascii", "replace"))
+        if self._pause is None:
+            self._pause = self.front.reactor.callLater(min(MOST_PAUSE_S, PAUSE_S * 2 ** self._bad), self._read_on)
+            self._bad += 1
+            self.hold()
+
+    def _read_on(self) -> None:
+        self._pause = None
+        self.go_on()
+
+    def _refuse_all(self, line: bytes) -> None:
+        """What came can't be read: what is open here is called off, each command gets its error, and we close."""
+        self.front.counts["unreadable"] += 1
+        self.slots.append(_Slot(resp.error(line)))
+        self.fail_all()
+        self.front.put(self, YOUNG)  # cut off where it does not read this either
+
+    def _withdraw(self, slot: _Slot) -> None:
+        number, slot.number = slot.number, None
+        self.front.bodies -= slot.size
+        self.front.carrier.withdraw(number)
+
+    def _flush(self) -> None:
+        """Write the answers whose turn it is, and take the place that follows from what is left."""
+        slots, ready = self.slots, []
+        while slots and slots[0].answer is not None:
+            ready.append(slots.popleft().answer)
+        if ready and not self._ending:
+            self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
+        if not self._ending:
+            if slots:
+                place = BUSY
+            elif self.reader.midway:
+                place = HALF if self.place != YOUNG else YOUNG
+            else:
+                place = IDLE if ready or self.place != YOUNG else YOUNG
+            if self.reader.midway and place == BUSY:
+                place = HALF
+            if place != self.place:
+                self.front.put(self, place)
+            if place == IDLE and self.front.closing:
+                self.end()
+
+    def end(self) -> None:
+        """Close between requests, when what was written has gone out."""
+        self._ending = True
+        self.transport.loseConnection()
+
+    def fail_all(self) -> None:
+        """Answer what is open, without a promise, and close."""
+        answers = []
+        for slot in self.slots:
+            if slot.number is not None:
+                self._withdraw(slot)
+            answers.append(slot.answer or FAILED)
+        self.slots.clear()
+        if answers and not self._ending:
+            self.transport.write(b"".join(answers))
+        self.end()
+
+    def overdue(self) -> None:
+        """Its command did not come whole in time."""
+        if self._ending:
+            self.abort()
+        else:
+            self._refuse_all(resp.RespFault("a command did not come whole in time").line)
+
+    def abort(self) -> None:
+        """Cut it off."""
+        self._ending = True
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        self._ending = True
+        self.forget_reader()
+        if self._pause is not None and self._pause.active():
+            self._pause.cancel()
+        for slot in self.slots:
+            if slot.number is not None:
+                self._withdraw(slot)
+        self.slots.clear()
+        self.front.gone(self)
+
+
+class Front(protocol.Factory):
+    """All connections of clients. `now_ms` is the ledger's clock."""
+
+    noisy = False
+
+    def __init__(self, reactor: Any, carrier: NodeCarrier, terms: Reader, now_ms: Callable[[], float],
+                 limits: FrontLimits) -> None:
+        self.reactor, self.carrier, self.terms, self.now_ms, self.limits = reactor, carrier, terms, now_ms, limits
+        self.counts: Counter[str] = Counter()
+        self.bodies = 0
+        self.closing = False
+        self.latest_ms = float("inf")  # all is answered by then, whatever the clients would wait
+        # Of each place the connections by the time since which they are in it, the longest first.
+        self.places: dict[str, OrderedDict[Client, None]] = {
+            place: OrderedDict() for place in (YOUNG, HALF, IDLE, BUSY)}
+        self._sweep_call: Any = None
+
+    @property
+    def connections(self) -> int:
+        """How many connections are open."""
+        return sum(map(len, self.places.values()))
+
+    def due_ms(self, wait_ms: float) -> float:
+        """When a request that comes now is to be answered."""
+        return min(self.now_ms() + wait_ms, self.latest_ms)
+
+    def buildProtocol(self, address: object) -> Client | None:
+        """Take a connection, in the place of one that is not used where there are as many as may be."""
+        if self.connections >= self.limits.most_connections:
+            for place in (YOUNG, IDLE):
+                if self.places[place]:
+                    client = next(iter(self.places[place]))
+                    self.counts["made_room"] += 1
+                    self.places[place].pop(client)
+                    client.place = ""
+                    client.abort()
+                    break
+            else:
+                self.counts["turned_away"] += 1
+                return None
+        if self._sweep_call is None:
+            self._sweep_call = self.reactor.callLater(SWEEP_S, self._sweep)
+        return Client(self)
+
+    def put(self, client: Client, place: str) -> None:
+        """A connection is in this place from now on."""
+        if client.place:
+            self.places[client.place].pop(client, None)
+        client.place, client.since = place, self.reactor.seconds()
+        self.places[place][client] = None
+
+    def gone(self, client: Client) -> None:
+        """A connection has ended."""
+        if client.place:
+            self.places[client.place].pop(client, None)
+            client.place = ""
+
+    def _sweep(self) -> None:
+        """Look at the longest in each place; those behind them are not due."""
+        now = self.reactor.seconds()
+        for place in (YOUNG, HALF):
+            for client in self._since(place, now - FIRST_S):
+                self.counts["overdue"] += 1
+                client.overdue()
+        idle = self.places[IDLE]
+        for client in self._since(IDLE, now - IDLE_S)[:max(0, len(idle) - self.limits.most_idle)]:
+            self.counts["idle_closed"] += 1
+            client.end()
+            idle.pop(client, None)
+            client.place = ""
+        self._sweep_call = self.reactor.callLater(SWEEP_S, self._sweep) if self.connections else None
+
+    def _since(self, place: str, moment: float) -> list[Client]:
+        out = []
+        for client in self.places[place]:
+            if client.since > moment:
+                break
+            out.append(client)
+        return out
+
+    def close_idle(self) -> None:
+        """From now on connections end between requests."""
+        self.closing = True
+        for client in list(self.places[IDLE]):
+            client.end()
+
+    def fail_all(self) -> None:
+        """The end: what has no answer yet gets one that promises nothing, and all connections close."""
+        for place in self.places.values():
+            for client in list(place):
+                client.fail_all()
--- /dev/null
+++ b/anisefront/node/gatekeeper.py
@@ -0,0 +1,154 @@
+"""One gatekeeper of the platform: the ledger with its front, carrier, peers and discovery, put together.
+
+It decides nothing: what is refused for want of room is said by the front, all else by the module.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+from twisted.internet import defer
+
+from anisefront.carriers.pool import Pool, PoolLimits
+from anisefront.core.ledger import Ledger
+from anisefront.daemon.clock import Clock
+from anisefront.daemon.collector import Collector
+from anisefront.node.carrier import NodeCarrier, RespAnswers
+from anisefront.node.config import ConfigFault, NodeConfig
+from anisefront.node.discovery import Book, Change
+from anisefront.node.front import Front, FrontLimits
+from anisefront.node.peers import PeerPort
+from anisefront.node.terms import Reader
+from anisefront.node.watch import Watch
+from anisefront.policy.control import Controller
+
+OTHER_SOCKETS = 24  # standard streams, event loop, listener, datagrams, discovery old and new, and some to spare
+CLIENT_PART = 0.5  # of the descriptors; the rest is for workers
+REST_S = 0.01  # after an answer, before its connection is used again
+STALL_S = 0.4  # an answer that has begun goes on within this time
+IDLE_PART = 0.6  # of the time after which the machine closes an idle connection
+LISTEN_ON_MS = 500.0  # after SIGTERM new connections still come for a while
+LAST_MS = 3400.0  # after SIGTERM all is answered by then; the platform kills no sooner than after 3.7 s
+REPORT_S = 10.0
+
+
+class NodeGatekeeper:
+    """Made, started, drained and stopped once."""
+
+    def __init__(self, config: NodeConfig, reactor: Any, clock: Callable[[], float] | None = None,
+                 on_fault: Callable[[Exception], None] | None = None) -> None:
+        self.config, self.reactor, self.clock = config, reactor, clock or Clock()
+        self.log = structlog.get_logger().bind(gatekeeper=config.name)
+        settings = config.settings
+        self.peer_port = None
+        if config.peer_listen is not None and settings.may_tell:
+            self.peer_port = PeerPort(settings.number, config.peers,
+                                      lambda sender, data: self.ledger.hear(sender, data))
+        self.ledger = Ledger(Controller(settings, config.seed), self.clock, reactor,
+                             self.peer_port.tell if self.peer_port else lambda receiver, data: None,
+                             most_open=max(64, int(config.memory_mb * 16)), on_fault=on_fault)
+        self.book = Book()
+        most = max(32, config.sockets - OTHER_SOCKETS)
+        clients = int(most * CLIENT_PART)
+        self.pool = Pool(reactor, PoolLimits(
+            connect_s=config.connect_timeout_ms / 1000, idle_s=config.idle_ms * IDLE_PART / 1000, idle_each=64,
+            most=most - clients, rest_s=REST_S, stall_s=STALL_S),
+            RespAnswers, self.book.address_of, self.ledger.may_go_to)
+        self.carrier = NodeCarrier(self.ledger, self.pool, settings.report_fields)
+        self.front = Front(reactor, self.carrier, Reader(settings), self.clock, FrontLimits(
+            clients, clients // 2, int(config.memory_mb * (1 << 20) / 8)))
+        self.watch = Watch(reactor, config.discovery, lambda: self.book.index, self.told, self._discovery_fault)
+        self.collector = Collector(reactor, lambda: self.ledger.open, every_s=REPORT_S)
+        self._port: Any = None
+        self._drained: defer.Deferred[None] | None = None
+
+    def start(self) -> dict[str, Any]:
+        """Listen, and say where. `OSError` where a port can't be had."""
+        config, where = self.config, {}
+        if config.known is not None:
+            self.told(config.known)  # it may be old, and serves until discovery tells more
+        self.watch.start()
+        if self.peer_port is not None:
+            host, port = config.peer_listen
+            self.reactor.listenUDP(port, self.peer_port, interface=host, maxPacketSize=2048)
+            where["peers"] = f"{host}:{port}"
+        host, port = config.listen
+        self._port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
+        where["resp"] = f"{host}:{self._port.getHost().port}"
+        self.log.info("started", **where, workers=len(self.book.entries), number=config.settings.number)
+        self.reactor.callLater(REPORT_S, self._report)
+        return where
+
+    # ---- discovery -----------------------------------------------------------------------------
+
+    def told(self, change: Change) -> None:
+        """A fleet list or a change of it."""
+        fleet, moved = self.book.apply(change)
+        if fleet is not None:
+            self.ledger.roster(fleet)
+            for worker in moved:
+                self.pool.drop_worker(worker)
+
+    def _discovery_fault(self, why: str) -> None:
+        self.log.warning("discovery_fault", fault=why)
+
+    def reload(self, config: NodeConfig | ConfigFault) -> bool:
+        """Take another configuration while we run: discovery's address, and the settings where they changed."""
+        if isinstance(config, ConfigFault):
+            self.log.error("config_not_taken", fault=str(config))
+            return False
+        self.watch.move(config.discovery)
+        if config.settings != self.config.settings:
+            self.front.terms = Reader(config.settings)
+            self.carrier.report_fields = config.settings.report_fields
+            self.ledger.change(config.settings)
+        self.config = config
+        self.log.info("config", discovery=f"{config.discovery[0]}:{config.discovery[1]}")
+        return True
+
+    # ---- state ---------------------------------------------------------------------------------
+
+    def state(self) -> dict[str, Any]:
+        """What this gatekeeper is and does, in plain values."""
+        ledger, controller = self.ledger, self.ledger.controller
+        return {
+            "open": ledger.open, "held": len(controller.held), "out": controller.window.out,
+            "window": round(controller.window.limit, 2), "late_ms": round(ledger.turns_late_ms, 1),
+            "workers": len(self.book.entries), "connections": self.front.connections,
+            "to_workers": self.pool.open, "connecting": self.pool.connecting,
+            "accounts": len(controller.quota.accounts), "stores": len(controller.quota.stores),
+            "turn": ledger.turn_ms.report(), "pauses": self.collector.pauses.report(),
+            "counts": dict(ledger.counts), "front": dict(self.front.counts), "pool": dict(self.pool.counts),
+            "peers": dict(self.peer_port.counts) if self.peer_port else {}}
+
+    def _report(self) -> None:
+        self.log.info("state", **self.state())
+        self.reactor.callLater(REPORT_S, self._report)
+
+    # ---- the end -------------------------------------------------------------------------------
+
+    def drain(self) -> defer.Deferred[None]:
+        """Finish what was begun and what still comes; fires when all is answered or the time is up."""
+        if self._drained is None:
+            self._drained = defer.Deferred()
+            self._term_ms = self.clock()
+            self.front.latest_ms = self._term_ms + LAST_MS
+            self.log.info("draining", open=self.ledger.open)
+            self.front.close_idle()
+            self._wait_for_end()
+        return self._drained
+
+    def _wait_for_end(self) -> None:
+        since = self.clock() - self._term_ms
+        if since >= LISTEN_ON_MS and self._port is not None:
+            self._port.stopListening()
+            self._port = None
+        if since < LISTEN_ON_MS or (since < LAST_MS and (self.ledger.open or self.front.connections)):
+            self.reactor.callLater(0.02, self._wait_for_end)
+            return
+        self.log.info("drained", left_open=self.ledger.open)
+        self.front.fail_all()
+        self.watch.stop()
+        self.reactor.callLater(0.1, self._drained.callback, None)  # the last answers are being written
--- a/anisefront/wire/http1.py
+++ b/anisefront/wire/http1.py
@@ -45,11 +45,22 @@
     headers: dict[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class Part:
+    """A chunk of a body that is handed on as it comes."""
+
+    data: bytes
+
+
 class Reader:
-    """Reads the messages of one side of a connection: `requests` true on a server, false on a client."""
+    """Reads the messages of one side of a connection: `requests` true on a server, false on a client.
+
+    `parts`: a chunked body comes as a `Part` for each chunk, and the message at its end has none; what it may hold in
+    all is not bounded then."""
 
-    def __init__(self, requests: bool, most_head: int = 16384, most_body: int = 1 << 20) -> None:
+    def __init__(self, requests: bool, most_head: int = 16384, most_body: int = 1 << 20, parts: bool = False) -> None:
         self._requests, self._most_head, self._most_body = requests, most_head, most_body
+        self._parts: list[Part] | None = [] if parts else None
         self._in = bytearray()
         self._start: tuple[str, str, int, bytes] | None = None
         self._headers: dict[str, str] = {}
@@ -62,17 +73,21 @@
         """True while a message has begun and not ended."""
         return bool(self._in) or self._start is not None
 
-    def feed(self, data: bytes, only_first: bool = False) -> list[Message | Head]:
+    def feed(self, data: bytes, only_first: bool = False) -> list[Message | Head | Part]:
         """What these bytes complete; raises `MessageFault`. `only_first` leaves what follows a message alone."""
         self._in += data
-        out: list[Message | Head] = []
+        out: list[Message | Head | Part] = []
         while True:
             if self._start is None:
                 if not self._read_head():
                     return out
                 if not self._requests:
                     out.append(Head(self._start[2], self._headers))
-            if not self._read_body():
+            whole = self._read_body()
+            if self._parts:
+                out += self._parts
+                self._parts.clear()
+            if not whole:
                 return out
             out.append(self._finish())
             if only_first:
@@ -174,7 +189,10 @@
                     return False
                 if self._in[self._left:self._left + 2] != b"\r\n":
                     raise MessageFault(400, "a chunk that does not end where it should")
-                self._body += self._in[:self._left]
+                if self._parts is not None:
+                    self._parts.append(Part(bytes(self._in[:self._left])))
+                else:
+                    self._body += self._in[:self._left]
                 del self._in[:self._left + 2]
                 self._left = -1
             end = self._in.find(b"\r\n")
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -25,7 +25,7 @@
 
 
 # A room may import those before it; wire and policy know nothing of each other or of anybody.
-ROOMS = ["policy", "wire", "core", "carriers", "fronts", "fleet", "config", "daemon", "lab", "cli"]
+ROOMS = ["policy", "wire", "core", "carriers", "fronts", "fleet", "config", "daemon", "node", "lab", "cli"]
 
 
 def test_arrows_between_rooms_go_one_way():
