--- a/anisefront/node/carrier.py
+++ b/anisefront/node/carrier.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -70,6 +71,7 @@
         self.open: dict[int, _Open] = {}
         self._ids: set[bytes] = set()
         self._exchanges: dict[tuple[int, int], Exchange] = {}
+        self.seen = Counter[str]()  # sums of what served attempts took and what workers reported, for the state report
 
     def knows(self, wanted_id: bytes) -> bool:
         """Whether a request with this id is open."""
@@ -110,6 +112,10 @@
                 self._pool.counts["unknown_error"] += 1
                 result = Result.ERROR
             load = report_row(report, self.report_fields)
+            if load:
+                self.seen["reports"] += 1
+                for name, value in zip(self.report_fields, load, strict=True):
+                    self.seen[name] += value
         self._exchanges.pop((request, attempt), None)
         if self._ledger.outcome(request, attempt, result, None, load):
             entry = self._close(request)
--- a/anisefront/node/front.py
+++ b/anisefront/node/front.py
@@ -23,7 +23,7 @@
 from anisefront.node.carrier import FAILED, NodeCarrier, refusal
 from anisefront.node.terms import VERBS, Reader, TermsFault
 
-FIRST_S = 2.0  # a connection's first command is due within this time, any command so long after its first byte
+FIRST_S = 1.0  # a connection's first command is due within this time, any command so long after its first byte
 IDLE_S = 2.0  # a connection without an open request may be closed after so long
 STUCK_S = 5.0  # a client that does not read its answers is cut off
 SWEEP_S = 0.25
--- a/anisefront/node/gatekeeper.py
+++ b/anisefront/node/gatekeeper.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable
 from typing import Any
 
@@ -58,7 +59,7 @@
             RespAnswers, self.book.address_of, self.ledger.may_go_to)
         self.carrier = NodeCarrier(self.ledger, self.pool, settings.report_fields)
         self.front = Front(reactor, self.carrier, Reader(settings), self.clock, FrontLimits(
-            clients, clients // 2, int(config.memory_mb * (1 << 20) / 8)))
+            clients, config.sockets // 16, int(config.memory_mb * (1 << 20) / 8)))
         self.watch = Watch(reactor, config.discovery, lambda: self.book.index, self.told, self._discovery_fault)
         self.collector = Collector(reactor, lambda: self.ledger.open, every_s=REPORT_S)
         self._port: Any = None
@@ -78,6 +79,9 @@
         self._port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
         where["resp"] = f"{host}:{self._port.getHost().port}"
         self.log.info("started", **where, workers=len(self.book.entries), number=config.settings.number)
+        self.log.info("settings", settings=dataclasses.asdict(config.settings) | {"tag_key": ""},
+                      memory_mb=config.memory_mb, sockets=config.sockets, idle_ms=config.idle_ms,
+                      connect_timeout_ms=config.connect_timeout_ms)
         self.reactor.callLater(REPORT_S, self._report)
         return where
 
@@ -119,6 +123,11 @@
             "workers": len(self.book.entries), "connections": self.front.connections,
             "to_workers": self.pool.open, "connecting": self.pool.connecting,
             "accounts": len(controller.quota.accounts), "stores": len(controller.quota.stores),
+            "usual_ms": {name: round(value) for name, value in controller.usual.items()},
+            "reported": {name: round(value, 2) for name, value in self.carrier.seen.items()},
+            "per_worker": {name: [backend.out, round(backend.others, 1), round(backend.slow, 2)]
+                           for name, backend in controller.servers.known.items() if name in self.book.entries},
+            "shares": {name: round(each.share, 2) for name, each in controller.shares.items()},
             "turn": ledger.turn_ms.report(), "pauses": self.collector.pauses.report(),
             "counts": dict(ledger.counts), "front": dict(self.front.counts), "pool": dict(self.pool.counts),
             "peers": dict(self.peer_port.counts) if self.peer_port else {}}
