--- a/anisefront/node/front.py
+++ b/anisefront/node/front.py
@@ -26,7 +26,7 @@
 FIRST_S = 1.0  # a connection's first command is due within this time, any command so long after its first byte
 IDLE_S = 2.0  # a connection without an open request may be closed after so long
 STUCK_S = 5.0  # a client that does not read its answers is cut off
-SWEEP_S = 0.25
+SWEEP_S = 0.1
 MOST_OPEN = 64  # commands of one connection without an answer; more at once is no client of ours
 PAUSE_S, MOST_PAUSE_S = 0.1, 1.6  # nothing is read after a command that can't be used; twice as long after each more
 BUSY_MS = 250.0  # advice where this gatekeeper is full
@@ -39,7 +39,7 @@
     """Caps of the front. Sizes in bytes."""
 
     most_connections: int = 100
-    most_idle: int = 50  # of them without an open request, when they were idle for IDLE_S
+    many_connections: int = 30  # with commands; where there are more, those that were idle for IDLE_S are closed
     most_bodies: int = 8 << 20  # of values held for open requests
 
 
@@ -278,7 +278,8 @@
                 self.counts["overdue"] += 1
                 client.overdue()
         idle = self.places[IDLE]
-        for client in self._since(IDLE, now - IDLE_S)[:max(0, len(idle) - self.limits.most_idle)]:
+        used = len(idle) + len(self.places[BUSY]) + len(self.places[HALF])
+        for client in self._since(IDLE, now - IDLE_S)[:max(0, used - self.limits.many_connections)]:
             self.counts["idle_closed"] += 1
             client.end()
             idle.pop(client, None)
--- a/anisefront/node/gatekeeper.py
+++ b/anisefront/node/gatekeeper.py
@@ -32,7 +32,7 @@
 IDLE_PART = 0.6  # of the time after which the machine closes an idle connection
 LISTEN_ON_MS = 500.0  # after SIGTERM new connections still come for a while
 LAST_MS = 3400.0  # after SIGTERM all is answered by then; the platform kills no sooner than after 3.7 s
-REPORT_S = 10.0
+REPORT_S = 2.0
 
 
 class NodeGatekeeper:
@@ -59,7 +59,7 @@
             RespAnswers, self.book.address_of, self.ledger.may_go_to)
         self.carrier = NodeCarrier(self.ledger, self.pool, settings.report_fields)
         self.front = Front(reactor, self.carrier, Reader(settings), self.clock, FrontLimits(
-            clients, config.sockets // 16, int(config.memory_mb * (1 << 20) / 8)))
+            clients, config.sockets // 8, int(config.memory_mb * (1 << 20) / 8)))
         self.watch = Watch(reactor, config.discovery, lambda: self.book.index, self.told, self._discovery_fault)
         self.collector = Collector(reactor, lambda: self.ledger.open, every_s=REPORT_S)
         self._port: Any = None
@@ -120,7 +120,7 @@
         return {
             "open": ledger.open, "held": len(controller.held), "out": controller.window.out,
             "window": round(controller.window.limit, 2), "late_ms": round(ledger.turns_late_ms, 1),
-            "workers": len(self.book.entries), "connections": self.front.connections,
+            "workers": len(self.book.entries), "connections": {place: len(kept) for place, kept in self.front.places.items()},
             "to_workers": self.pool.open, "connecting": self.pool.connecting,
             "accounts": len(controller.quota.accounts), "stores": len(controller.quota.stores),
             "usual_ms": {name: round(value) for name, value in controller.usual.items()},
