--- a/anisefront/node/carrier.py
+++ b/anisefront/node/carrier.py
@@ -136,6 +136,7 @@
         """Whether it was served within its class's aim, and where the time went."""
         now, aim = self._ledger.now_ms(), self.aims[entry.wanted.class_name]
         self.seen["served"] += 1
+        self.seen[f"served {entry.wanted.class_name} {entry.wanted.plan_name}"] += 1
         self.seen["wait_ms"] += entry.sent_ms - entry.came_ms
         self.seen["took_ms"] += now - entry.sent_ms
         self.seen["late"] += now - entry.came_ms > aim
@@ -152,6 +153,7 @@
         """Final: not done, safe to try again."""
         entry = self._close(request)
         if entry is not None:
+            self.seen[f"refused {entry.wanted.class_name} {entry.wanted.plan_name} {reason.value}"] += 1
             entry.final(refusal(retry_in_ms))
 
     def fail(self, request: int) -> None:
--- a/anisefront/node/gatekeeper.py
+++ b/anisefront/node/gatekeeper.py
@@ -121,8 +121,8 @@
         return {
             "open": ledger.open, "held": len(controller.held), "out": controller.window.out,
             "window": round(controller.window.limit, 2), "late_ms": round(ledger.turns_late_ms, 1),
-            "workers": len(self.book.entries), "connections": {place: len(kept) for place, kept in self.front.places.items()},
-            "to_workers": self.pool.open, "connecting": self.pool.connecting,
+            "workers": len(self.book.entries), "to_workers": self.pool.open,
+            "connections": {place: len(kept) for place, kept in self.front.places.items()},
             "accounts": len(controller.quota.accounts), "stores": len(controller.quota.stores),
             "usual_ms": {name: round(value) for name, value in controller.usual.items()},
             "reported": {name: round(value, 2) for name, value in self.carrier.seen.items()},
--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -67,7 +67,7 @@
 SUSPECT, HEARD_WEIGHT, SIGHTING_MS = 0.6, 0.5, 2000.0  # of an own failure: silence; what a peer saw of late
 ZONE_COST = 1.15  # a server of another zone must be so much better
 LEAST_CHOICE, CHOICE_PER_SEND = 2.0, 4.0  # servers compared; more for each recent send of ours to each server
-UTIL_LOAD, REPORT_MEMORY_MS = 2.0, 1000.0  # attempts that full use counts as; a report ages
+UTIL_LOAD, REPORT_MEMORY_MS = 2.0, 100.0  # attempts that full use counts as; what was out is soon answered
 COLD_FAILING, TOSS_MS = 0.5, 1000.0  # a cold server that fails more is passed by; a new chance for a request
 FLEET_MEMORY_MS = 30_000.0  # over which the warm fleet of late counts as what carries the load
 
@@ -428,7 +428,7 @@
     def step(self, now: float) -> None:
         """One period has gone by."""
         self.reference = max(self.capacity, self.reference * math.exp(-PERIOD_MS / FLEET_MEMORY_MS))
-        self.sends *= math.exp(-PERIOD_MS / REPORT_MEMORY_MS)
+        self.sends *= math.exp(-PERIOD_MS / RATE_MEMORY_MS)
         if self.cold:
             self.sort(now)
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -394,6 +394,19 @@
         assert c.window.cut == 1.0
 
 
+def test_an_old_report_of_an_idle_server_draws_no_herd():
+    """Gateways that all believed reports of half a second ago sent all to one server, then none for as long."""
+    c = gateway(gateways=1)
+    servers = Fleet(tuple(Server(f"s{n}", "z0", 0, State.READY) for n in range(6)))
+    sends = of(Send, c.handle(1000, [servers, *[ask(n, customer=f"f{n}") for n in range(6)]]))
+    loads = [(0.9, 30.0) if n else (0.0, 0.0) for n in range(6)]  # the last report says: all busy but one
+    done = [Outcome(send.id, 0, send.server, 50.0, Result.OK, True, 0.0, 0, load)
+            for send, load in zip(sends, loads, strict=True)]
+    c.handle(1050, done)
+    c.handle(1550, [ask(n, customer=f"g{n}") for n in range(10, 22)])
+    assert max(backend.out for backend in c.servers.known.values()) <= 4
+
+
 def test_a_server_that_restarts_under_its_old_id_keeps_its_count_of_attempts_out():
     c = gateway()
     send, = of(Send, c.handle(1000, [FLEET, ask(1)]))
