--- a/anisefront/node/config.py
+++ b/anisefront/node/config.py
@@ -60,12 +60,10 @@
     return found
 
 
-def _figure(table: Mapping[str, Any], names: tuple[str, ...], fallback: float) -> float:
-    for name in names:
-        value = table.get(name)
-        if isinstance(value, int | float) and not isinstance(value, bool) and value > 0:
-            return float(value)
-    return fallback
+def _figure(table: Mapping[str, Any], name: str, fallback: float) -> float:
+    value = table.get(name)
+    usable = isinstance(value, int | float) and not isinstance(value, bool) and value > 0
+    return float(value) if usable else fallback
 
 
 def node_config(found: Mapping[str, Any], environment: Mapping[str, str]) -> NodeConfig:
@@ -92,8 +90,8 @@
         seed_number = int(seed, 16)
     except ValueError as problem:
         raise ConfigFault(f"seed: {seed!r} is no hex number") from problem
-    raw = found["settings"]
-    pool = next((raw[name] for name in ("conn", "connections", "conns") if isinstance(raw.get(name), dict)), {})
+    told = found["settings"].get("limits")
+    told = told if isinstance(told, dict) else {}
     peer_listen = found.get("peer_listen")
     return NodeConfig(
         name=str(found.get("name") or environment.get("PROXY_NAME", "")),
@@ -102,5 +100,5 @@
         seed=seed_number, settings=settings,
         peer_listen=address(peer_listen, "peer_listen") if peer_listen else None,
         peers=tuple(address(each, f"peers[{n}]") for n, each in enumerate(peers)), known=known,
-        memory_mb=_figure(limits, ("memory_mb",), 128.0), sockets=int(_figure(limits, ("sockets",), 256.0)),
-        connect_timeout_ms=_figure(pool, ("dialTimeoutMs",), 250.0), idle_ms=_figure(pool, ("idleMs",), 5000.0))
+        memory_mb=_figure(limits, "memory_mb", 128.0), sockets=int(_figure(limits, "sockets", 256.0)),
+        connect_timeout_ms=_figure(told, "dialTimeoutMs", 250.0), idle_ms=_figure(told, "connIdleMs", 5000.0))
--- a/anisefront/node/front.py
+++ b/anisefront/node/front.py
@@ -25,6 +25,7 @@
 
 FIRST_S = 1.0  # a connection's first command is due within this time, any command so long after its first byte
 IDLE_S = 2.0  # a connection without an open request may be closed after so long
+LINGER_S = 0.2  # at the end, after a greeting without a request
 STUCK_S = 5.0  # a client that does not read its answers is cut off
 SWEEP_S = 0.1
 MOST_OPEN = 64  # commands of one connection without an answer; more at once is no client of ours
@@ -61,6 +62,7 @@
         self.place = ""
         self.since = 0.0  # in this place
         self._bad = 0
+        self._asked = False
         self._ending = False
         self._pause: Any = None
 
@@ -97,7 +99,7 @@
             self._unfit(slot, f"unknown command '{verb[:20].decode('latin-1')}'")
 
     def _ask(self, slot: _Slot, parts: list[bytes]) -> None:
-        front = self.front
+        front, self._asked = self.front, True
         try:
             wanted = front.terms.read(parts)
         except TermsFault as problem:
@@ -169,8 +171,8 @@
                 place = HALF
             if place != self.place:
                 self.front.put(self, place)
-            if place == IDLE and self.front.closing:
-                self.end()
+            if place == IDLE and self.front.closing and self._asked:
+                self.end()  # one that only greeted us is about to ask: the sweep closes it
 
     def end(self) -> None:
         """Close between requests, when what was written has gone out."""
@@ -278,6 +280,9 @@
                 self.counts["overdue"] += 1
                 client.overdue()
         idle = self.places[IDLE]
+        if self.closing:
+            for client in self._since(IDLE, now - LINGER_S):
+                client.end()
         used = len(idle) + len(self.places[BUSY]) + len(self.places[HALF])
         for client in self._since(IDLE, now - IDLE_S)[:max(0, used - self.limits.many_connections)]:
             self.counts["idle_closed"] += 1
--- /dev/null
+++ b/tests/test_node_front.py
@@ -0,0 +1,449 @@
+"""The platform's front, carrier, pool, watch and peers in memory: one test a danger, each with an exact clock."""
+
+import pytest
+from test_node_wire import ASK, DO, SERVED, chunked
+from test_pool import Handle
+from test_rules import settings
+from twisted.internet import error
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from anisefront.carriers.pool import Pool, PoolLimits
+from anisefront.core.ledger import Ledger
+from anisefront.node import front as fronts
+from anisefront.node import resp
+from anisefront.node.carrier import NodeCarrier, RespAnswers
+from anisefront.node.front import Front, FrontLimits
+from anisefront.node.peers import PeerPort
+from anisefront.node.terms import Reader
+from anisefront.node.watch import Watch
+from anisefront.policy.interface import Fail, Fleet, Outcome, Reason, Refuse, Result, Send, Server, State
+
+
+class Script:
+    """A module that does what the test says."""
+
+    def __init__(self):
+        self.arrivals, self.ends, self.next = [], [], []
+
+    def handle(self, now, events):
+        for event in events:
+            name = type(event).__name__
+            if name == "Arrival":
+                self.arrivals.append(event)
+            elif name in ("Outcome", "ClientGone"):
+                self.ends.append(event)
+        out, self.next = self.next, []
+        return out
+
+
+class Transport(StringTransport):
+    def __init__(self):
+        super().__init__()
+        self.handle, self.aborted, self.paused = Handle(), False, False
+
+    def getHandle(self):
+        return self.handle
+
+    def setTcpNoDelay(self, on):
+        pass
+
+    def registerProducer(self, producer, streaming):
+        pass
+
+    def pauseProducing(self):
+        self.paused = True
+
+    def resumeProducing(self):
+        self.paused = False
+
+    def abortConnection(self):
+        if not self.aborted:
+            self.aborted = True
+            self.protocol.connectionLost(Failure(error.ConnectionAborted()))
+
+    def loseConnection(self):
+        self.disconnecting = True
+
+    def take(self):
+        data = self.value()
+        self.clear()
+        return data
+
+
+class House:
+    """A front, a carrier and a pool around a scripted module."""
+
+    def __init__(self, **limits):
+        self.reactor, self.module = MemoryReactorClock(), Script()
+        self.address = {"s1": ("127.0.0.1", 7001), "s2": ("127.0.0.1", 7002)}
+        now = lambda: self.reactor.seconds() * 1000 + 1000  # noqa: E731
+        self.ledger = Ledger(self.module, now, self.reactor)
+        self.ledger.roster(Fleet(tuple(Server(name, "z", 0, State.READY) for name in self.address)))
+        self.pool = Pool(self.reactor, PoolLimits(rest_s=0.01, stall_s=0.4, most=limits.pop("most", 0)), RespAnswers,
+                         self.address.get, self.ledger.may_go_to)
+        self.carrier = NodeCarrier(self.ledger, self.pool, ("util", "inflight"), {"look": 600.0, "book": 900.0})
+        self.front = Front(self.reactor, self.carrier, Reader(settings()), now, FrontLimits(**limits))
+
+    def client(self):
+        protocol = self.front.buildProtocol(None)
+        if protocol is None:
+            return None
+        transport = Transport()
+        transport.protocol = protocol
+        protocol.makeConnection(transport)
+        return transport
+
+    def say(self, client, *commands):
+        client.protocol.dataReceived(b"".join(map(resp.command, commands)))
+        self.turn()
+
+    def turn(self, *actions):
+        """Let the module say this in a turn now."""
+        self.module.next = list(actions)
+        self.ledger._plan_turn()
+        self.reactor.advance(0)
+
+    def worker(self):
+        """The connection that was asked for last comes up."""
+        transport = Transport()
+        transport.protocol = self.reactor.tcpClients[-1][2].buildProtocol(None)
+        transport.protocol.makeConnection(transport)
+        return transport
+
+
+def other(number, parts=ASK):
+    return [parts[0], parts[1], b"%016x" % number, *parts[3:]]
+
+
+def test_ping_and_a_request_served_on_a_connection_that_is_used_again():
+    house = House()
+    client = house.client()
+    house.say(client, [b"PING"])
+    assert client.take() == b"+PONG\r\n"
+    house.say(client, ASK)
+    arrival, = house.module.arrivals
+    assert (arrival.customer, arrival.units, arrival.spread, arrival.first_gateway) == ("00000000b4d65521", 2.0, 3, 1)
+    house.turn(Send(arrival.id, "s1", 400.0))
+    worker = house.worker()
+    assert worker.take() == resp.command([*ASK[:3], ASK[3].replace(b"480", b"400")])
+    worker.protocol.dataReceived(SERVED)
+    house.turn()
+    assert client.take() == b"$5\r\nva\r\nl\r\n" and house.module.ends[0].result is Result.OK
+    house.reactor.advance(0.02)
+    house.say(client, other(2))
+    house.turn(Send(house.module.arrivals[1].id, "s1", 400.0))
+    assert len(house.reactor.tcpClients) == 1 and b"%016x" % 2 in worker.take()
+
+
+def test_answers_keep_the_order_of_the_commands():
+    house = House()
+    client = house.client()
+    house.say(client, ASK, other(2), [b"PING"])
+    first, second = house.module.arrivals
+    house.turn(Refuse(second.id, 250.0, Reason.CAPACITY))
+    assert client.take() == b""
+    house.turn(Fail(first.id))
+    assert client.take() == b"-ERR failed\r\n-BUSY 250\r\n+PONG\r\n"
+
+
+def test_what_cannot_be_used_touches_nobody_and_is_read_on_slowly():
+    house = House()
+    client = house.client()
+    house.say(client, other(2, [ASK[0], ASK[1], ASK[2], ASK[3].replace(b"look", b"gold")]), [b"FLUSHALL"])
+    assert not house.module.arrivals
+    assert client.take() == b"-ERR c: no such class\r\n-ERR unknown command 'FLUSHALL'\r\n"
+    assert client.paused and not client.disconnecting
+    house.reactor.advance(fronts.PAUSE_S + 0.01)
+    assert not client.paused
+
+
+def test_another_clients_open_id_is_refused_and_its_request_goes_on():
+    house = House()
+    usual, rude = house.client(), house.client()
+    house.say(usual, ASK)
+    house.say(rude, ASK)
+    assert rude.take().startswith(b"-ERR id") and len(house.module.arrivals) == 1
+    house.turn(Refuse(house.module.arrivals[0].id, 0.0))
+    assert usual.take() == b"-BUSY\r\n"
+
+
+def test_what_cannot_be_read_ends_the_connection_and_calls_off_what_was_open():
+    house = House()
+    client = house.client()
+    house.say(client, ASK)
+    client.protocol.dataReceived(b"*1\r\n$62914560\r\n" + b"x" * 1000)
+    house.turn()
+    assert client.take() == b"-ERR failed\r\n-ERR Protocol error: invalid bulk length\r\n" and client.disconnecting
+    assert [type(end).__name__ for end in house.module.ends] == ["ClientGone"]
+    client.protocol.dataReceived(resp.command(ASK))
+    assert len(house.module.arrivals) == 1
+
+
+def test_hundreds_of_commands_at_once_are_refused_before_the_module_hears_of_them():
+    house = House()
+    client = house.client()
+    house.say(client, *[other(n) for n in range(fronts.MOST_OPEN + 1)])
+    assert not house.module.arrivals and client.disconnecting and b"too many" in client.take()
+
+
+def test_silent_and_half_commands_are_cut_within_their_time():
+    house = House()
+    silent, half, later = house.client(), house.client(), house.client()
+    half.protocol.dataReceived(b"*2\r\n$4\r\nPI")
+    house.say(later, [b"PING"])
+    later.protocol.dataReceived(b"*1\r\n")
+    for _ in range(13):
+        house.reactor.advance(0.1)
+    assert all(client.disconnecting and client.take().endswith(b"in time\r\n") for client in (silent, half, later))
+    assert not house.front.places["busy"] and not house.front.places["half"]
+
+
+def test_where_there_are_many_connections_the_idle_ones_are_closed_after_their_time():
+    house = House(many_connections=1)
+    clients = [house.client() for _ in range(3)]
+    for client in clients:
+        house.say(client, [b"PING"])
+    house.reactor.advance(1.9)
+    assert not any(client.disconnecting for client in clients)
+    for _ in range(3):
+        house.reactor.advance(0.1)
+    assert [client.disconnecting for client in clients] == [True, True, False]
+
+
+def test_at_the_cap_a_connection_that_says_nothing_makes_room_and_one_with_a_request_stays():
+    house = House(most_connections=2)
+    busy, silent = house.client(), house.client()
+    house.say(busy, ASK)
+    third = house.client()
+    assert silent.aborted and not busy.aborted
+    house.say(third, other(2))
+    assert house.client() is None and house.front.connections == 2 and house.front.counts["turned_away"] == 1
+
+
+def test_values_held_for_open_requests_have_a_cap_and_are_let_go():
+    house = House(most_bodies=100)
+    client = house.client()
+    house.say(client, [*DO[:4], b"x" * 60], [*other(2, DO)[:4], b"x" * 60])
+    assert len(house.module.arrivals) == 1
+    house.turn(Fail(house.module.arrivals[0].id))
+    assert client.take().endswith(b"-BUSY 250\r\n") and house.front.bodies == 0
+
+
+def test_a_client_that_leaves_has_its_attempts_called_off():
+    house = House()
+    client = house.client()
+    house.say(client, ASK)
+    house.turn(Send(1, "s1", 400.0))
+    worker = house.worker()
+    client.protocol.connectionLost(Failure(error.ConnectionDone()))
+    house.turn()
+    assert [type(end).__name__ for end in house.module.ends] == ["ClientGone"]
+    house.carrier.cancel(1, 0)
+    house.turn()
+    assert worker.aborted and house.module.ends[1].result is Result.CANCELLED
+    assert not house.front.connections and not house.carrier.open and not house.ledger.entries
+
+
+def test_the_end_serves_what_still_comes_and_closes_between_requests():
+    house = House()
+    idle, busy = house.client(), house.client()
+    house.say(idle, [b"PING"])
+    house.say(busy, ASK)
+    house.front.latest_ms = 1200.0
+    house.front.close_idle()
+    assert idle.disconnecting and not busy.disconnecting
+    late = house.client()
+    house.say(late, other(2))
+    assert house.module.arrivals[1].due_ms == 1200.0
+    house.turn(Refuse(1, 0.0), Refuse(2, 0.0))
+    assert busy.disconnecting and late.disconnecting and late.take() == b"-BUSY\r\n"
+
+
+def test_at_the_last_moment_all_that_is_open_gets_an_answer():
+    house = House()
+    client = house.client()
+    house.say(client, ASK, other(2))
+    house.front.fail_all()
+    assert client.take() == b"-ERR failed\r\n" * 2 and client.disconnecting
+
+
+# ---- workers -------------------------------------------------------------------------------------
+
+
+def sent(house, number=1):
+    """A request whose attempt is out on a connection that has come up."""
+    client = house.client()
+    house.say(client, other(number))
+    house.turn(Send(house.module.arrivals[-1].id, "s1", 1400.0))
+    return client, house.worker()
+
+
+@pytest.mark.parametrize("noise", [b"HTTP/1.1 200\r\n", b"*3\r\n$3000000000\r\nxxxx", b"*3\r\n$2\r\nlong\r\n", b"\0\0"])
+def test_a_spoilt_answer_is_an_error_that_may_have_run_and_its_connection_ends(noise):
+    house = House()
+    client, worker = sent(house)
+    worker.protocol.dataReceived(noise)
+    house.turn()
+    assert worker.aborted and house.module.ends[0].result is Result.ERROR and client.take() == b""
+
+
+def test_an_answer_that_stalls_is_spoilt_well_before_the_time_is_up():
+    house = House()
+    _, worker = sent(house)
+    worker.protocol.dataReceived(b"*3\r\n$50\r\nshort\r\n")
+    house.reactor.advance(0.41)
+    house.turn()
+    assert worker.aborted and house.module.ends[0].result is Result.ERROR
+
+
+@pytest.mark.parametrize("more", [SERVED, b"noise"])
+def test_more_than_one_answer_leaves_the_answer_and_ends_the_connection(more):
+    house = House()
+    client, worker = sent(house)
+    worker.protocol.dataReceived(SERVED + more)
+    assert client.take() == b"$5\r\nva\r\nl\r\n" and worker.disconnecting and not house.pool._idle
+    client, worker = sent(house, 2)  # and when it comes in a later segment
+    worker.protocol.dataReceived(SERVED)
+    worker.protocol.dataReceived(more)
+    assert worker.aborted and not house.pool._idle
+
+
+def test_a_connection_shows_for_a_while_that_nothing_more_comes_before_it_is_used_again():
+    house = House()
+    _, worker = sent(house)
+    worker.protocol.dataReceived(SERVED)
+    assert house.pool.take("s1") is None  # a second copy may be on its way
+    house.reactor.advance(0.02)
+    assert house.pool.take("s1") is worker.protocol
+
+
+def test_what_waits_unread_in_the_socket_ends_a_connection_instead_of_answering_the_next():
+    house = House()
+    _, worker = sent(house)
+    worker.protocol.dataReceived(SERVED)
+    house.reactor.advance(0.02)
+    worker.handle.recv = lambda size, flags: b"*"
+    assert house.pool.take("s1") is None and worker.aborted
+
+
+def test_an_attempt_still_connecting_when_its_worker_leaves_is_not_begun():
+    house = House()
+    client = house.client()
+    house.say(client, ASK)
+    house.turn(Send(1, "s1", 400.0))
+    house.ledger.roster(Fleet((Server("s1", "z", 0, State.DRAINING), Server("s2", "z", 0, State.READY))))
+    worker = house.worker()
+    house.turn()
+    assert worker.take() == b"" and worker.disconnecting
+    assert [each.result for each in house.module.ends if isinstance(each, Outcome)] == [Result.MOOT]
+
+
+def test_a_worker_that_moved_or_left_keeps_no_connection():
+    house = House()
+    _, worker = sent(house)
+    house.address["s1"] = ("127.0.0.1", 7009)
+    worker.protocol.dataReceived(SERVED)
+    assert worker.disconnecting and not house.pool._idle
+    del house.address["s1"]
+    client = house.client()
+    house.say(client, other(2))
+    house.turn(Send(2, "s1", 400.0))
+    house.turn()
+    assert house.module.ends[-1].result is Result.MOOT
+
+
+def test_with_no_room_for_a_connection_an_idle_one_of_another_worker_goes():
+    house = House(most=1)
+    _, worker = sent(house)
+    worker.protocol.dataReceived(SERVED)
+    client = house.client()
+    house.say(client, other(2))
+    house.turn(Send(2, "s2", 400.0))
+    assert worker.aborted and len(house.reactor.tcpClients) == 2
+    house.say(client, other(3))
+    house.turn(Send(3, "s1", 400.0))
+    house.turn()
+    assert house.module.ends[-1].result is Result.MOOT and house.pool.counts["no_room"] == 1
+
+
+# ---- discovery and peers -------------------------------------------------------------------------
+
+
+class Told:
+    """A watch and what it told."""
+
+    def __init__(self):
+        self.reactor, self.changes, self.faults = MemoryReactorClock(), [], []
+        self.watch = Watch(self.reactor, ("127.0.0.1", 8500), lambda: 41, self.changes.append, self.faults.append)
+        self.watch.start()
+
+    def link(self, at=-1):
+        transport = Transport()
+        transport.protocol = self.reactor.tcpClients[at][2].buildProtocol(None)
+        transport.protocol.makeConnection(transport)
+        return transport
+
+
+LIST = chunked(b'{"index":43,"snapshot":true,"endpoints":[]}\n')
+
+
+def test_a_watch_that_ends_or_falls_silent_is_opened_again_from_what_is_known():
+    told = Told()
+    link = told.link()
+    assert b"GET /v1/endpoints?watch=1&from=41 HTTP/1.1" in link.take()
+    link.protocol.dataReceived(LIST)
+    assert [each.index for each in told.changes] == [43]
+    told.reactor.advance(5.1)  # no empty line came
+    assert link.aborted
+    told.reactor.advance(0.11)
+    assert len(told.reactor.tcpClients) == 2
+    told.reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(error.ConnectionRefusedError()))
+    told.reactor.advance(0.21)
+    assert len(told.reactor.tcpClients) == 3
+
+
+def test_a_watch_that_cannot_be_read_says_so_and_begins_anew():
+    told = Told()
+    told.link().protocol.dataReceived(chunked(b"{\n"))
+    assert told.faults and not told.changes
+    told.reactor.advance(0.2)
+    assert len(told.reactor.tcpClients) == 2
+
+
+def test_discovery_that_moves_is_followed_and_the_old_one_is_heard_no_more():
+    told = Told()
+    old = told.link()
+    told.watch.move(("127.0.0.1", 8501))
+    assert old.aborted and told.reactor.tcpClients[-1][:2] == ("127.0.0.1", 8501)
+    old.protocol.dataReceived(LIST)
+    assert not told.changes
+    told.link().protocol.dataReceived(LIST)
+    assert len(told.changes) == 1
+    told.reactor.advance(1.0)
+    assert len(told.reactor.tcpClients) == 2
+
+
+class Udp:
+    def __init__(self):
+        self.out = []
+
+    def write(self, data, address):
+        self.out.append((data, address))
+
+
+def test_peers_are_known_by_their_address_and_nothing_longer_than_the_platform_allows_goes_out():
+    heard = []
+    port = PeerPort(1, (("127.0.0.2", 1), ("127.0.0.1", 1)), lambda *each: heard.append(each))
+    port.transport = Udp()
+    port.tell(0, b"x" * 256)
+    port.tell(0, b"x" * 257)
+    port.tell(1, b"to ourselves")
+    port.tell(-1, b"to all")
+    assert port.transport.out == [(b"x" * 256, ("127.0.0.2", 1))]
+    port.datagramReceived(b"a", ("127.0.0.2", 1))
+    port.datagramReceived(b"b", ("127.0.0.2", 2))
+    port.datagramReceived(b"c" * 300, ("127.0.0.2", 1))
+    assert heard == [(0, b"a")]
+
+
