--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -76,6 +76,7 @@
 RETRY_PART, RETRY_MOST = 0.2, 20.0  # further attempts for each first one; how many may be saved up
 HEDGE_ROOM, OVER_ROOM = 0.7, 0.5  # of the window: fuller, and no second copy, nothing beyond a quota goes out
 USUAL_START_MS, USUAL_GAIN = 200.0, 0.05  # a class's answer time before the first answer; how it is learned
+MOST_SIZE, LOAD_LEAST, LOAD_MOST = 16, 0.25, 8.0  # sizes told apart; an attempt's load, in usual attempts
 SAFE_TIMES = 2.5  # usual answer times to leave before the aim: the mean alone lets half come late
 CLOCK_GRAIN_MS, STALL_PERIODS = 0.001, 4.0  # a wake-up may be so early; no turn for so long: we stood still
 
@@ -85,6 +86,10 @@
     return [max(0.0, 1 - abs(x - centre) / (CENTRES[1] - CENTRES[0])) for centre in CENTRES]
 
 
+def size_of(request: Request) -> int:
+    return min(MOST_SIZE, math.ceil(request.arrival.units))
+
+
 OUTPUTS = [(step / 20, grades(step / 20)) for step in range(-20, 21)]
 
 
@@ -451,8 +456,9 @@
         overall = fade * sum(backend.bad.values()) / (fade * sum(backend.seen.values()) + 2)
         return (fade * backend.bad.get(name, 0.0) + overall) / (fade * backend.seen.get(name, 0.0) + 1)
 
-    def choose(self, now: float, request: Request, group: list[Backend] | None) -> Backend | None:
-        """A server for one more attempt. `group`: the only ones that rule 2 allows, where it binds."""
+    def choose(self, now: float, request: Request, group: list[Backend] | None, own: float) -> Backend | None:
+        """A server for one more attempt. `group`: the only ones that rule 2 allows, where it binds; `own`: the
+        attempt's load."""
         warm = self.warm if group is None else [backend for backend in self.warm if backend in group]
         tried = request.tried
         name, best, best_cost = request.kind.name, None, math.inf
@@ -474,7 +480,7 @@
         fragile = 2 if request.kind.repeat is Repeat.UNSAFE else 1
         zone, chance = self.settings.zone, self.rng.uniform
         for backend in self.rng.sample(pool, count) if count < len(pool) else pool:
-            entry, load = backend.entry, 1 + backend.out
+            entry, load = backend.entry, own + backend.load
             if backend.others:
                 load += backend.others * math.exp(max(-50.0, (backend.report_ms - now) / REPORT_MEMORY_MS))
             cost = load * (1.0 if backend.slow == 1 else self.slow(now, backend)) / max(0.01, entry.weight)
@@ -531,12 +537,14 @@
                        for kind in settings.classes}
         self.waits: dict[str, list[float]] = {kind.name: [] for kind in settings.classes}
         self.usual = {kind.name: min(USUAL_START_MS, kind.aim_ms / 4) for kind in settings.classes}
+        self.sized: dict[tuple[str, int], float] = {}  # the same by size, for answers take longer the more units
+        self.usual_any = USUAL_START_MS  # over all classes and sizes
         self.quota = Quota(settings, self.rng, self.plan_at, self.on_answer, ASK_START_MS,
                            self.rng.randrange(1 << 16))
         self.quota.number_names()
         self.requests: dict[int, Request] = {}
         self.held = Held()
-        self.attempts: dict[tuple[int, int], tuple[Backend, str]] = {}
+        self.attempts: dict[tuple[int, int], tuple[Backend, str, int, float]] = {}  # where, what, its load
         self.out = dict.fromkeys(self.classes, 0)  # attempts out by class
         self.agenda: list[tuple[float, int, str, int]] = []
         self.serial, self.budget, self.now, self.stalled = 0, RETRY_MOST / 2, -1.0, False
@@ -680,7 +688,7 @@
         self.plan_at(arrival.due_ms - 2 * self.settings.tick_ms, "due", arrival.id)
         last = min(arrival.due_ms, request.aim_ms)
         impatient = self.now + ANSWER_PART * (last - self.now)  # it leaves less than an answer usually takes
-        self.plan_at(max(last - self.answer_time(kind), impatient), "hopeless", arrival.id)
+        self.plan_at(max(last - self.answer_time(request), impatient), "hopeless", arrival.id)
         if self.quota.request(self.now, request):
             self.let_in(request)
 
@@ -734,7 +742,8 @@
 
     def send(self, request: Request) -> bool:
         """One more attempt, where a server may take it."""
-        backend = self.servers.choose(self.now, request, self.allowed(request))
+        load = min(LOAD_MOST, max(LOAD_LEAST, self.expected(request) / self.usual_any))
+        backend = self.servers.choose(self.now, request, self.allowed(request), load)
         if backend is None or request.attempts >= self.settings.max_attempts:
             return False
         number = request.arrival.id
@@ -743,7 +752,7 @@
             self.budget = min(RETRY_MOST, self.budget + RETRY_PART)
             request.held, request.toss_ms = False, 0.0
         self.actions.append(Send(number, backend.entry.id, max(1.0, request.arrival.due_ms - self.now)))
-        self.attempts[number, request.attempts] = (backend, request.kind.name)
+        self.attempts[number, request.attempts] = (backend, request.kind.name, size_of(request), load)
         self.out[request.kind.name] += 1
         request.out[request.attempts] = backend
         backend.requests[number] = request
@@ -752,8 +761,9 @@
             request.anchor, request.anchor_ms = backend, self.now
         request.attempts, request.uncertain = request.attempts + 1, request.uncertain + 1
         backend.out, self.servers.sends = backend.out + 1, self.servers.sends + 1
+        backend.load += load
         self.window.count(self.now, 1)
-        patience = max(HEDGE_LEAST_MS, HEDGE_TIMES * self.usual[request.kind.name])
+        patience = max(HEDGE_LEAST_MS, HEDGE_TIMES * self.expected(request))
         self.plan_at(self.now + patience, "hedge", number)
         return True
 
@@ -770,13 +780,17 @@
             backend for backend in self.servers.warm + self.servers.cold if backend.entry.zone == same.zone
             and (group is Scope.ZONE or backend.entry.cell == same.cell)]
 
-    def answer_time(self, kind: RequestClass) -> float:
+    def expected(self, request: Request) -> float:
+        """The usual answer time for its class and size."""
+        return self.sized.get((request.kind.name, size_of(request)), self.usual[request.kind.name])
+
+    def answer_time(self, request: Request) -> float:
         """What an attempt is taken to need. Bounded: past the aim all would be refused, and nothing heal."""
-        return min(SAFE_TIMES * self.usual[kind.name], ANSWER_PART * kind.aim_ms)
+        return min(SAFE_TIMES * self.expected(request), ANSWER_PART * request.kind.aim_ms)
 
     def again(self, request: Request) -> bool:
         """A further attempt, where it can still be in time and the budget allows it."""
-        late = self.now + self.answer_time(request.kind) > min(request.aim_ms, request.arrival.due_ms)
+        late = self.now + self.answer_time(request) > min(request.aim_ms, request.arrival.due_ms)
         if late or self.budget < 1 or not self.send(request):
             return False
         self.budget -= 1
@@ -785,19 +799,23 @@
     def on_outcome(self, event: Outcome) -> None:
         if (event.id, event.attempt) not in self.attempts:
             return
-        backend, class_name = self.attempts.pop((event.id, event.attempt))
+        backend, class_name, size, load = self.attempts.pop((event.id, event.attempt))
         self.out[class_name] -= 1
         request = self.requests.get(event.id)
         backend.out, full = backend.out - 1, event.result is Result.FULL
+        backend.load = max(0.0, backend.load - load) if backend.out else 0.0
         self.window.count(self.now, -1)
         self.window.full, self.window.ended = self.window.full + full, self.window.ended + 1
-        usual, ratio = self.usual[class_name], math.inf
+        usual, ratio = self.sized.get((class_name, size), self.usual[class_name]), math.inf
         if event.load:
             self.servers.report(self.now, backend, event.load)
         if event.result is Result.OK:
             self.window.answered_ms += self.classes[class_name].aim_ms
             ratio = event.took_ms / usual
-            self.usual[class_name] += (event.took_ms - usual) * USUAL_GAIN * (not self.stalled)
+            if not self.stalled:
+                self.sized[class_name, size] = usual + (event.took_ms - usual) * USUAL_GAIN
+                self.usual[class_name] += (event.took_ms - self.usual[class_name]) * USUAL_GAIN
+                self.usual_any += (event.took_ms - self.usual_any) * USUAL_GAIN
         # After a standstill our own pause would be taken for the server's slowness.
         if event.result not in (Result.CANCELLED, Result.MOOT) and not self.stalled:
             self.servers.learn(self.now, backend, class_name, ratio, 1.0)
--- a/anisefront/policy/state.py
+++ b/anisefront/policy/state.py
@@ -61,6 +61,7 @@
 
     entry: Server
     out: int = 0
+    load: float = 0.0  # of these, in usual attempts
     slow: float = 1.0  # answer times against those of the fleet,
     seen: dict[str, float] = field(default_factory=dict)  # fading counts of outcomes, by class
     bad: dict[str, float] = field(default_factory=dict)  # and of failures
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -407,6 +407,34 @@
     assert max(backend.out for backend in c.servers.known.values()) <= 4
 
 
+def test_a_server_that_was_given_large_requests_is_not_taken_for_a_slow_one():
+    """Answers take longer the more units; judged by one usual time, chance made servers fast or slow by turns."""
+    c = gateway(gateways=1)
+    c.handle(1000, [Fleet(tuple(Server(f"s{n}", "z0", 0, State.READY) for n in range(2)))])
+    now = 1000
+    for number in range(200):
+        now += 1000
+        units = 1 + 3 * (number % 2)
+        send, = of(Send, c.handle(now, [ask(number, units=units, customer=f"f{number}", due=now + 4000.0)]))
+        c.handle(now + 50 * units, [outcome(send, Result.OK, took=50.0 * units)])
+    assert 49 < c.sized["look", 1] < 52 and 198 < c.sized["look", 4] < 202
+    assert all(0.95 < c.servers.slow(now, backend) < 1.05 for backend in c.servers.known.values())
+
+
+def test_servers_are_compared_by_the_work_that_is_out_not_by_how_many_attempts():
+    c = gateway(gateways=1)
+    c.sized.update({("look", 1): 50.0, ("look", 4): 200.0})
+    c.usual_any = 50.0
+    c.handle(1000, [Fleet(tuple(Server(f"s{n}", "z0", 0, State.READY) for n in range(2)))])
+    sends = [of(Send, c.handle(1001 + n, [ask(n, units=4 if not n else 1, customer=f"f{n}")]))[0] for n in range(4)]
+    assert sends[0].server not in {send.server for send in sends[1:]}
+    loads = {backend.load for backend in c.servers.known.values()}
+    assert loads == {4.0, 3.0}
+    for send in sends:
+        c.handle(1100, [outcome(send, Result.OK)])
+    assert {backend.load for backend in c.servers.known.values()} == {0.0}
+
+
 def test_a_server_that_restarts_under_its_old_id_keeps_its_count_of_attempts_out():
     c = gateway()
     send, = of(Send, c.handle(1000, [FLEET, ask(1)]))
