--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -14,7 +14,7 @@
 
 from anisefront.policy.interface import (
     Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Plan, Reason, Refuse,
-    Repeat, RequestClass, Result, Scope, Send, Settings, Started, State, Subscribe, Tell, Wake,
+    Repeat, Result, Scope, Send, Settings, Started, State, Subscribe, Tell, Wake,
 )
 from anisefront.policy.messages import (
     MAX_ITEMS, MAX_SIGHTINGS, Item, Kind, Sighting, decode, encode, ratio_of, server_tag, sighting, tag_of,
@@ -457,8 +457,8 @@
         return (fade * backend.bad.get(name, 0.0) + overall) / (fade * backend.seen.get(name, 0.0) + 1)
 
     def choose(self, now: float, request: Request, group: list[Backend] | None, own: float) -> Backend | None:
-        """A server for one more attempt. `group`: the only ones that rule 2 allows, where it binds; `own`: the
-        attempt's load."""
+        """A server for one more attempt. `group`: the only ones that rule 2 allows, where it binds; `own`: its
+        load."""
         warm = self.warm if group is None else [backend for backend in self.warm if backend in group]
         tried = request.tried
         name, best, best_cost = request.kind.name, None, math.inf
@@ -537,7 +537,7 @@
                        for kind in settings.classes}
         self.waits: dict[str, list[float]] = {kind.name: [] for kind in settings.classes}
         self.usual = {kind.name: min(USUAL_START_MS, kind.aim_ms / 4) for kind in settings.classes}
-        self.sized: dict[tuple[str, int], float] = {}  # the same by size, for answers take longer the more units
+        self.sized: dict[tuple[str, int], float] = {}  # the same by size: more units take longer
         self.usual_any = USUAL_START_MS  # over all classes and sizes
         self.quota = Quota(settings, self.rng, self.plan_at, self.on_answer, ASK_START_MS,
                            self.rng.randrange(1 << 16))
