--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -457,7 +457,7 @@
         return (fade * backend.bad.get(name, 0.0) + overall) / (fade * backend.seen.get(name, 0.0) + 1)
 
     def choose(self, now: float, request: Request, group: list[Backend] | None, own: float) -> Backend | None:
-        """A server for one more attempt. `group`: the only ones that rule 2 allows, where it binds; `own`: its
+        """A server for one more attempt. `group`: the only ones that rule 2 allows, where it binds, `own` its
         load."""
         warm = self.warm if group is None else [backend for backend in self.warm if backend in group]
         tried = request.tried
