Customers capped by memory; commands that end a read in half are timed from the last whole one

Seen on reading the front once more: a connection whose reads always end inside a command stayed 'young' or 'half' since its first, and would have been cut after a second in the midst of its requests (Client._flush, Front._sweep); and the module's cap of 200,000 customers would not fit a gatekeeper of 64 MB. Change: the time of half a command counts from the last whole one; customers are capped by memory_mb.

--- a/anisefront/node/config.py
+++ b/anisefront/node/config.py
@@ -7,7 +7,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from anisefront.node.discovery import Change, DiscoveryFault, read_change
@@ -15,6 +15,8 @@
 from anisefront.policy.settings import settings_of
 
 MOST_BYTES = 16 << 20
+BASE_MB = 28.0  # what a gatekeeper takes before it knows anybody; half of the rest is for customers
+CUSTOMERS_PER_MB, LEAST_CUSTOMERS = 256, 1000  # known here and as their home, about 2 KB each
 Address = tuple[str, int]
 
 
@@ -69,12 +71,16 @@
 def node_config(found: Mapping[str, Any], environment: Mapping[str, str]) -> NodeConfig:
     """The configuration that the file's object and the environment make; the environment's addresses stand in for
     those that the file does not name."""
+    limits = found.get("limits")
+    limits = limits if isinstance(limits, dict) else {}
+    memory_mb = _figure(limits, "memory_mb", 128.0)
     try:
         settings = settings_of(found.get("settings"))
     except ValueError as problem:
         raise ConfigFault(f"settings: {problem}") from problem
-    limits = found.get("limits")
-    limits = limits if isinstance(limits, dict) else {}
+    # Danger: the module's own cap on customers is for a large machine; here strangers' names would fill the memory.
+    most = max(LEAST_CUSTOMERS, int((memory_mb - BASE_MB) * CUSTOMERS_PER_MB))
+    settings = replace(settings, most_customers=min(settings.most_customers, most))
     peers = found.get("peers")
     peers = peers if isinstance(peers, list) else []
     if peers and len(peers) < settings.gateways:
@@ -100,5 +106,5 @@
         seed=seed_number, settings=settings,
         peer_listen=address(peer_listen, "peer_listen") if peer_listen else None,
         peers=tuple(address(each, f"peers[{n}]") for n, each in enumerate(peers)), known=known,
-        memory_mb=_figure(limits, "memory_mb", 128.0), sockets=int(_figure(limits, "sockets", 256.0)),
+        memory_mb=memory_mb, sockets=int(_figure(limits, "sockets", 256.0)),
         connect_timeout_ms=_figure(told, "dialTimeoutMs", 250.0), idle_ms=_figure(told, "connIdleMs", 5000.0))
--- a/anisefront/node/front.py
+++ b/anisefront/node/front.py
@@ -62,7 +62,7 @@
         self.place = ""
         self.since = 0.0  # in this place
         self._bad = 0
-        self._asked = False
+        self._spoke = self._asked = False  # a whole command has come; one that asks for something has
         self._ending = False
         self._pause: Any = None
 
@@ -78,6 +78,8 @@
         if len(self.slots) + len(commands) > MOST_OPEN:
             self._refuse_all(resp.RespFault("too many commands at once").line)
             return
+        if commands and self.place == HALF:
+            self.front.put(self, HALF)  # another command has begun: its time counts from now
         for parts in commands:
             self._command(parts)
         if self.reader.fault is not None:
@@ -86,7 +88,7 @@
         self._flush()
 
     def _command(self, parts: list[bytes]) -> None:
-        slot = _Slot()
+        slot, self._spoke = _Slot(), True
         self.slots.append(slot)
         verb = parts[0]
         if verb in VERBS:
@@ -164,9 +166,9 @@
             if slots:
                 place = BUSY
             elif self.reader.midway:
-                place = HALF if self.place != YOUNG else YOUNG
+                place = HALF if self._spoke else YOUNG
             else:
-                place = IDLE if ready or self.place != YOUNG else YOUNG
+                place = IDLE if self._spoke else YOUNG
             if self.reader.midway and place == BUSY:
                 place = HALF
             if place != self.place:
--- a/anisefront/node/gatekeeper.py
+++ b/anisefront/node/gatekeeper.py
@@ -32,7 +32,7 @@
 IDLE_PART = 0.6  # of the time after which the machine closes an idle connection
 LISTEN_ON_MS = 500.0  # after SIGTERM new connections still come for a while
 LAST_MS = 3400.0  # after SIGTERM all is answered by then; the platform kills no sooner than after 3.7 s
-REPORT_S = 2.0
+REPORT_S, COLLECT_S = 10.0, 2.0
 
 
 class NodeGatekeeper:
@@ -62,7 +62,7 @@
         self.front = Front(reactor, self.carrier, Reader(settings), self.clock, FrontLimits(
             clients, config.sockets // 8, int(config.memory_mb * (1 << 20) / 8)))
         self.watch = Watch(reactor, config.discovery, lambda: self.book.index, self.told, self._discovery_fault)
-        self.collector = Collector(reactor, lambda: self.ledger.open, every_s=REPORT_S)
+        self.collector = Collector(reactor, lambda: self.ledger.open, every_s=COLLECT_S)
         self._port: Any = None
         self._drained: defer.Deferred[None] | None = None
 
--- a/tests/test_node_front.py
+++ b/tests/test_node_front.py
@@ -199,6 +199,17 @@
     assert not house.front.places["busy"] and not house.front.places["half"]
 
 
+def test_a_client_whose_reads_end_in_half_a_command_each_time_is_not_cut_while_commands_come():
+    house = House()
+    client = house.client()
+    whole = resp.command([b"PING"])
+    client.protocol.dataReceived(whole[:5])
+    for _ in range(30):
+        house.reactor.advance(0.1)
+        client.protocol.dataReceived(whole[5:] + whole[:5])
+    assert not client.disconnecting and client.take() == b"+PONG\r\n" * 30
+
+
 def test_where_there_are_many_connections_the_idle_ones_are_closed_after_their_time():
     house = House(many_connections=1)
     clients = [house.client() for _ in range(3)]
--- a/tests/test_node_wire.py
+++ b/tests/test_node_wire.py
@@ -232,6 +232,7 @@
     assert (config.name, config.seed, config.listen) == ("n1", 0x8c1f, ("127.0.0.1", 6379))
     assert (config.memory_mb, config.sockets, config.known.index) == (64.0, 256, 41)
     assert (config.connect_timeout_ms, config.idle_ms) == (333.0, 15000.0)
+    assert config.settings.most_customers == (64 - 28) * 256
     assert config.settings.number == 1 and config.settings.report_fields == ("util", "inflight")
 
 
