--- a/anisefront/lab/sabotage.py
+++ b/anisefront/lab/sabotage.py
@@ -69,11 +69,11 @@
 
 def _cold_as_warm() -> None:
     """Rule 4: a cold worker counts as the best there is, and the cap on attempts out does not close for it."""
-    def choose(self: control.Servers, now: float, request: object, group: object) -> object:
+    def choose(self: control.Servers, now: float, request: object, group: object, own: float) -> object:
         for backend in self.cold:
             if group is None or backend in group:
                 return backend
-        return kept(self, now, request, group)
+        return kept(self, now, request, group, own)
     kept, control.Servers.choose = control.Servers.choose, choose
     control.Window.free = lambda self: 200.0 - self.out
 
