One carrier over the pool, one reader of values; settings checked at SIGHUP, names of workers as before

Written twice: attempts over the pool stood in Own and in NodeCarrier (now carriers/pooled.py); a sized value and its state in both RESP readers; a bulk string in three writers; HOST:PORT in config.py and discovery.py; a connection's leaving its place in four places of the front; the usual answer time by size in three places of the module; a test's transport beside test_pool's. Simpler: the front's place of a connection, one count of the pool's connections, no copy of the classes' aims in the carrier, no reload that is handed an exception, the library's own fallback in the log. Wrong depth, and mended with a test each: NodeGatekeeper.reload took any settings, so a plan taken away at SIGHUP would have raised in the module and ended the process, and a class added would have raised KeyError at its first answer (NodeCarrier._note); the checks that the other gatekeeper had in daemon/reload.py now serve both. The pool resolved workers' names to IPv4 only since it left HostnameEndpoint; names go that way again, addresses directly.

--- a/anisefront/carriers/pool.py
+++ b/anisefront/carriers/pool.py
@@ -15,6 +15,7 @@
 from typing import Any, Protocol
 
 from twisted.internet import protocol
+from twisted.internet.abstract import isIPAddress, isIPv6Address
 from twisted.python.failure import Failure
 
 from anisefront.carriers.http import HttpAnswers
@@ -145,7 +146,8 @@
     def __init__(self, pool: Pool, worker: str, data: bytes, allow_s: float, done: Done,
                  head_only: bool) -> None:
         self._pool, self._worker, self._data, self._done = pool, worker, data, done
-        self._head_only, self._client, self._connector = head_only, None, None
+        self._head_only, self._client = head_only, None
+        self._stop_connecting: Callable[[], object] | None = None  # while we are
         self._timer = pool.reactor.callLater(max(0.001, allow_s), self._end, Result.TIMEOUT)
 
     def start(self) -> None:
@@ -158,13 +160,11 @@
             self._pool.counts["no_room" if address else "no_address"] += 1
             self._pool.reactor.callLater(0, self.finish, Result.MOOT, None)  # the caller has not got us yet
             return
-        self._pool.connecting += 1
-        self._connector = self._pool.reactor.connectTCP(
-            *address, _Factory(self._pool, self._worker, address, self), timeout=self._pool.limits.connect_s)
+        self._stop_connecting = self._pool.connect(address, _Factory(self._pool, self._worker, address, self))
 
     def connected(self, client: _Client) -> None:
         """There is a connection that is ours to write to."""
-        self._connector = None
+        self._stop_connecting = None
         if self._done is None:  # it ended while it was being connected
             client.transport.abortConnection()
             return
@@ -179,7 +179,7 @@
 
     def unconnected(self) -> None:
         """No connection came up: nothing was written."""
-        self._connector = None
+        self._stop_connecting = None
         self.finish(Result.CONNECT_FAILED, None)
 
     def cancel(self) -> None:
@@ -187,11 +187,11 @@
         self._end(Result.CANCELLED)
 
     def _end(self, result: Result) -> None:
-        connector, client = self._connector, self._client
-        self._connector = self._client = None
-        if connector is not None:  # nothing was written
+        stop, client = self._stop_connecting, self._client
+        self._stop_connecting = self._client = None
+        if stop is not None:  # nothing was written
             self.finish(Result.CONNECT_FAILED if result is Result.TIMEOUT else result, None)
-            connector.disconnect()
+            stop()
             return
         if client is not None and client.exchange is self:
             client.exchange = None
@@ -214,12 +214,10 @@
         self._pool, self._worker, self._address, self._exchange = pool, worker, address, exchange
 
     def buildProtocol(self, address: object) -> _Client:
-        self._pool.connecting -= 1
-        self._pool.open += 1
         return _Client(self._pool, self._worker, self._address, self._exchange)
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        self._pool.connecting -= 1
+        self._pool.connections -= 1
         self._exchange.unconnected()
 
 
@@ -235,7 +233,7 @@
         self.reactor, self.limits = reactor, limits or PoolLimits()
         self.answers = answers or (lambda: HttpAnswers(self.limits.most_body))
         self.address_of, self.may_send = address_of, may_send
-        self.connecting = self.open = 0
+        self.connections = 0  # open, or being connected
         self.counts: Counter[str] = Counter()
         self._idle: dict[str, deque[_Client]] = {}  # of each worker, the longest idle first
         self._sweep_call: Any = None
@@ -246,6 +244,16 @@
         exchange.start()
         return exchange
 
+    def connect(self, address: tuple[str, int], factory: _Factory) -> Callable[[], object]:
+        """Begin a connection; the answer stops it. Of a name all addresses are tried, of both families."""
+        self.connections += 1
+        if isIPAddress(address[0]) or isIPv6Address(address[0]):
+            return self.reactor.connectTCP(*address, factory, timeout=self.limits.connect_s).disconnect
+        from twisted.internet.endpoints import HostnameEndpoint  # much behind it, which those with addresses save
+        connecting = HostnameEndpoint(self.reactor, *address, timeout=self.limits.connect_s).connect(factory)
+        connecting.addErrback(lambda failure: factory.clientConnectionFailed(None, failure))
+        return connecting.cancel
+
     def take(self, worker: str) -> _Client | None:
         """An idle connection that is alive: the newest of those that have rested."""
         idle = self._idle.get(worker)
@@ -300,7 +308,7 @@
 
     def make_room(self) -> bool:
         """Whether one more connection may be made; the longest idle one is closed for it where that helps."""
-        if not self.limits.most or self.connecting + self.open < self.limits.most:
+        if not self.limits.most or self.connections < self.limits.most:
             return True
         idle = min((idle for idle in self._idle.values() if idle), key=lambda each: each[0].idle_since, default=None)
         if idle is None:
@@ -315,7 +323,7 @@
 
     def gone(self, client: _Client) -> None:
         """A connection that has ended."""
-        self.open -= 1
+        self.connections -= 1
         idle = self._idle.get(client.worker)
         if idle is not None and client in idle:
             idle.remove(client)
--- a/anisefront/cli/node.py
+++ b/anisefront/cli/node.py
@@ -15,20 +15,18 @@
 
     SIGHUP reads the file again, SIGTERM drains, a second one stops at once."""
     from anisefront.daemon import process
-    from anisefront.node.config import ConfigFault, node_config, read
+    from anisefront.node.config import ConfigFault, NodeConfig, node_config, read
     from anisefront.node.gatekeeper import NodeGatekeeper
     path = os.environ.get("PROXY_CONFIG", "")
     if not path:
         raise click.ClickException("PROXY_CONFIG is not set: it names the file with the configuration")
 
-    def again():
-        try:
-            return node_config(read(path), os.environ)
-        except ConfigFault as problem:
-            return problem
+    def again() -> NodeConfig:
+        return node_config(read(path), os.environ)
 
-    config = again()
-    if isinstance(config, ConfigFault):
-        raise click.ClickException(str(config))
+    try:
+        config = again()
+    except ConfigFault as problem:
+        raise click.ClickException(str(problem)) from problem
     sys.exit(process.run(lambda reactor, on_fault: NodeGatekeeper(config, reactor, on_fault=on_fault), log_level,
-                         config.name, hang_up=lambda gatekeeper: gatekeeper.reload(again())))
+                         config.name, hang_up=lambda gatekeeper: gatekeeper.reload(again)))
--- a/anisefront/daemon/reload.py
+++ b/anisefront/daemon/reload.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
-from anisefront.config.types import Config
-from anisefront.core.routing import Router
+from typing import TYPE_CHECKING
+
+from anisefront.policy.interface import Settings
+
+if TYPE_CHECKING:  # a gatekeeper of another front must not pay for these
+    from anisefront.config.types import Config
+    from anisefront.core.routing import Router
 
 # Of Config and of Settings: what is bound to sockets, to the fleet's view of us, or to what a worker can bear.
 _FIXED = {"grpc": "listen grpc", "jsonrpc": "listen jsonrpc", "peers_listen": "listen peers", "peers": "peer",
@@ -17,6 +22,7 @@
 
 def router(config: Config) -> Router:
     """The look-ups of a settings file."""
+    from anisefront.core.routing import Router
     settings = config.settings
     return Router(config.routes, {kind.name: kind.deadline_ms for kind in settings.classes}, config.customer_header,
                   config.keys, config.default_plan, settings.max_units, config.repeat_header)
@@ -25,14 +31,22 @@
 def fixed(before: Config, after: Config) -> list[str]:
     """What differs that can't change while running, each with the mend; empty where all may."""
     names = [word for name, word in _FIXED.items() if getattr(before, name) != getattr(after, name)]
-    names += [word for name, word in _FIXED_SETTINGS.items()
-              if getattr(before.settings, name) != getattr(after.settings, name)]
+    names += [_FIXED_SETTINGS[name] for name in fixed_settings(before.settings, after.settings)]
     out = [f"{name!r} can't change while running: start the gatekeeper anew" for name in dict.fromkeys(names)]
+    return out + moved(before.settings, after.settings)
+
+
+def fixed_settings(before: Settings, after: Settings) -> list[str]:
+    """The names of settings that differ and can't change while running."""
+    return [name for name in _FIXED_SETTINGS if getattr(before, name) != getattr(after, name)]
+
+
+def moved(before: Settings, after: Settings) -> list[str]:
+    """What is said of classes and plans that were taken away or do not stand where they stood."""
+    out = []
     for what in ("classes", "plans"):
-        old = [each.name for each in getattr(before.settings, what)]
-        new = [each.name for each in getattr(after.settings, what)]
+        old, new = ([each.name for each in getattr(settings, what)] for settings in (before, after))
         if new[:len(old)] != old:
             # Danger: gatekeepers that have not changed yet name them to us by their places in the file.
             out.append(f"{what} {', '.join(old)} must stay in their order: add others after them, or start anew")
     return out
-
--- a/anisefront/node/carrier.py
+++ b/anisefront/node/carrier.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from anisefront.carriers.pool import Exchange, Pool
+from anisefront.carriers.pool import Pool
+from anisefront.carriers.pooled import Open, Pooled
 from anisefront.core.ledger import Ledger
 from anisefront.node import resp
 from anisefront.node.terms import Wanted, report_row
@@ -58,24 +59,20 @@
 
 
 @dataclass(slots=True, eq=False)
-class _Open:
+class _Open(Open):
     wanted: Wanted
     final: Final
     came_ms: float
-    attempts: int = 0
-    sent_ms: float = 0.0
+    sent_ms: float = 0.0  # its first attempt
 
 
-class NodeCarrier:
+class NodeCarrier(Pooled):
     """The carrier for what comes over the platform's front."""
 
-    def __init__(self, ledger: Ledger, pool: Pool, report_fields: tuple[str, ...],
-                 aims: dict[str, float]) -> None:
-        self.aims = aims  # of the classes, in milliseconds
-        self._ledger, self._pool, self.report_fields = ledger, pool, report_fields
-        self.open: dict[int, _Open] = {}
+    def __init__(self, ledger: Ledger, pool: Pool, report_fields: tuple[str, ...]) -> None:
+        super().__init__(ledger, pool)
+        self._fields = report_fields
         self._ids: set[bytes] = set()
-        self._exchanges: dict[tuple[int, int], Exchange] = {}
         self.seen = Counter[str]()  # sums of what served attempts took and what workers reported, for the state report
 
     def knows(self, wanted_id: bytes) -> bool:
@@ -91,79 +88,53 @@
             self._ids.add(wanted.id)
         return number
 
-    def withdraw(self, number: int) -> None:
-        """The client has left."""
-        if self._close(number) is not None:
-            self._ledger.leave(number)
-
-    def send(self, request: int, attempt: int, worker: str, allow_ms: float) -> None:
-        """One attempt over a connection of the pool."""
-        entry = self.open.get(request)
-        if entry is None:
-            self._ledger.outcome(request, attempt, Result.MOOT, 0.0)
-            return
-
-        entry.attempts += 1
-        if entry.attempts == 1:
-            entry.sent_ms = self._ledger.now_ms()
-
-        def ended(result: Result | None, answer: resp.Answer | None) -> None:
-            self._ended(request, attempt, result, answer)
-
-        self._exchanges[request, attempt] = self._pool.request(
-            worker, entry.wanted.command(allow_ms), allow_ms / 1000, ended)
-
-    def _ended(self, request: int, attempt: int, result: Result | None, answer: resp.Answer | None) -> None:
-        load: tuple[float, ...] = ()
-        if answer is not None:
-            result, report = outcome(answer)
-            if result is None:
-                self._pool.counts["unknown_error"] += 1
-                result = Result.ERROR
-            load = report_row(report, self.report_fields)
-            if load:
-                self.seen["reports"] += 1
-                for name, value in zip(self.report_fields, load, strict=True):
-                    self.seen[name] += value
-        self._exchanges.pop((request, attempt), None)
-        if self._ledger.outcome(request, attempt, result, None, load):
-            entry = self._close(request)
-            if entry is not None:
-                self._note(entry)
-                entry.final(resp.bulk(answer.value))
-
-    def _note(self, entry: _Open) -> None:
-        """Whether it was served within its class's aim, and where the time went."""
-        now, aim = self._ledger.now_ms(), self.aims[entry.wanted.class_name]
-        self.seen["served"] += 1
-        self.seen[f"served {entry.wanted.class_name} {entry.wanted.plan_name}"] += 1
-        self.seen["wait_ms"] += entry.sent_ms - entry.came_ms
-        self.seen["took_ms"] += now - entry.sent_ms
-        self.seen["late"] += now - entry.came_ms > aim
-        self.seen["late_by_wait"] += entry.sent_ms - entry.came_ms > aim / 2
-        self.seen["late_took"] += now - entry.sent_ms > aim
-
-    def cancel(self, request: int, attempt: int) -> None:
-        """Close the connection of an attempt; its outcome is told at once."""
-        exchange = self._exchanges.get((request, attempt))
-        if exchange is not None:
-            exchange.cancel()
+    def written(self, entry: _Open, name: str, worker: str, allow_ms: float) -> tuple[bytes, bool]:
+        """The client's command with the time that is left."""
+        entry.sent_ms = entry.sent_ms or self._ledger.now_ms()
+        return entry.wanted.command(allow_ms), False
+
+    def read(self, answer: resp.Answer) -> tuple[Result, tuple[float, ...]]:
+        """By its form; an error line that the platform does not name may have run."""
+        result, report = outcome(answer)
+        if result is None:
+            self._pool.counts["unknown_error"] += 1
+            result = Result.ERROR
+        load = report_row(report, self._fields)
+        if load:
+            self.seen["reports"] += 1
+            for name, value in zip(self._fields, load, strict=True):
+                self.seen[name] += value
+        return result, load
+
+    def served(self, entry: _Open, answer: resp.Answer, worker: str) -> None:
+        """Final: the value as the worker gave it."""
+        wanted, seen = entry.wanted, self.seen
+        waited, took = entry.sent_ms - entry.came_ms, self._ledger.now_ms() - entry.sent_ms
+        seen["served"] += 1
+        seen[f"served {wanted.class_name} {wanted.plan_name}"] += 1
+        seen["wait_ms"] += waited
+        seen["took_ms"] += took
+        seen["late"] += waited + took > wanted.aim_ms  # and whether by waiting or at the worker
+        seen["late_by_wait"] += waited > wanted.aim_ms / 2
+        seen["late_took"] += took > wanted.aim_ms
+        entry.final(resp.bulk(answer.value))
 
     def refuse(self, request: int, retry_in_ms: float, reason: Reason) -> None:
         """Final: not done, safe to try again."""
-        entry = self._close(request)
+        entry = self.close(request)
         if entry is not None:
             self.seen[f"refused {entry.wanted.class_name} {entry.wanted.plan_name} {reason.value}"] += 1
             entry.final(refusal(retry_in_ms))
 
     def fail(self, request: int) -> None:
         """Final: no promise."""
-        entry = self._close(request)
+        entry = self.close(request)
         if entry is not None:
             entry.final(FAILED)
 
-    def _close(self, request: int) -> _Open | None:
-        entry = self.open.pop(request, None)
+    def close(self, request: int) -> _Open | None:
+        """The request has ended, and its id may come again."""
+        entry = super().close(request)
         if entry is not None:
             self._ids.discard(entry.wanted.id)
         return entry
--- a/anisefront/node/config.py
+++ b/anisefront/node/config.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from anisefront.node.discovery import Change, DiscoveryFault, read_change
+from anisefront.node.discovery import Change, DiscoveryFault, address, read_change
 from anisefront.policy.interface import Settings
 from anisefront.policy.settings import settings_of
 
@@ -42,14 +42,6 @@
     idle_ms: float  # after which the machine closes an idle connection to a worker at the latest
 
 
-def address(text: object, where: str) -> Address:
-    """`host:port` as a pair."""
-    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ConfigFault(f"{where}: {text!r} is no HOST:PORT")
-    return host, int(port)
-
-
 def read(path: str) -> dict[str, Any]:
     """The object in the file."""
     try:
@@ -101,10 +93,10 @@
     peer_listen = found.get("peer_listen")
     return NodeConfig(
         name=str(found.get("name") or environment.get("PROXY_NAME", "")),
-        listen=address(found.get("listen") or environment.get("PROXY_LISTEN"), "listen"),
-        discovery=address(found.get("discovery") or environment.get("PROXY_DISCOVERY"), "discovery"),
+        listen=address(found.get("listen") or environment.get("PROXY_LISTEN"), "listen", ConfigFault),
+        discovery=address(found.get("discovery") or environment.get("PROXY_DISCOVERY"), "discovery", ConfigFault),
         seed=seed_number, settings=settings,
-        peer_listen=address(peer_listen, "peer_listen") if peer_listen else None,
-        peers=tuple(address(each, f"peers[{n}]") for n, each in enumerate(peers)), known=known,
+        peer_listen=address(peer_listen, "peer_listen", ConfigFault) if peer_listen else None,
+        peers=tuple(address(each, f"peers[{n}]", ConfigFault) for n, each in enumerate(peers)), known=known,
         memory_mb=memory_mb, sockets=int(_figure(limits, "sockets", 256.0)),
         connect_timeout_ms=_figure(told, "dialTimeoutMs", 250.0), idle_ms=_figure(told, "connIdleMs", 5000.0))
--- a/anisefront/node/discovery.py
+++ b/anisefront/node/discovery.py
@@ -42,6 +42,14 @@
     entries: tuple[Entry, ...]
 
 
+def address(text: object, where: str, fault: type[ValueError]) -> tuple[str, int]:
+    """`host:port` as a pair; `fault` names `where` it is wrong."""
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise fault(f"{where}: {text!r} is no HOST:PORT")
+    return host, int(port)
+
+
 def _text(row: Mapping[str, Any], name: str) -> str:
     value = row.get(name)
     if not isinstance(value, str) or not value or len(value) > 256:
@@ -62,12 +70,9 @@
     state = STATES.get(row.get("status"))
     if state is None:
         raise DiscoveryFault(f"status: {row.get('status')!r} is not known")
-    host, _, port = _text(row, "address").rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise DiscoveryFault(f"address: {row.get('address')!r} is no HOST:PORT")
     server = Server(_text(row, "name"), str(row.get("zone", "")), int(_number(row, "group", 0)), state,
                     _number(row, "weight", 1.0), _number(row, "since_ms", 0))
-    return Entry(server, (host, int(port)))
+    return Entry(server, address(_text(row, "address"), "address", DiscoveryFault))
 
 
 def read_change(found: object) -> Change:
--- a/anisefront/node/front.py
+++ b/anisefront/node/front.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -160,21 +161,20 @@
         slots, ready = self.slots, []
         while slots and slots[0].answer is not None:
             ready.append(slots.popleft().answer)
-        if ready and not self._ending:
-            self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
-        if not self._ending:
-            if slots:
-                place = BUSY
-            elif self.reader.midway:
-                place = HALF if self._spoke else YOUNG
-            else:
-                place = IDLE if self._spoke else YOUNG
-            if self.reader.midway and place == BUSY:
-                place = HALF
-            if place != self.place:
-                self.front.put(self, place)
-            if place == IDLE and self.front.closing and self._asked:
-                self.end()  # one that only greeted us is about to ask: the sweep closes it
+        if self._ending:
+            return
+        if ready:
+            self.transport.write(b"".join(ready))
+        if not self._spoke:
+            place = YOUNG
+        elif self.reader.midway:
+            place = HALF
+        else:
+            place = BUSY if slots else IDLE
+        if place != self.place:
+            self.front.put(self, place)
+        if place == IDLE and self.front.closing and self._asked:
+            self.end()  # one that only greeted us is about to ask: the sweep closes it
 
     def end(self) -> None:
         """Close between requests, when what was written has gone out."""
@@ -250,8 +250,7 @@
                 if self.places[place]:
                     client = next(iter(self.places[place]))
                     self.counts["made_room"] += 1
-                    self.places[place].pop(client)
-                    client.place = ""
+                    self.gone(client)
                     client.abort()
                     break
             else:
@@ -263,15 +262,14 @@
 
     def put(self, client: Client, place: str) -> None:
         """A connection is in this place from now on."""
-        if client.place:
-            self.places[client.place].pop(client, None)
+        self.gone(client)
         client.place, client.since = place, self.reactor.seconds()
         self.places[place][client] = None
 
     def gone(self, client: Client) -> None:
-        """A connection has ended."""
+        """A connection is in no place any more: it has ended, or is about to."""
         if client.place:
-            self.places[client.place].pop(client, None)
+            del self.places[client.place][client]
             client.place = ""
 
     def _sweep(self) -> None:
@@ -289,17 +287,11 @@
         for client in self._since(IDLE, now - IDLE_S)[:max(0, used - self.limits.many_connections)]:
             self.counts["idle_closed"] += 1
             client.end()
-            idle.pop(client, None)
-            client.place = ""
+            self.gone(client)
         self._sweep_call = self.reactor.callLater(SWEEP_S, self._sweep) if self.connections else None
 
     def _since(self, place: str, moment: float) -> list[Client]:
-        out = []
-        for client in self.places[place]:
-            if client.since > moment:
-                break
-            out.append(client)
-        return out
+        return list(itertools.takewhile(lambda client: client.since <= moment, self.places[place]))
 
     def close_idle(self) -> None:
         """From now on connections end between requests."""
--- a/anisefront/node/gatekeeper.py
+++ b/anisefront/node/gatekeeper.py
@@ -14,6 +14,7 @@
 
 from anisefront.carriers.pool import Pool, PoolLimits
 from anisefront.core.ledger import Ledger
+from anisefront.daemon import reload
 from anisefront.daemon.clock import Clock
 from anisefront.daemon.collector import Collector
 from anisefront.node.carrier import NodeCarrier, RespAnswers
@@ -57,8 +58,7 @@
             connect_s=config.connect_timeout_ms / 1000, idle_s=config.idle_ms * IDLE_PART / 1000, idle_each=64,
             most=most - clients, rest_s=REST_S, stall_s=STALL_S),
             RespAnswers, self.book.address_of, self.ledger.may_go_to)
-        self.carrier = NodeCarrier(self.ledger, self.pool, settings.report_fields,
-                                   {kind.name: kind.aim_ms for kind in settings.classes})
+        self.carrier = NodeCarrier(self.ledger, self.pool, settings.report_fields)
         self.front = Front(reactor, self.carrier, Reader(settings), self.clock, FrontLimits(
             clients, config.sockets // 8, int(config.memory_mb * (1 << 20) / 8)))
         self.watch = Watch(reactor, config.discovery, lambda: self.book.index, self.told, self._discovery_fault)
@@ -99,15 +99,23 @@
     def _discovery_fault(self, why: str) -> None:
         self.log.warning("discovery_fault", fault=why)
 
-    def reload(self, config: NodeConfig | ConfigFault) -> bool:
-        """Take another configuration while we run: discovery's address, and the settings where they changed."""
-        if isinstance(config, ConfigFault):
-            self.log.error("config_not_taken", fault=str(config))
+    def reload(self, again: Callable[[], NodeConfig]) -> bool:
+        """Take another configuration while we run, whole or not at all: discovery's address, and the settings where
+        they changed. `again` reads it, or raises `ConfigFault`."""
+        before = self.config.settings
+        try:
+            config = again()
+            faults = [f"settings: {name} can't change while running: start the gatekeeper anew"
+                      for name in reload.fixed_settings(before, config.settings)]
+            faults += reload.moved(before, config.settings)
+        except ConfigFault as problem:
+            faults = [str(problem)]
+        if faults:
+            self.log.error("config_not_taken", faults=faults)
             return False
         self.watch.move(config.discovery)
-        if config.settings != self.config.settings:
+        if config.settings != before:
             self.front.terms = Reader(config.settings)
-            self.carrier.report_fields = config.settings.report_fields
             self.ledger.change(config.settings)
         self.config = config
         self.log.info("config", discovery=f"{config.discovery[0]}:{config.discovery[1]}")
@@ -121,7 +129,7 @@
         return {
             "open": ledger.open, "held": len(controller.held), "out": controller.window.out,
             "window": round(controller.window.limit, 2), "late_ms": round(ledger.turns_late_ms, 1),
-            "workers": len(self.book.entries), "to_workers": self.pool.open,
+            "workers": len(self.book.entries), "to_workers": self.pool.connections,
             "connections": {place: len(kept) for place, kept in self.front.places.items()},
             "accounts": len(controller.quota.accounts), "stores": len(controller.quota.stores),
             "usual_ms": {name: round(value) for name, value in controller.usual.items()},
--- a/anisefront/node/resp.py
+++ b/anisefront/node/resp.py
@@ -33,11 +33,13 @@
         self._in = bytearray()
         self._at = 0  # the next byte to read
         self._seen = 0  # up to here there is no end of the present line
+        self._parts: list[bytes] | None = None  # of the array that has begun
+        self._length = -1  # of the value that is next; below nothing: its line is
 
     @property
     def midway(self) -> bool:
-        """True while something has begun and not ended."""
-        return bool(self._in)
+        """True while something has begun and not ended, or follows what was read."""
+        return bool(self._in) or self._parts is not None
 
     def _line(self, most: int) -> bytes | None:
         """The next line without its end; None where it has not come whole."""
@@ -57,14 +59,14 @@
             raise RespFault(f"invalid {what} length")
         return int(digits)
 
-    def _value(self, size: int) -> bytes | None:
-        """The next `size` bytes and the line end after them; None where they have not come."""
-        at, end = self._at, self._at + size
+    def _value(self) -> bytes | None:
+        """The value whose length was read, and the line end after it; None where they have not come."""
+        at, end = self._at, self._at + self._length
         if len(self._in) < end + 2:
             return None
         if self._in[end:end + 2] != b"\r\n":
             raise RespFault("a value that does not end where its length says")
-        self._at = end + 2
+        self._at, self._length = end + 2, -1
         return bytes(self._in[at:end])
 
     def _forget(self) -> None:
@@ -76,18 +78,11 @@
 class CommandReader(_Reader):
     """Reads arrays of bulk strings. `fault` is set where what came can't be read; nothing is read after it."""
 
-    def __init__(self, most_value: int = MOST_VALUE, most_parts: int = MOST_PARTS) -> None:
+    def __init__(self) -> None:
         super().__init__()
-        self._most_value, self._most_parts = most_value, most_parts
-        self._parts: list[bytes] | None = None
-        self._due, self._length = 0, -1
+        self._due = 0  # parts
         self.fault: RespFault | None = None
 
-    @property
-    def midway(self) -> bool:
-        """True while a command has begun and not ended."""
-        return bool(self._in) or self._parts is not None
-
     def feed(self, data: bytes) -> list[list[bytes]]:
         """The commands that these bytes complete; what can't be read is left in `fault`."""
         out: list[list[bytes]] = []
@@ -114,7 +109,7 @@
                 return None
             if line[:1] != b"*":
                 raise RespFault("expected '*'")
-            self._due = self._size(line[1:], self._most_parts, "multibulk")
+            self._due = self._size(line[1:], MOST_PARTS, "multibulk")
             if not self._due:
                 raise RespFault("invalid multibulk length")
             self._parts = []
@@ -126,11 +121,10 @@
                     return None
                 if line[:1] != b"$":
                     raise RespFault("expected '$'")
-                self._length = self._size(line[1:], self._most_value, "bulk")
-            value = self._value(self._length)
+                self._length = self._size(line[1:], MOST_VALUE, "bulk")
+            value = self._value()
             if value is None:
                 return None
-            self._length = -1
             parts.append(value)
         self._parts = None
         return parts
@@ -148,16 +142,6 @@
 class AnswerReader(_Reader):
     """Reads a worker's answers, one at a time."""
 
-    def __init__(self) -> None:
-        super().__init__()
-        self._parts: list[bytes] | None = None
-        self._length = -1
-
-    @property
-    def midway(self) -> bool:
-        """True while bytes are here that no answer has taken: a further answer, or noise."""
-        return bool(self._in) or self._parts is not None
-
     def feed(self, data: bytes) -> Answer | None:
         """The answer that these bytes complete; what follows it stays unread. Raises `RespFault`."""
         self._in += data
@@ -200,19 +184,21 @@
             if rest == b"-1" and not first:
                 return b""
             self._length = self._size(rest, MOST_VALUE, "bulk")
-        value = self._value(self._length)
-        if value is not None:
-            self._length = -1
-        return value
+        return self._value()
+
+
+def array(count: int, parts: list[bytes]) -> bytes:
+    """The head of an array of `count` bulk strings, and the first of them."""
+    return b"*%d\r\n" % count + b"".join(map(bulk, parts))
 
 
 def command(parts: list[bytes]) -> bytes:
     """An array of bulk strings."""
-    return b"*%d\r\n" % len(parts) + b"".join([b"$%d\r\n%b\r\n" % (len(part), part) for part in parts])
+    return array(len(parts), parts)
 
 
 def bulk(value: bytes) -> bytes:
-    """A value as the answer to a client."""
+    """A value: a part of a command, or the answer to a client."""
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
 
--- a/anisefront/node/terms.py
+++ b/anisefront/node/terms.py
@@ -13,7 +13,8 @@
 from anisefront.node import resp
 from anisefront.policy.interface import Repeat, Settings
 
-VERBS = {b"Q.ASK": (3, 4), b"Q.DO": (3, 4)}  # how many parts follow the verb, least and most
+VERBS = (b"Q.ASK", b"Q.DO")
+PARTS = (4, 5)  # of a command: the verb, the customer, the id, the terms, and a body or none
 MOST_CUSTOMER = 1 << 33
 MOST_WAIT_MS = 3_600_000  # no client waits longer
 _ID = re.compile(rb"[0-9a-f]{16}\Z")
@@ -34,6 +35,7 @@
     id: bytes
     customer: str
     class_name: str
+    aim_ms: float
     plan_name: str
     wait_ms: float
     units: float
@@ -47,9 +49,7 @@
 
     def command(self, allow_ms: float) -> bytes:
         """The command for a worker that has `allow_ms` to answer."""
-        figure = b"%d" % max(1, int(allow_ms))
-        size = len(self.before) + len(figure) + len(self.after)
-        return b"%b$%d\r\n%b%b%b\r\n%b" % (self.head, size, self.before, figure, self.after, self.tail)
+        return self.head + resp.bulk(b"%b%d%b" % (self.before, max(1, int(allow_ms)), self.after)) + self.tail
 
 
 class Reader:
@@ -63,8 +63,7 @@
     def read(self, parts: list[bytes]) -> Wanted:
         """The request that these parts of a command make; `TermsFault` where they make none."""
         verb = parts[0]
-        least, most = VERBS[verb]
-        if not least <= len(parts) - 1 <= most:
+        if len(parts) not in PARTS:
             raise TermsFault(f"wrong number of arguments for '{verb.decode()}'")
         customer, number, terms = parts[1:4]
         if not _ID.match(customer) or int(customer, 16) >= MOST_CUSTOMER:
@@ -96,9 +95,9 @@
         repeat = self._whole("r", found.get("r", "0"), 0, 1)
         mark = b"d=" + found["d"].encode()
         at = 0 if terms.startswith(mark) else terms.index(b"," + mark) + 1
-        head = b"*%d\r\n$%d\r\n%b\r\n$16\r\n%b\r\n$16\r\n%b\r\n" % (len(parts), len(verb), verb, customer, number)
-        return Wanted(number, customer.decode(), kind.name, found["t"], wait, units, first, spread, bool(repeat), head,
-                      terms[:at + 2], terms[at + len(mark):], b"".join([resp.bulk(part) for part in parts[4:]]))
+        return Wanted(number, customer.decode(), kind.name, kind.aim_ms, found["t"], wait, units, first, spread,
+                      bool(repeat), resp.array(len(parts), parts[:3]), terms[:at + 2], terms[at + len(mark):],
+                      b"".join(map(resp.bulk, parts[4:])))
 
     @staticmethod
     def _number(name: str, text: str, above: float, most: float) -> float:
--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -742,7 +742,9 @@
 
     def send(self, request: Request) -> bool:
         """One more attempt, where a server may take it."""
-        load = min(LOAD_MOST, max(LOAD_LEAST, self.expected(request) / self.usual_any))
+        size = size_of(request)
+        usual = self.expected(request.kind.name, size)
+        load = min(LOAD_MOST, max(LOAD_LEAST, usual / self.usual_any))
         backend = self.servers.choose(self.now, request, self.allowed(request), load)
         if backend is None or request.attempts >= self.settings.max_attempts:
             return False
@@ -752,7 +754,7 @@
             self.budget = min(RETRY_MOST, self.budget + RETRY_PART)
             request.held, request.toss_ms = False, 0.0
         self.actions.append(Send(number, backend.entry.id, max(1.0, request.arrival.due_ms - self.now)))
-        self.attempts[number, request.attempts] = (backend, request.kind.name, size_of(request), load)
+        self.attempts[number, request.attempts] = (backend, request.kind.name, size, load)
         self.out[request.kind.name] += 1
         request.out[request.attempts] = backend
         backend.requests[number] = request
@@ -763,7 +765,7 @@
         backend.out, self.servers.sends = backend.out + 1, self.servers.sends + 1
         backend.load += load
         self.window.count(self.now, 1)
-        patience = max(HEDGE_LEAST_MS, HEDGE_TIMES * self.expected(request))
+        patience = max(HEDGE_LEAST_MS, HEDGE_TIMES * usual)
         self.plan_at(self.now + patience, "hedge", number)
         return True
 
@@ -780,13 +782,14 @@
             backend for backend in self.servers.warm + self.servers.cold if backend.entry.zone == same.zone
             and (group is Scope.ZONE or backend.entry.cell == same.cell)]
 
-    def expected(self, request: Request) -> float:
-        """The usual answer time for its class and size."""
-        return self.sized.get((request.kind.name, size_of(request)), self.usual[request.kind.name])
+    def expected(self, name: str, size: int) -> float:
+        """The usual answer time of a class at a size."""
+        return self.sized.get((name, size), self.usual[name])
 
     def answer_time(self, request: Request) -> float:
         """What an attempt is taken to need. Bounded: past the aim all would be refused, and nothing heal."""
-        return min(SAFE_TIMES * self.expected(request), ANSWER_PART * request.kind.aim_ms)
+        usual = self.expected(request.kind.name, size_of(request))
+        return min(SAFE_TIMES * usual, ANSWER_PART * request.kind.aim_ms)
 
     def again(self, request: Request) -> bool:
         """A further attempt, where it can still be in time and the budget allows it."""
@@ -806,7 +809,7 @@
         backend.load = max(0.0, backend.load - load) if backend.out else 0.0
         self.window.count(self.now, -1)
         self.window.full, self.window.ended = self.window.full + full, self.window.ended + 1
-        usual, ratio = self.sized.get((class_name, size), self.usual[class_name]), math.inf
+        usual, ratio = self.expected(class_name, size), math.inf
         if event.load:
             self.servers.report(self.now, backend, event.load)
         if event.result is Result.OK:
--- a/tests/test_node_front.py
+++ b/tests/test_node_front.py
@@ -2,10 +2,10 @@
 
 import pytest
 from test_node_wire import ASK, DO, SERVED, chunked
-from test_pool import Handle
+from test_pool import Transport as Socket
 from test_rules import settings
 from twisted.internet import error
-from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
 from anisefront.carriers.pool import Pool, PoolLimits
@@ -37,16 +37,10 @@
         return out
 
 
-class Transport(StringTransport):
+class Transport(Socket):
     def __init__(self):
         super().__init__()
-        self.handle, self.aborted, self.paused = Handle(), False, False
-
-    def getHandle(self):
-        return self.handle
-
-    def setTcpNoDelay(self, on):
-        pass
+        self.paused = False
 
     def registerProducer(self, producer, streaming):
         pass
@@ -59,11 +53,7 @@
 
     def abortConnection(self):
         if not self.aborted:
-            self.aborted = True
-            self.protocol.connectionLost(Failure(error.ConnectionAborted()))
-
-    def loseConnection(self):
-        self.disconnecting = True
+            super().abortConnection()
 
     def take(self):
         data = self.value()
@@ -82,7 +72,7 @@
         self.ledger.roster(Fleet(tuple(Server(name, "z", 0, State.READY) for name in self.address)))
         self.pool = Pool(self.reactor, PoolLimits(rest_s=0.01, stall_s=0.4, most=limits.pop("most", 0)), RespAnswers,
                          self.address.get, self.ledger.may_go_to)
-        self.carrier = NodeCarrier(self.ledger, self.pool, ("util", "inflight"), {"look": 600.0, "book": 900.0})
+        self.carrier = NodeCarrier(self.ledger, self.pool, ("util", "inflight"))
         self.front = Front(self.reactor, self.carrier, Reader(settings()), now, FrontLimits(**limits))
 
     def client(self):
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -254,6 +254,24 @@
     assert ask(client, 100) == b"value for %016x" % 100 and len(two.took) == 1
 
 
+def test_settings_may_grow_while_it_runs_and_what_peers_know_by_its_place_stays(house):
+    worker = house(Worker())
+    node = house(Node(house.folder, house(Discovery(row("s1", worker.address))).address, row("s1", worker.address)))
+    client, settings = node.client(), node.config["settings"]
+    node.write(settings=settings | {"packages": [{"name": "other", "perSecond": 5.0, "storeSize": 5.0}]})
+    node.process.send_signal(signal.SIGHUP)
+    node.until_said("plans rated must stay in their order")
+    node.write(settings=settings | {"rules": settings["rules"] | {"warmUpMs": 7.0}})
+    node.process.send_signal(signal.SIGHUP)
+    node.until_said("settings: warm_up_ms can't change while running")
+    assert ask(client, 1) == b"value for %016x" % 1  # none of it was taken
+    grown = [*settings["classes"], settings["classes"][0] | {"name": "new"}]
+    node.write(settings=settings | {"classes": grown})
+    node.process.send_signal(signal.SIGHUP)
+    node.until_said('"event": "config"')
+    assert ask(client, 2, name="new") == b"value for %016x" % 2
+
+
 def test_the_end_answers_what_was_taken_and_what_still_comes(house):
     worker = house(Worker(work_s=0.4))
     node = house(Node(house.folder, house(Discovery(row("s1", worker.address))).address, row("s1", worker.address)))
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -1,7 +1,8 @@
 """Attempts over our own connections, in memory: reuse, dead connections, cancels, time-outs, faults."""
 
 import pytest
-from twisted.internet import error
+import zope.interface
+from twisted.internet import address, error, interfaces
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
@@ -113,6 +114,25 @@
     assert [result for result, _ in line.ends] == [Result.CONNECT_FAILED, Result.TIMEOUT]
 
 
+def test_a_worker_that_has_a_name_is_reached_at_whatever_address_it_has():
+    class Resolver:
+        def resolveHostName(self, receiver, *args, **more):
+            receiver.resolutionBegan(None)
+            receiver.addressResolved(address.IPv6Address("TCP", "::1", 80))
+            receiver.resolutionComplete()
+
+    line = Line()
+    line.reactor.nameResolver = Resolver()
+    zope.interface.directlyProvides(line.reactor, *zope.interface.providedBy(line.reactor),
+                                    interfaces.IReactorPluggableNameResolver)
+    line.pool.request("stalls.example:80", b"GET / HTTP/1.1\r\n\r\n", 1.0,
+                      lambda result, message: line.ends.append((result, message and message.body)))
+    line.reactor.advance(0)
+    assert line.reactor.tcpClients[-1][:2] == ("::1", 80)
+    line.connect().protocol.dataReceived(ANSWER)
+    assert line.ends == [(None, b"ok")] and line.pool.connections == 1
+
+
 def test_refused_connection_never_ran():
     line = Line()
     line.ask()
