Servers that told their load last are compared too; crowded ones are not taken for slow

One of many gatekeepers sees 5 answers a second from 60 workers, so reports forgotten to nothing after 100 ms told it nothing, and all went by slow, which peers tell each other and which followed crowding some seconds late: slow 1.25 where 19 were out, over 1.6 where none was (Servers.choose, Servers.learn). Change: what a report said fades to the mean of reports, not to nothing; the last four that reported within a second are compared beside those drawn by chance (load balancing with memory, Mitzenmacher, Prabhakar and Shah 2002); an answer's time is set against the load told with it (a worker with 0, 4, 8, 12 under way takes 66, 121, 183, 244 ms). Ruled out: the window too small (workers 0.84 busy by their reports); a queue model of 100 gatekeepers gave 1.75 s at random, 0.83 with two compared by peers' reports, 0.66 with memory, 0.55 with true loads.

--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -67,7 +67,9 @@
 SUSPECT, HEARD_WEIGHT, SIGHTING_MS = 0.6, 0.5, 2000.0  # of an own failure: silence; what a peer saw of late
 ZONE_COST = 1.15  # a server of another zone must be so much better
 LEAST_CHOICE, CHOICE_PER_SEND = 2.0, 4.0  # servers compared; more for each recent send of ours to each server
-UTIL_LOAD, REPORT_MEMORY_MS = 2.0, 100.0  # attempts that full use counts as; what was out is soon answered
+UTIL_LOAD, REPORT_MEMORY_MS = 2.0, 300.0  # attempts that full use counts as; over which a report says no more
+CROWD_BASE = 4.0  # an answer takes about as long as so many and those that its server has under way
+LATEST, LATEST_MS = 4, 1000.0  # servers that told their load last, compared too: so many, for so long
 COLD_FAILING, TOSS_MS = 0.5, 1000.0  # a cold server that fails more is passed by; a new chance for a request
 FLEET_MEMORY_MS = 30_000.0  # over which the warm fleet of late counts as what carries the load
 
@@ -477,12 +479,16 @@
         # Who seldom sends to each compares few: its news is old or known to all, who would crowd the best.
         count = math.ceil(LEAST_CHOICE + CHOICE_PER_SEND * self.sends / max(1, len(warm)))
         pool = warm if not tried else [backend for backend in warm if backend not in tried] or warm
+        # Danger: one gateway of many has seen few of late, and chance alone leaves some idle beside crowded ones.
+        # Who has just answered has a place free, and we know how full it is (balancing with memory).
+        latest = [backend for backend in self.latest if now - backend.report_ms <= LATEST_MS and backend in pool]
         fragile = 2 if request.kind.repeat is Repeat.UNSAFE else 1
         zone, chance = self.settings.zone, self.rng.uniform
-        for backend in self.rng.sample(pool, count) if count < len(pool) else pool:
-            entry, load = backend.entry, own + backend.load
-            if backend.others:
-                load += backend.others * math.exp(max(-50.0, (backend.report_ms - now) / REPORT_MEMORY_MS))
+        for backend in latest + self.rng.sample(pool, count) if count < len(pool) else pool:
+            # What was reported fades to what is usual: one of which nothing is known is no idle one.
+            fresh = math.exp(max(-50.0, (backend.report_ms - now) / REPORT_MEMORY_MS))
+            entry, others = backend.entry, self.usual + (backend.others - self.usual) * fresh
+            load = own + backend.load + others
             cost = load * (1.0 if backend.slow == 1 else self.slow(now, backend)) / max(0.01, entry.weight)
             if backend.bad:
                 cost *= 1 + fragile * FAIL_WEIGHT * self.failing(now, backend, name) ** 2
@@ -497,6 +503,16 @@
         busy = UTIL_LOAD * max(0.0, min(1.0, values.get("util", 0.0)))
         backend.others = max(0.0, values["inflight"] - backend.out) if "inflight" in values else busy
         backend.report_ms = now
+        self.usual += (backend.others - self.usual) * USUAL_GAIN
+        self.crowd += (backend.others + backend.out - self.crowd) * USUAL_GAIN
+        self.latest = [backend, *(other for other in self.latest if other is not backend)][:LATEST]
+
+    def relief(self, now: float, backend: Backend) -> float:
+        """By how much an answer of now would be shorter if its server were as crowded as is usual. Danger:
+        crowded servers would be taken for slow ones, by all who are told; all would flee them and crowd the
+        others, until these seem slow, and for seconds a part of the servers would be idle."""
+        fresh = backend.report_ms == now
+        return (CROWD_BASE + self.crowd) / (CROWD_BASE + backend.others + backend.out) if fresh else 1.0
 
     def learn(self, now: float, backend: Backend, name: str, ratio: float, weight: float) -> None:
         """One outcome: its time against the usual, or inf where it failed. Full is a failure too: what
@@ -509,6 +525,7 @@
             backend.bad[name] = backend.bad.get(name, 0.0) + weight
         elif ratio > HEDGE_TIMES:  # it was taken for silence, and is not
             backend.bad[name] = max(0.0, backend.bad.get(name, 0.0) - weight)
+        ratio *= self.relief(now, backend) if weight > HEARD_WEIGHT else 1.0
         if ratio < math.inf:  # against the fleet's mean: a slowdown of all blames none
             backend.slow += (min(SLOW_MOST, ratio) - backend.slow) * SLOW_GAIN * weight
         backend.seen_ms = now
--- a/anisefront/policy/state.py
+++ b/anisefront/policy/state.py
@@ -156,4 +156,7 @@
     capacity: float = 0.0  # warmth of those ready in sum, now and of late
     reference: float = 0.0
     sends: float = 0.0  # fading count of our sends
+    usual: float = 0.0  # load of others at a server, as reports tell it
+    crowd: float = 0.0  # and with ours
+    latest: list[Backend] = field(default_factory=list)  # that told their load last, the newest first
     sightings: list[tuple[float, Sighting]] = field(default_factory=list)
