--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -479,9 +479,9 @@
         # Who seldom sends to each compares few: its news is old or known to all, who would crowd the best.
         count = math.ceil(LEAST_CHOICE + CHOICE_PER_SEND * self.sends / max(1, len(warm)))
         pool = warm if not tried else [backend for backend in warm if backend not in tried] or warm
-        # Danger: one gateway of many has seen few of late, and chance alone leaves some idle beside crowded ones.
+        # Danger: one gateway of many sees few answers, and chance alone leaves some idle beside crowded ones.
         # Who has just answered has a place free, and we know how full it is (balancing with memory).
-        latest = [backend for backend in self.latest if now - backend.report_ms <= LATEST_MS and backend in pool]
+        latest = [each for each in self.latest if now - each.report_ms <= LATEST_MS and each in pool]
         fragile = 2 if request.kind.repeat is Repeat.UNSAFE else 1
         zone, chance = self.settings.zone, self.rng.uniform
         for backend in latest + self.rng.sample(pool, count) if count < len(pool) else pool:
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -109,8 +109,7 @@
                             limits={"memory_mb": 64, "sockets": 128} | limits)
         self.write()
         self.log = (folder / "log").open("w+")
-        self.process = subprocess.Popen([sys.executable, "-m", "anisefront", "node"], cwd=ROOT, stdout=self.log,
-                                        stderr=self.log, env={**os.environ, "PROXY_CONFIG": str(self.file)})
+        self.process = self.start()
         until = time.monotonic() + 20
         while time.monotonic() < until:
             try:
@@ -120,6 +119,10 @@
                 time.sleep(0.05)
         raise AssertionError(self.said())
 
+    def start(self):
+        return subprocess.Popen([sys.executable, "-m", "anisefront", "node"], cwd=ROOT, stdout=self.log,
+                                stderr=self.log, env={**os.environ, "PROXY_CONFIG": str(self.file)})
+
     def write(self, text=None, **more):
         self.config |= more
         self.file.write_text(json.dumps(self.config) if text is None else text)
