--- a/tests/search.py
+++ b/tests/search.py
@@ -1,4 +1,4 @@
-"""`make search`: random schedules of faults by seed, on all cores; a seed that fails is named and can be played alone."""
+"""`make search`: random schedules of faults by seed, on all cores."""
 
 import sys
 from concurrent.futures import ProcessPoolExecutor
