--- a/anisefront/fleet/membership.py
+++ b/anisefront/fleet/membership.py
@@ -176,7 +176,9 @@
             if out or unknown:
                 self._ping(self._rng.choice(out or unknown))
         number = self._next()
-        if number is not None:
+        if number is None:
+            self._aware(-1)  # nobody to accuse: who is alone must not ask ever more seldom
+        else:
             probe = self._ping(number)
             self._plan(now + ANSWER_PART * length, "unanswered", probe)
             self._plan(now + length, "verdict", probe)
@@ -323,9 +325,13 @@
     def _about_us(self, row: Row) -> None:
         """What others say of us. We are here, so a greater incarnation says so; and perhaps we were slow."""
         mine = self.rows[self.number]
-        if row.life == mine.life and row.status is not Status.ALIVE and newer(row, mine):
+        if row.life != mine.life or row.status is Status.ALIVE:
+            return
+        # Danger: a refutation that was told often enough and lost each time on its way to this one would never be
+        # told it again, and both would take each other for out for good (found by seed 583 of the search).
+        self._told[self.number] = 0
+        if newer(row, mine):
             self.rows[self.number] = Row(self.number, mine.life, row.incarnation + 1, Status.ALIVE)
-            self._told[self.number] = 0
             self._aware(1)
             self.counts["refuted"] += 1
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -127,6 +127,11 @@
         schedule(seed)
 
 
+def test_a_refutation_that_was_lost_is_told_again():
+    """Seed 583 of the search: two that had refuted long ago took each other for out for good."""
+    schedule(583, 4)
+
+
 def test_messages_a_member_sends_do_not_grow_with_the_fleet():
     rates = []
     for count in (6, 24, 48):
