A gatekeeper listens only after the loop has waited once; nobody is let in while it starts

Probe: each client that leaves with something open is noted. Cause: starting and listening were one go without a wait (process.run, NodeGatekeeper.start); who connects meanwhile is let in by the machine and read when all of it is done, up to 0.4 s late. Ruled out: turns, collector, pool, closed connections. Change: prepare() does all that needs no port, the loop waits once, start() listens.

--- a/anisefront/daemon/process.py
+++ b/anisefront/daemon/process.py
@@ -20,6 +20,9 @@
     from anisefront.policy.interface import Fleet
 
 
+SETTLE_S = 0.002  # one wait of the loop between the work of starting and listening
+
+
 def serve(config: Config, log_level: str, workers: Callable[[Any], Fleet] | None = None,
           again: Callable[[], Checked] | None = None) -> int:
     """Run the gatekeeper of the settings language; the exit code. `workers` starts an embedded fleet on the reactor,
@@ -39,8 +42,8 @@
         hang_up: Callable[[Any], object] | None = None) -> int:
     """Run a gatekeeper until it is stopped; the exit code.
 
-    `make(reactor, on_fault)` makes it: it has `start`, `drain`, `ledger` and `collector`. `before` is called with it
-    before its start, `hang_up` at each SIGHUP; what that raises is logged and ends nothing."""
+    `make(reactor, on_fault)` makes it: it has `prepare`, `start`, `drain`, `ledger` and `collector`. `before` is called
+    with it before its start, `hang_up` at each SIGHUP; what that raises is logged and ends nothing."""
     logs.set_up(log_level)
     logs.follow_twisted()
     from twisted.internet import reactor
@@ -54,11 +57,16 @@
 
     gatekeeper = make(reactor, module_fault)
 
+    def prepare() -> None:
+        before(gatekeeper)
+        gatekeeper.collector.start()
+        gatekeeper.prepare()
+        # Danger: who connects while we still set things up is read late, and its time counts from when it was sent.
+        # So we listen only once the loop has waited: all that starting cost is behind us then.
+        reactor.callLater(SETTLE_S, begin)
+
     def begin() -> None:
         try:
-            before(gatekeeper)
-            # Danger: who connects while we still set things up is read late, and its time counts from its first byte.
-            gatekeeper.collector.start()
             where = gatekeeper.start()
         except OSError as problem:
             log.error("not_started", fault=str(problem))
@@ -97,7 +105,7 @@
         except Exception as problem:  # Danger: a file that nobody foresaw must not end a gatekeeper in service
             log.error("reload_raised", exc_info=problem)
 
-    reactor.callWhenRunning(begin)
+    reactor.callWhenRunning(prepare)
     signal.signal(signal.SIGHUP, on_hangup)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, on_signal)
--- a/anisefront/node/gatekeeper.py
+++ b/anisefront/node/gatekeeper.py
@@ -64,28 +64,34 @@
         self.watch = Watch(reactor, config.discovery, lambda: self.book.index, self.told, self._discovery_fault)
         self.collector = Collector(reactor, lambda: self.ledger.open, every_s=COLLECT_S)
         self._port: Any = None
+        self._prepared = False
         self._drained: defer.Deferred[None] | None = None
 
+    def prepare(self) -> None:
+        """All the work of starting that needs no port. Once."""
+        config, self._prepared = self.config, True
+        if config.known is not None:
+            self.told(config.known)  # it may be old, and serves until discovery tells more
+        self.log.info("settings", settings=dataclasses.asdict(config.settings) | {"tag_key": ""},
+                      memory_mb=config.memory_mb, sockets=config.sockets, idle_ms=config.idle_ms,
+                      connect_timeout_ms=config.connect_timeout_ms)
+        self.ledger.settle()
+
     def start(self) -> dict[str, Any]:
         """Listen, and say where. `OSError` where a port can't be had."""
         config, where = self.config, {}
-        if config.known is not None:
-            self.told(config.known)  # it may be old, and serves until discovery tells more
+        if not self._prepared:
+            self.prepare()
         self.watch.start()
         if self.peer_port is not None:
             host, port = config.peer_listen
             self.reactor.listenUDP(port, self.peer_port, interface=host, maxPacketSize=2048)
             where["peers"] = f"{host}:{port}"
-        self.log.info("settings", settings=dataclasses.asdict(config.settings) | {"tag_key": ""},
-                      memory_mb=config.memory_mb, sockets=config.sockets, idle_ms=config.idle_ms,
-                      connect_timeout_ms=config.connect_timeout_ms)
-        self.reactor.callLater(REPORT_S, self._report)
-        self.ledger.settle()
-        # Last of all: who connects is read by the loop's next turn.
         host, port = config.listen
         self._port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
         where["resp"] = f"{host}:{self._port.getHost().port}"
         self.log.info("started", **where, workers=len(self.book.entries), number=config.settings.number)
+        self.reactor.callLater(REPORT_S, self._report)
         return where
 
     # ---- discovery -----------------------------------------------------------------------------
