--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -36,6 +36,9 @@
     discovery = house(Discovery(row("s1", worker.address)))
     node = house(Run(house.folder, discovery.address, row("s1", worker.address)))
     assert ask(node.client(), 1) == b"value for 0000000000000001"
+    said = node.said()
+    # Danger: who is let in while we still start is read late. The work of starting comes before listening.
+    assert said.index('"event": "settings"') < said.index('"event": "started"')
     proc = pathlib.Path("/proc") / str(node.process.pid)  # the shell has put the program in its own place
     assert "python" in os.readlink(proc / "exe")
     assert all(not (task / "children").read_text() for task in (proc / "task").iterdir())
