Membership says a doubt in one place; what the benchmark counted and nobody read is gone

Found on reading the change again. Twice: which row goes to a member that we doubt (now Membership._doubt). Dead: counts of messages that the benchmark wrote and never read, a time it took for nothing; two docstrings said what is not so.

--- a/anisefront/fleet/membership.py
+++ b/anisefront/fleet/membership.py
@@ -200,11 +200,14 @@
         self._probes[self._sequence] = _Probe(number, asker, asked_sequence)
         if len(self._probes) > 256:  # pings for others and of those that are out, which nobody waits for
             del self._probes[next(iter(self._probes))]
-        row = self.rows.get(number)
-        doubt = [row] if row is not None and row.status in (Status.SUSPECTED, Status.OUT) else []
-        self._send(number, Kind.PING, self._sequence, number, doubt)  # so that it can refute
+        self._send(number, Kind.PING, self._sequence, number, self._doubt(number))
         return self._sequence
 
+    def _doubt(self, number: int) -> list[Row]:
+        """The row of a member that we doubt, for itself: so that it can refute."""
+        row = self.rows.get(number)
+        return [row] if row is not None and row.status in (Status.SUSPECTED, Status.OUT) else []
+
     def _unanswered(self, now: float, sequence: int) -> None:
         probe = self._probes.get(sequence)
         if probe is None or probe.answered:
@@ -272,9 +275,7 @@
         for row in rows:
             self._take(now, row, sender)
         if kind == Kind.PING:
-            known = self.rows.get(sender)
-            doubt = [known] if known is not None and known.status in (Status.SUSPECTED, Status.OUT) else []
-            self._send(sender, Kind.ANSWER, sequence, self.number, doubt)
+            self._send(sender, Kind.ANSWER, sequence, self.number, self._doubt(sender))
         elif kind == Kind.ANSWER:
             self._answered(sequence, sender)
         elif kind == Kind.PING_FOR and about != self.number:
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -1,8 +1,8 @@
-"""Membership alone, by processes over loopback: time until all know of a start, a death and a leave; messages a member.
+"""Membership alone, by processes over loopback: time until all know of a start, a death and a leave.
 
     python -m benchmarks.members 24 100 200
 
-Each process holds members of one number only and nothing else of a gatekeeper, so that 200 fit on one machine."""
+Each process holds the membership of one number and nothing else of a gatekeeper, so that 200 fit on one machine."""
 
 import json
 import select
@@ -19,7 +19,7 @@
 
 
 def member(number: int, ports: list[int]) -> None:
-    """One member until SIGTERM, which makes it leave; writes a line for each change and each second."""
+    """One member until SIGTERM, which makes it leave; writes a line for each change."""
     link = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     link.bind(("127.0.0.1", ports[number]))
     life, ended = int(time.time() * 1000), []
@@ -42,11 +42,10 @@
                 heard.append((taken[0], seal.peers[taken[0]].incarnation, taken[1]))
         send(known.handle(time.time() * 1000, heard))
         for change in known.changes:
-            print(json.dumps([time.time(), number, change.row.number, change.row.status.name, known.counts["sent"]]))
+            print(json.dumps([time.time(), number, change.row.number, change.row.status.name]))
         sys.stdout.flush()
         known.changes.clear()
     send(known.leave())
-    print(json.dumps([time.time(), number, number, "SENT", known.counts["sent"]]), flush=True)
 
 
 class Fleet:
@@ -59,7 +58,7 @@
         self.ports = [link.getsockname()[1] for link in spare]
         for link in spare:
             link.close()
-        self.count, self.folder, self.up = count, folder, {}
+        self.folder, self.up = folder, {}
 
     def start(self, number: int) -> None:
         out = open(f"{self.folder}/{number}", "a")
@@ -71,41 +70,40 @@
         last = {}
         for number in self.up:
             for line in open(f"{self.folder}/{number}"):
-                at, who, about, status, _ = json.loads(line)
+                at, who, about, status = json.loads(line)
                 last[who, about] = (at, status)
         return last
 
-    def until(self, about: int, statuses: tuple[str, ...], most_s: float = 120.0) -> float:
+    def until(self, about: int, wanted: str, most_s: float = 120.0) -> float:
         """The moment from which all that are up said so of one member."""
         end = time.time() + most_s
         while time.time() < end:
             said = self.said()
             views = [said.get((number, about), (0.0, "")) for number in self.up if number != about]
-            if all(status in statuses for _, status in views):
+            if all(status == wanted for _, status in views):
                 return max(at for at, _ in views)
             time.sleep(0.5)
         return float("inf")
 
 
 def measure(count: int, folder: str) -> dict[str, float]:
-    """The times in seconds, and messages a member and second."""
+    """The times in seconds, and how often one that was up was taken for out."""
     fleet = Fleet(count, folder)
     for number in range(1, count):
         fleet.start(number)
     time.sleep(20 + count / 10)
     began = time.time()
     fleet.start(0)
-    found = {"members": count, "start_s": fleet.until(0, ("ALIVE",)) - began}
+    found = {"members": count, "start_s": fleet.until(0, "ALIVE") - began}
     time.sleep(30)
-    false = sum(status in ("OUT",) for _, status in fleet.said().values())
+    false = sum(status == "OUT" for _, status in fleet.said().values())
     fleet.up.pop(1).kill()
     began = time.time()
-    found["death_s"] = fleet.until(1, ("OUT",)) - began
+    found["death_s"] = fleet.until(1, "OUT") - began
     leaver = fleet.up.pop(2)
     began = time.time()
     leaver.terminate()
-    found["leave_s"] = fleet.until(2, ("LEFT",)) - began
-    began = time.time()
+    found["leave_s"] = fleet.until(2, "LEFT") - began
     for each in fleet.up.values():
         each.terminate()
     for each in fleet.up.values():
--- a/benchmarks/standing.py
+++ b/benchmarks/standing.py
@@ -1,4 +1,4 @@
-"""The standing test's quick set beside the last committed score: `make standing`. It plays nothing itself.
+"""The standing test's quick set beside the last committed score: `make standing`.
 
 Where the users' bench is not beside the repository it says so in a line and ends with 2."""
 
