Starting goes by the hook that was there; a port that can't be had ends it at every step

Found on reading the change again. A fix beside the mechanism: process.run already had before(), yet the platform's gatekeeper had got a prepare() of its own, with a flag, and the other an empty one. The work of starting is before() now, for both. A fault of that change: before() had slipped out of the guard for ports that can't be had, so an embedded worker's port that was taken left the process standing without listening, for good. Every step of starting is guarded in one place; a test that fails (20 s, no exit) without it.

--- a/anisefront/cli/node.py
+++ b/anisefront/cli/node.py
@@ -29,4 +29,4 @@
     except ConfigFault as problem:
         raise click.ClickException(str(problem)) from problem
     sys.exit(process.run(lambda reactor, on_fault: NodeGatekeeper(config, reactor, on_fault=on_fault), log_level,
-                         config.name, hang_up=lambda gatekeeper: gatekeeper.reload(again)))
+                         config.name, NodeGatekeeper.prepare, lambda gatekeeper: gatekeeper.reload(again)))
--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -118,9 +118,6 @@
         settings = self.config.settings
         return first_gateway(customer, settings.tag_key, settings.gateways), self.config.spread
 
-    def prepare(self) -> None:
-        """What can be done before we listen: nothing that a start would not do itself."""
-
     def start(self) -> dict[str, Any]:
         """Listen, and say where. `OSError` where a port can't be had."""
         config, where = self.config, {}
--- a/anisefront/daemon/process.py
+++ b/anisefront/daemon/process.py
@@ -42,8 +42,9 @@
         hang_up: Callable[[Any], object] | None = None) -> int:
     """Run a gatekeeper until it is stopped; the exit code.
 
-    `make(reactor, on_fault)` makes it: it has `prepare`, `start`, `drain`, `ledger` and `collector`. `before` is called
-    with it before its start, `hang_up` at each SIGHUP; what that raises is logged and ends nothing."""
+    `make(reactor, on_fault)` makes it: it has `start`, `drain`, `ledger` and `collector`. `before` is called with it
+    and does what its start costs and needs no port, `hang_up` at each SIGHUP; what that raises is logged and ends
+    nothing."""
     logs.set_up(log_level)
     logs.follow_twisted()
     from twisted.internet import reactor
@@ -57,22 +58,24 @@
 
     gatekeeper = make(reactor, module_fault)
 
+    def step(call: Callable[[], None]) -> None:
+        """One step of starting; a port that can't be had ends it."""
+        try:
+            call()
+        except OSError as problem:
+            log.error("not_started", fault=str(problem))
+            code[0] = 1
+            reactor.stop()
+
     def prepare() -> None:
         before(gatekeeper)
         gatekeeper.collector.start()
-        gatekeeper.prepare()
         # Danger: who connects while we still set things up is read late, and its time counts from when it was sent.
         # So we listen only once the loop has waited: all that starting cost is behind us then.
-        reactor.callLater(SETTLE_S, begin)
+        reactor.callLater(SETTLE_S, step, begin)
 
     def begin() -> None:
-        try:
-            where = gatekeeper.start()
-        except OSError as problem:
-            log.error("not_started", fault=str(problem))
-            code[0] = 1
-            reactor.stop()
-            return
+        where = gatekeeper.start()
         # Every front takes its port only once the first fleet list has been handed in.
         print(json.dumps({"ready": True, **where, "pid": os.getpid()}), flush=True)
 
@@ -105,7 +108,7 @@
         except Exception as problem:  # Danger: a file that nobody foresaw must not end a gatekeeper in service
             log.error("reload_raised", exc_info=problem)
 
-    reactor.callWhenRunning(prepare)
+    reactor.callWhenRunning(step, prepare)
     signal.signal(signal.SIGHUP, on_hangup)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, on_signal)
--- a/anisefront/node/gatekeeper.py
+++ b/anisefront/node/gatekeeper.py
@@ -64,12 +64,11 @@
         self.watch = Watch(reactor, config.discovery, lambda: self.book.index, self.told, self._discovery_fault)
         self.collector = Collector(reactor, lambda: self.ledger.open, every_s=COLLECT_S)
         self._port: Any = None
-        self._prepared = False
         self._drained: defer.Deferred[None] | None = None
 
     def prepare(self) -> None:
-        """All the work of starting that needs no port. Once."""
-        config, self._prepared = self.config, True
+        """All the work of starting that needs no port, before `start`."""
+        config = self.config
         if config.known is not None:
             self.told(config.known)  # it may be old, and serves until discovery tells more
         self.log.info("settings", settings=dataclasses.asdict(config.settings) | {"tag_key": ""},
@@ -80,8 +79,6 @@
     def start(self) -> dict[str, Any]:
         """Listen, and say where. `OSError` where a port can't be had."""
         config, where = self.config, {}
-        if not self._prepared:
-            self.prepare()
         self.watch.start()
         if self.peer_port is not None:
             host, port = config.peer_listen
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,11 +1,13 @@
 """The process's own matters: memory by purpose, the collector, the pulse."""
 
 import gc
+import subprocess
+import sys
 import tracemalloc
 
 import pytest
 from test_module import FLEET, ask, gateway
-from test_path import Running, told
+from test_path import ROOT, Running, told
 from twisted.internet.task import Clock
 
 from anisefront.core.standing import Sample
@@ -143,3 +145,16 @@
     assert transport.producerState == "paused"
     connection.resumeProducing()
     assert transport.producerState == "producing"
+
+
+def test_a_port_that_cannot_be_had_ends_the_start_at_whatever_step():
+    """The step before listening was outside the guard for a while: the process would have stood there for good."""
+    code = ("import types\nfrom anisefront.daemon import process\n"
+            "def taken(*_): raise OSError('port taken')\n"
+            "nothing = types.SimpleNamespace(start=lambda: None)\n"
+            "made = types.SimpleNamespace(start={start}, collector=nothing)\n"
+            "raise SystemExit(process.run(lambda *_: made, 'error', 'one', {before}))")
+    for start, before in (("dict", "taken"), ("taken", "lambda _: None")):
+        ended = subprocess.run([sys.executable, "-c", code.format(start=start, before=before)], cwd=ROOT, timeout=20,
+                               capture_output=True, text=True)
+        assert ended.returncode == 1 and "port taken" in ended.stderr and "ready" not in ended.stdout
