Keepers, origins and witnesses: who has work in hand, decided without I/O and searched

Need: a gatekeeper that dies takes with it what it held. Now an origin feeds each request to one keeper in a numbered order, an attempt of a bound request leaves only after the keeper's word, and a third, the epoch's witness, says once for good whether its origin left the keeper or the keeper took it over. So any two of three agree on every change, and no clock decides whose a request is. Found on the way: an origin that had lost a request still let its next attempt go (mended, a guard of its own); a word while closing needs no guard, since what is taken in then is known when the epoch is closed.

--- /dev/null
+++ b/anisefront/fleet/origin.py
@@ -0,0 +1,424 @@
+"""The origin's part in keeping: which keeper knows of a request, and when an attempt may leave. Free of I/O and clocks.
+
+A request is fed to one keeper. An attempt of a bound one (it may not simply run again) leaves only when the keeper has
+said that it knows of it. So whoever takes over knows of all that may have run, whatever clocks and pauses did.
+
+    open --keeper slow or out--> leaving --the witness: left--> its requests are fed to another keeper
+      |                             `-----the witness: closed--> lost: its bound requests are the keeper's
+      `--keeper: not yours--> lost
+
+Safety rests on three orders of messages: an attempt after the keeper's word, a new keeper after the witness's word,
+and at the witness who came first. Times decide only how soon we ask again or look for another.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from anisefront.fleet.keeping import (
+    MOST_BYTES,
+    Ack,
+    Ended,
+    Entry,
+    Feed,
+    Leave,
+    Message,
+    NotYours,
+    Over,
+    Ruled,
+    Sent,
+    Taken,
+    pack_entry,
+)
+
+ASK_AGAIN_MS, ASK_MOST_MS = 30.0, 480.0  # without a word so long after a feed it is sent again, then twice as long
+PATIENCE_MS = 150.0  # a keeper without a word for so long is left for another
+SLOW_MS = 5000.0  # and not chosen again for so long, while there are others
+MOST_UNHEARD = 4000  # entries that one keeper has not acknowledged; beyond them its requests are not protected
+FEED_ENTRIES = 255  # in one message
+BEAT_PART = 0.25  # of a lease: so often a keeper hears of us while it keeps something
+SLOTS = 64  # identities fall into so many, each with its own order of keepers
+
+
+class Member(NamedTuple):
+    """One that may be keeper or witness."""
+
+    number: int
+    life: int
+    room: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class _Work:
+    """One request of ours that a keeper was told of."""
+
+    taken: Taken
+    slot: int
+    epoch: int = 0
+    sent: dict[int, str] = field(default_factory=dict)  # attempts, by number, not proved never to have run
+    waiting: set[int] = field(default_factory=set)  # attempts that wait for the keeper's word
+    refused: bool = False  # its refusal waits for it
+    lost: bool = False  # another has it: nothing more leaves here
+
+
+@dataclass(slots=True, eq=False)
+class _Link:
+    """An epoch: what one life of a keeper is told, with one witness over it."""
+
+    epoch: int
+    keeper: Member
+    witness: Member | None
+    requests: set[int] = field(default_factory=set)
+    entries: deque[tuple[Entry, int]] = field(default_factory=deque)  # not acknowledged, with their bytes
+    first: int = 1  # number of the first of these
+    told: int = 0  # number of the last that has been sent
+    asked_ms: float = 0.0  # when we last sent, and since when we wait for a word
+    since_ms: float = 0.0
+    gap_ms: float = ASK_AGAIN_MS
+    leaving: bool = False
+    beats: bool = False  # whether it is to be looked at for a sign of life, and when
+    beat_ms: float = 0.0
+
+    @property
+    def next(self) -> int:
+        return self.first + len(self.entries)
+
+
+class Origin:
+    """Our requests and who keeps them. What it wants done is in `out` (messages), `go` (attempts that may leave),
+    `answer` (refusals that may be given), `lost` (requests that are another's now); the host empties them."""
+
+    def __init__(self, me: Member, lease_ms: float = 1000.0) -> None:
+        self.me, self.lease_ms = me, lease_ms
+        self.out: list[tuple[int, Message]] = []
+        self.go: list[tuple[int, int]] = []
+        self.answer: list[int] = []
+        self.lost: list[int] = []
+        self.counts: Counter[str] = Counter()
+        self._members: dict[int, Member] = {}
+        self._works: dict[int, _Work] = {}
+        self._links: dict[int, _Link] = {}  # by epoch
+        self._current: dict[int, int] = {}  # epoch in use, by keeper
+        self._epochs: dict[int, list[int]] = {}  # those with a keeper that are not done with, the oldest first
+        self._slow: dict[int, float] = {}  # keepers that were left, until when
+        self._ranks: dict[tuple[int, str, int], list[Member]] = {}  # kept until the members change
+        self._new: dict[int, None] = {}  # epochs with entries that were not sent yet
+        self._agenda: list[tuple[float, int]] = []  # when to look whether an epoch has its answers
+        self._epoch = 0
+
+    def __len__(self) -> int:
+        return len(self._works)
+
+    # ---- what happens to requests ----------------------------------------------------------------
+
+    def take(self, now: float, taken: Taken, identity: bytes) -> bool:
+        """A request has been accepted. False: nobody can keep it, and nobody is told of it."""
+        slot = int.from_bytes(hashlib.blake2b(identity, digest_size=2).digest(), "big") % SLOTS
+        link = self._link(now, slot)
+        if link is None:
+            self.counts["unprotected_no_keeper"] += 1
+            return False
+        self._works[taken.request] = _Work(taken, slot, link.epoch)
+        link.requests.add(taken.request)
+        self._add(now, link, taken)
+        self._beat(now, link)
+        return True
+
+    def send(self, now: float, request: int, attempt: int, worker: str) -> bool:
+        """An attempt wants to leave. True: it may at once; else it is in `go` when it may, or the request in `lost`."""
+        work = self._works.get(request)
+        if work is None:
+            return True  # nobody was told of it, so nobody can take it over
+        if work.lost:
+            return False
+        work.sent[attempt] = worker
+        link = self._links.get(work.epoch)
+        if link is None:
+            return True  # no keeper can be found any more, and the last one is out of it by its witness's word
+        if work.taken.bound:
+            # Danger: an attempt that leaves before the keeper's word runs a second time when the keeper takes over.
+            work.waiting.add(attempt)
+        if not link.leaving:
+            self._add(now, link, Sent(request, attempt, worker))
+        return not work.taken.bound
+
+    def never_ran(self, now: float, request: int, attempt: int) -> None:
+        """An attempt is proved never to have run."""
+        work = self._works.get(request)
+        if work is not None and work.sent.pop(attempt, None) is not None:
+            work.waiting.discard(attempt)
+            self._tell(now, work, Ended(request, attempt))
+
+    def refuse(self, now: float, request: int) -> bool:
+        """A request is to be refused as never run. True: it may be said at once; else it is in `answer` when it may,
+        or the request in `lost`."""
+        work = self._works.get(request)
+        if work is not None and work.lost:
+            return False
+        link = self._links.get(work.epoch) if work is not None else None
+        if work is None or link is None or not work.taken.bound:
+            self.over(now, request)
+            return True
+        # Danger: a refusal lets the client try again elsewhere. A keeper that has not heard of it and takes over
+        # would run the request beside that try.
+        work.refused = True
+        self._tell(now, work, Over(request))
+        return False
+
+    def over(self, now: float, request: int) -> None:
+        """The request has its final answer; the keeper hears of it with what is told next."""
+        work = self._works.pop(request, None)
+        if work is not None:
+            link = self._links.get(work.epoch)
+            if link is not None:
+                link.requests.discard(request)
+                if not work.refused:
+                    self._tell(now, work, Over(request))
+                self._tidy(link)
+
+    def _tell(self, now: float, work: _Work, entry: Entry) -> None:
+        link = self._links.get(work.epoch)
+        if link is not None and not link.leaving:
+            self._add(now, link, entry)
+
+    def _add(self, now: float, link: _Link, entry: Entry) -> None:
+        if not link.entries:
+            link.since_ms, link.gap_ms = now, ASK_AGAIN_MS
+        link.entries.append((entry, len(pack_entry(entry))))
+        self._new[link.epoch] = None
+
+    # ---- who keeps ---------------------------------------------------------------------------------
+
+    def members(self, now: float, alive: dict[int, Member]) -> None:
+        """Who may be asked now, ourselves not among them."""
+        self._members = dict(alive)
+        self._ranks.clear()
+        for link in list(self._links.values()):
+            if alive.get(link.keeper.number) != link.keeper:
+                self._leave(now, link)
+            elif link.witness is not None and alive.get(link.witness.number) != link.witness:
+                # Two of three agree on every change: with the witness away new work gets another one.
+                if self._current.get(link.keeper.number) == link.epoch:
+                    del self._current[link.keeper.number]
+
+    def _ranked(self, slot: int, room: str, barred: int) -> list[Member]:
+        """Another room first, then by a hash of both: spread evenly, and stable when others come and go."""
+        ranked = self._ranks.get((slot, room, barred))
+        if ranked is None:
+            def place(member: Member) -> tuple[bool, bytes]:
+                mixed = hashlib.blake2b(b"%d %d" % (slot, member.number), digest_size=8).digest()
+                return bool(room) and member.room == room, mixed
+            others = (member for member in self._members.values() if member.number != barred)
+            ranked = self._ranks[slot, room, barred] = sorted(others, key=place)
+        return ranked
+
+    def _link(self, now: float, slot: int) -> _Link | None:
+        ranked = self._ranked(slot, self.me.room, self.me.number)
+        quick = [member for member in ranked if self._slow.get(member.number, 0.0) <= now] if self._slow else ranked
+        for keeper in quick or ranked:
+            link = self._links.get(self._current.get(keeper.number, 0))
+            if link is None:
+                link = self._open(keeper)
+            if len(link.entries) < MOST_UNHEARD:
+                return link
+        return None
+
+    def _open(self, keeper: Member) -> _Link:
+        """A new epoch. Its witness hears of it only when one of us two is lost."""
+        self._epoch += 1
+        others = self._ranked(self.me.number, keeper.room, keeper.number)
+        link = self._links[self._epoch] = _Link(self._epoch, keeper, others[0] if others else None)
+        self._current[keeper.number] = self._epoch
+        self._epochs.setdefault(keeper.number, []).append(self._epoch)
+        return link
+
+    def _leave(self, now: float, link: _Link) -> None:
+        """Its keeper does not answer: others get what it had, once the witness says that it can't take over."""
+        if link.leaving:
+            return
+        link.leaving, link.since_ms, link.asked_ms, link.gap_ms = True, now, now, ASK_AGAIN_MS
+        self.counts["keepers_left"] += 1
+        if self._current.get(link.keeper.number) == link.epoch:
+            del self._current[link.keeper.number]
+        for request in sorted(link.requests):
+            if not self._works[request].taken.bound:  # it may run any number of times
+                self._move(now, request)
+        self._ask_witness(link)
+
+    def _ask_witness(self, link: _Link) -> None:
+        if link.witness is not None and link.requests:
+            self.out.append((link.witness.number, Leave(link.epoch, link.witness.life)))
+            self._look(link, link.asked_ms + link.gap_ms)
+
+    def _look(self, link: _Link, at_ms: float) -> None:
+        heapq.heappush(self._agenda, (at_ms, link.epoch))
+
+    def _move(self, now: float, request: int) -> None:
+        """Feed a request to another keeper. Danger: of a bound one the keeper before must be out of it, by its
+        witness's word: it might have taken it over and sent it on."""
+        work = self._works[request]
+        self._links[work.epoch].requests.discard(request)
+        if work.refused:  # no keeper knows of it any more
+            del self._works[request]
+            self.answer.append(request)
+            return
+        link = self._link(now, work.slot)
+        work.epoch = link.epoch if link is not None else 0
+        if link is None:
+            self.counts["unprotected_no_keeper"] += 1
+            self.go += [(request, attempt) for attempt in sorted(work.waiting)]
+            work.waiting.clear()
+            return
+        link.requests.add(request)
+        self._add(now, link, work.taken)
+        self._beat(now, link)
+        for attempt, worker in sorted(work.sent.items()):
+            self._add(now, link, Sent(request, attempt, worker, attempt in work.waiting))
+
+    # ---- what is heard -----------------------------------------------------------------------------
+
+    def hear(self, now: float, sender: int, life: int, message: Message) -> None:
+        """A message whose seal proves sender and life."""
+        link = self._links.get(message.epoch) if isinstance(message, Ack | NotYours | Ruled) else None
+        if link is None:
+            return
+        of_keeper = (sender, life) == (link.keeper.number, link.keeper.life)
+        if isinstance(message, Ack) and of_keeper:
+            self._acknowledged(now, link, message.upto)
+        elif isinstance(message, NotYours) and of_keeper:
+            self._lose(now, link)
+        elif isinstance(message, Ruled) and (message.origin, message.life) == (self.me.number, self.me.life):
+            witness = link.witness
+            if witness is None or (sender, life) != (witness.number, witness.life) or not link.leaving:
+                return
+            if message.closed:
+                self._lose(now, link)
+            else:
+                for request in sorted(link.requests):
+                    self._move(now, request)
+                self._tidy(link)
+
+    def _acknowledged(self, now: float, link: _Link, upto: int) -> None:
+        moved = False
+        while link.entries and link.first <= upto:
+            entry, _ = link.entries.popleft()
+            link.first, moved = link.first + 1, True
+            work = self._works.get(entry.request)
+            if work is None or work.epoch != link.epoch:
+                continue
+            if isinstance(entry, Sent) and entry.attempt in work.waiting:
+                work.waiting.discard(entry.attempt)
+                self.go.append((entry.request, entry.attempt))
+            elif isinstance(entry, Over):
+                del self._works[entry.request]
+                link.requests.discard(entry.request)
+                self.answer.append(entry.request)
+        if moved:
+            link.since_ms, link.gap_ms = now, ASK_AGAIN_MS
+            self._slow.pop(link.keeper.number, None)
+        self._tidy(link)
+
+    def _lose(self, now: float, link: _Link) -> None:
+        """The keeper has taken the epoch over: what is bound is no longer ours to send."""
+        for request in sorted(link.requests):
+            work = self._works[request]
+            work.epoch, work.lost = 0, work.taken.bound
+            if work.lost:
+                work.waiting.clear()
+                self.lost.append(request)
+        self.counts["epochs_lost"] += 1
+        link.requests.clear()
+        link.entries.clear()
+        if self._current.get(link.keeper.number) == link.epoch:
+            del self._current[link.keeper.number]
+        self._forget(link)
+
+    def _tidy(self, link: _Link) -> None:
+        """Let go of an epoch that nothing is left of."""
+        in_use = self._current.get(link.keeper.number) == link.epoch
+        if not link.requests and not in_use and (link.leaving or not link.entries) and link.epoch in self._links:
+            self._forget(link)
+
+    def _forget(self, link: _Link) -> None:
+        del self._links[link.epoch]
+        self._epochs[link.keeper.number].remove(link.epoch)
+
+    # ---- what is sent ------------------------------------------------------------------------------
+
+    def flush(self, now: float) -> None:
+        """Send what is new and ask again for what was not answered."""
+        for epoch in self._new:
+            link = self._links.get(epoch)
+            if link is not None and not link.leaving and link.next - 1 > link.told:
+                self._feed(now, link, max(link.first, link.told + 1))
+        self._new.clear()
+        while self._agenda and self._agenda[0][0] <= now:
+            _, epoch = heapq.heappop(self._agenda)
+            link = self._links.get(epoch)
+            if link is not None:
+                self._unanswered(now, link)
+
+    def _unanswered(self, now: float, link: _Link) -> None:
+        """No word yet, or one to what we sent before: ask again, or leave."""
+        if link.beats and not link.leaving and now >= link.beat_ms:
+            link.beats = False
+            if link.requests:
+                # Without a sign of life the lease runs out: the keeper would take over what we have in hand.
+                if not link.entries and now - link.asked_ms >= self.lease_ms * BEAT_PART:
+                    self._post(link, link.next, [])
+                    link.asked_ms = now
+                self._beat(now, link)
+        if now < link.asked_ms + link.gap_ms:
+            if link.entries or link.leaving:
+                self._look(link, link.asked_ms + link.gap_ms)
+        elif link.leaving:
+            link.asked_ms, link.gap_ms = now, min(ASK_MOST_MS, 2 * link.gap_ms)
+            self._ask_witness(link)
+        elif link.entries:
+            others = any(number != link.keeper.number for number in self._members)
+            if others and now - link.since_ms >= PATIENCE_MS:
+                self._slow[link.keeper.number] = now + SLOW_MS
+                self._leave(now, link)
+            else:
+                link.gap_ms = min(ASK_MOST_MS, 2 * link.gap_ms)
+                self.counts["fed_again"] += 1
+                self._feed(now, link, link.first)
+
+    def _feed(self, now: float, link: _Link, first: int) -> None:
+        """The entries from number `first` on, as many messages as they take."""
+        part, size, at = list[Entry](), 0, first
+        for number in range(first, link.next):
+            entry, length = link.entries[number - link.first]
+            if part and (size + length > MOST_BYTES or len(part) == FEED_ENTRIES):
+                self._post(link, at, part)
+                part, size, at = [], 0, number
+            part.append(entry)
+            size += length
+        self._post(link, at, part)
+        link.told, link.asked_ms = max(link.told, link.next - 1), now
+        self._look(link, now + link.gap_ms)
+
+    def _beat(self, now: float, link: _Link) -> None:
+        if not link.beats:
+            link.beats, link.beat_ms = True, now + self.lease_ms * BEAT_PART
+            self._look(link, link.beat_ms)
+
+    def _post(self, link: _Link, first: int, part: list[Entry]) -> None:
+        witness, oldest = link.witness or Member(-1, 0), self._epochs[link.keeper.number][0]
+        self.out.append((link.keeper.number, Feed(link.epoch, link.keeper.life, witness.number, witness.life, oldest,
+                                                  first, tuple(part))))
+
+    @property
+    def due_ms(self) -> float:
+        """When `flush` is to be called again at the latest; infinite where nothing is waited for."""
+        return self._agenda[0][0] if self._agenda else float("inf")
+
+    def protected_by(self, request: int) -> int | None:
+        """The number of the keeper that was told of a request."""
+        work = self._works.get(request)
+        link = self._links.get(work.epoch) if work else None
+        return link.keeper.number if link else None
--- /dev/null
+++ b/tests/keeping_net.py
@@ -0,0 +1,248 @@
+"""Origins, keepers and witnesses in a net whose every step is chosen: by a search of all orders, or by a seed.
+
+What ran is counted as the world would see it: an attempt that left, work taken over of which nothing had left, and a
+client's try elsewhere after it was told that its request never ran. More than one for a request is a fault."""
+
+import importlib
+import pickle
+import random
+import sys
+import types
+
+from anisefront.fleet.keeping import NO_NAME, Taken, pack, unpack
+
+TICK, WAIT = 200.0, 40.0  # past every patience at once; time to ask again only
+
+
+def fresh(*cuts):
+    """The deciding code, with guards taken out: each cut is (module, text, what stands there instead)."""
+    out = types.SimpleNamespace()
+    for name, wanted in (("origin", ("Origin", "Member")), ("keeper", ("Keeper", "Witness"))):
+        source = importlib.import_module(f"anisefront.fleet.{name}").__spec__.loader.get_source(
+            f"anisefront.fleet.{name}")
+        for _, text, instead in (cut for cut in cuts if cut[0] == name):
+            assert source.count(text) == 1, f"{text!r} stands {source.count(text)} times in {name}.py"
+            source = source.replace(text, instead)
+        module = types.ModuleType(f"keeping_{name}_{abs(hash(str(cuts)))}")
+        sys.modules[module.__name__] = module  # pickle looks classes up by it
+        exec(compile(source, f"{name}.py", "exec"), module.__dict__)
+        for each in wanted:
+            setattr(out, each, getattr(module, each))
+    return out
+
+
+class Node:
+    """One life of one gatekeeper."""
+
+    def __init__(self, code, number, life):
+        self.life = life
+        self.origin = code.Origin(code.Member(number, life))
+        self.keeper, self.witness = code.Keeper(number, life), code.Witness(life)
+
+
+class World:
+    """`count` gatekeepers. `left` says how often each kind of fault may still come."""
+
+    def __init__(self, code, count, left):
+        self.code, self.count, self.left = code, count, dict(left)
+        self.now = 0.0
+        self.lives = [1] * count
+        self.nodes = {n: Node(code, n, 1) for n in range(count)}
+        self.seen = {n: {m: 1 for m in range(count) if m != n} for n in range(count)}  # who is alive, by whom
+        self.net = []  # (sender, its life, receiver, bytes)
+        self.runs = {}  # by request's name
+        self.names = {}  # (number, life, request): name
+        self.todo = []  # (number, life, name): taken, and neither sent nor refused yet
+        self.begun = False
+        for n in range(count):
+            self._members(n)
+
+    def take(self, number, request, name):
+        node = self.nodes[number]
+        node.origin.take(self.now, Taken(request, True, 1_000_000, NO_NAME, b""), b"%d" % request)
+        self.names[number, node.life, request] = name
+        self.todo.append((number, node.life, request))
+        self._after(number)
+
+    # ---- steps -----------------------------------------------------------------------------------
+
+    def steps(self):
+        """All that may happen now."""
+        out = [("deliver", i) for i in range(len(self.net))]
+        for kind, more in (("twice", range(len(self.net))), ("lose", range(len(self.net)))):
+            if self.left.get(kind):
+                out += [(kind, i) for i in more]
+        for what in ("send", "refuse"):
+            out += [(what, i) for i, (n, life, _) in enumerate(self.todo) if self._is(n, life)]
+        for kind in ("tick", "wait"):
+            if self.left.get(kind):
+                out += [(kind, n) for n in self.nodes]
+        if self.left.get("kill"):
+            out += [("kill", n) for n in self.nodes]
+        if self.left.get("doubt"):
+            out += [("doubt", n, m) for n in self.nodes for m in self.seen[n]]
+        if self.left.get("learn"):
+            out += [("learn", n, m) for n in self.nodes for m, life in enumerate(self.lives)
+                    if m != n and self.seen[n].get(m) != life]
+        if self.left.get("start"):
+            out += [("start", n) for n in range(self.count) if n not in self.nodes]
+        return out
+
+    def _is(self, number, life):
+        return number in self.nodes and self.nodes[number].life == life
+
+    def do(self, step):
+        what, *at = step
+        if what in self.left:
+            self.left[what] -= 1
+        getattr(self, f"_{what}")(*at)
+
+    def _deliver(self, i, keep=False):
+        sender, life, receiver, data = self.net[i] if keep else self.net.pop(i)
+        node = self.nodes.get(receiver)
+        if node is None or self.seen[receiver].get(sender, 0) > life:
+            return  # sealed messages of an earlier life are refused once the next has been heard of
+        message = unpack(data)
+        node.origin.hear(self.now, sender, life, message)
+        node.keeper.hear(self.now, sender, life, message)
+        node.witness.hear(sender, life, message)
+        self._after(receiver)
+
+    def _twice(self, i):
+        self._deliver(i, keep=True)
+
+    def _lose(self, i):
+        self.net.pop(i)
+
+    def _send(self, i):
+        number, life, request = self.todo.pop(i)
+        if self.nodes[number].origin.send(self.now, request, 0, "w"):
+            self._ran(self.names[number, life, request])
+        self._after(number)
+
+    def _refuse(self, i):
+        number, life, request = self.todo.pop(i)
+        if self.nodes[number].origin.refuse(self.now, request):
+            self._ran(self.names[number, life, request])
+        self._after(number)
+
+    def _tick(self, number):
+        self.now += TICK
+        self._after(number)
+
+    def _wait(self, number):
+        self.now += WAIT
+        self._after(number)
+
+    def _kill(self, number):
+        del self.nodes[number]
+
+    def _start(self, number):
+        self.lives[number] += 1
+        self.nodes[number] = Node(self.code, number, self.lives[number])
+        self.seen[number] = {m: self.lives[m] for m in range(self.count) if m != number}
+        self._members(number)
+
+    def _learn(self, number, other):
+        """One hears that another has a new life, or that it is there after all."""
+        life = self.seen[number][other] = self.lives[other]
+        self._members(number)
+        self.nodes[number].keeper.gone(self.now, other, life - 1)
+        self._after(number)
+
+    def _doubt(self, number, other):
+        """One takes another for out, rightly or not."""
+        life = self.seen[number].pop(other)
+        self._members(number)
+        self.nodes[number].keeper.lost(self.now, other, life)
+        self._after(number)
+
+    def _members(self, number):
+        self.nodes[number].origin.members(self.now, {
+            m: self.code.Member(m, life) for m, life in self.seen[number].items()})
+
+    def _after(self, number):
+        """Carry out what a node wants done."""
+        node = self.nodes[number]
+        node.origin.flush(self.now)
+        node.keeper.flush(self.now)
+        for part in (node.origin, node.keeper, node.witness):
+            for receiver, message in part.out:
+                sent = (number, node.life, receiver, pack(message))
+                if sent not in self.net:  # the same again on its way is a doubling, which has its own count
+                    self.net.append(sent)
+            part.out.clear()
+        for request, _ in node.origin.go:
+            self._ran(self.names[number, node.life, request])
+        for request in node.origin.answer:
+            self._ran(self.names[number, node.life, request])
+        node.origin.go.clear()
+        node.origin.answer.clear()
+        node.origin.lost.clear()
+        for origin, life, kept in node.keeper.taken:
+            if not kept.sent:
+                self._ran(self.names[origin, life, kept.request])
+        node.keeper.taken.clear()
+        node.keeper.released.clear()
+        for part in (node.origin, node.keeper):
+            part.counts.clear()
+
+    def _ran(self, name):
+        self.runs[name] = self.runs.get(name, 0) + 1
+        assert self.runs[name] <= 1, f"{name} ran twice"
+
+    # ---- searches --------------------------------------------------------------------------------
+
+    def data(self):
+        """This state as bytes, the code left out."""
+        code, self.code = self.code, None
+        self.net.sort()
+        made = pickle.dumps(self, pickle.HIGHEST_PROTOCOL)
+        self.code = code
+        return made
+
+
+def loaded(code, data):
+    world = pickle.loads(data)
+    world.code = code
+    return world
+
+
+def explore(world, depth, most=10**9):
+    """Every order of steps up to a depth: (states seen, the steps that lead to a fault or None)."""
+    code, seen, layer = world.code, set(), [(world.data(), ())]
+    for _ in range(depth):
+        following = []
+        for data, path in layer:
+            for step in loaded(code, data).steps():
+                there = loaded(code, data)
+                try:
+                    there.do(step)
+                except AssertionError:
+                    return len(seen), (*path, step)
+                after = there.data()
+                key = hash(after)
+                if key not in seen:
+                    seen.add(key)
+                    following.append((after, (*path, step)))
+                    if len(seen) >= most:
+                        return len(seen), None
+        layer = following
+    return len(seen), None
+
+
+def schedule(code, seed, count=4, requests=3, steps=60):
+    """One random order of steps; an AssertionError where something ran twice."""
+    rng = random.Random(seed)
+    faults = {kind: rng.randrange(4) for kind in ("twice", "lose", "kill", "start", "doubt", "learn")}
+    world = World(code, count, faults | {"tick": rng.randrange(8), "wait": rng.randrange(8) * (seed % 2)})
+    for request in range(1, requests + 1):
+        world.take(rng.randrange(count), request, f"r{request}")
+    for _ in range(steps):
+        steps_now = world.steps()
+        if not steps_now:
+            break
+        kinds = sorted({step[0] for step in steps_now})
+        kind = rng.choice(kinds + ["deliver"] * 3) if "deliver" in kinds else rng.choice(kinds)
+        world.do(rng.choice([step for step in steps_now if step[0] == kind]))
+    return world
--- /dev/null
+++ b/tests/test_keeping.py
@@ -0,0 +1,183 @@
+"""Who keeps whose work, decided without I/O: all orders of a small world, random ones of a larger, guards taken out."""
+
+import random
+
+import pytest
+from keeping_cuts import CUTS, LATE
+from keeping_net import World, explore, fresh, schedule
+
+from anisefront.fleet.keeper import Keeper, Witness
+from anisefront.fleet.keeping import (
+    MOST_RECORD,
+    NO_NAME,
+    Ack,
+    Close,
+    Ended,
+    Feed,
+    Leave,
+    NotYours,
+    Over,
+    Ruled,
+    Sent,
+    Taken,
+    pack,
+    unpack,
+)
+from anisefront.fleet.origin import MOST_UNHEARD, PATIENCE_MS, Member, Origin
+
+ENTRIES = (Taken(7, True, 900, b"12345678", b"record"), Sent(7, 0, "10.0.0.1:80"), Sent(7, 1, "w", False), Ended(7, 0),
+           Over(7))
+MESSAGES = (Feed(3, 2**40, 4, 2**41, 1, 9, ENTRIES), Feed(1, 1, -1, 0, 1, 1, ()), Ack(3, 12), NotYours(3), Leave(3, 5),
+            Close(4, 2**41, 3, 5), Ruled(4, 2**41, 3, True), Ruled(0, 1, 3, False))
+
+
+def origin(others=(1, 2), **rooms):
+    made = Origin(Member(0, 1, "a"))
+    made.members(0.0, {n: Member(n, 1, rooms.get(f"r{n}", "")) for n in others})
+    return made
+
+
+def feeds(made, now=0.0):
+    made.flush(now)
+    out, made.out = made.out, []
+    return out
+
+
+def test_every_order_of_one_request_among_three():
+    world = World(fresh(), 3, {"kill": 1, "doubt": 1, "tick": 1})
+    world.take(0, 1, "r")
+    states, fault = explore(world, 5)
+    assert fault is None and states > 3000
+
+
+def test_a_search_of_all_orders_finds_what_is_missing():
+    world = World(fresh(*CUTS["work moves after the witness's word"]), 3, {"doubt": 2})
+    world.take(0, 1, "r")
+    assert explore(world, 6)[1] is not None
+
+
+def test_random_orders_run_nothing_twice():
+    code = fresh()
+    assert sum(sum(schedule(code, seed).runs.values()) for seed in range(800)) > 1200  # and most of it runs
+
+
+@pytest.mark.parametrize("name", CUTS)
+def test_each_guard_taken_out_is_found(name):
+    code = fresh(*CUTS[name])
+    for seed in range(8000):
+        try:
+            schedule(code, seed)
+        except AssertionError:
+            return
+    raise AssertionError(f"without {name!r} nothing was found")
+
+
+def late(cut):
+    """A message that was under way until all was over: what a keeper makes of it."""
+    keeper = (fresh(*LATE[cut]) if cut else fresh()).Keeper(1, 1)
+    first = Feed(1, 1, 2, 1, 1, 1, (Taken(1, True, 10_000, NO_NAME, b""),))
+    keeper.hear(0.0, 0, 1, first)
+    keeper.hear(0.0, 0, 1, Feed(1, 1, 2, 1, 1, 2, (Over(1),)))
+    keeper.hear(0.0, 0, 1, Feed(2, 1, 2, 1, 2, 1, (Taken(2, True, 10_000, NO_NAME, b""), Over(2))))
+    if cut == "life":
+        keeper.gone(0.0, 0, 1)
+        first = Feed(3, 1, 2, 1, 3, 1, first.entries)
+    keeper.hear(1.0, 0, 1, first)
+    return keeper.count
+
+
+@pytest.mark.parametrize("cut", LATE)
+def test_a_message_that_comes_when_all_is_over_begins_nothing(cut):
+    assert late("") == 0 and late(cut) == 1
+
+
+def test_a_bound_attempt_waits_for_the_keeper_and_a_safe_one_does_not():
+    made = origin()
+    assert made.take(0.0, Taken(1, True, 1000, NO_NAME, b""), b"1") and made.take(
+        0.0, Taken(2, False, 1000, NO_NAME, b""), b"1")
+    assert not made.send(0.0, 1, 0, "w") and made.send(0.0, 2, 0, "w")
+    [(keeper, feed)] = feeds(made)
+    assert len(feed.entries) == 4  # a batch of the turn
+    made.hear(1.0, keeper, 1, Ack(feed.epoch, 2))
+    assert made.go == []
+    made.hear(1.0, keeper, 1, Ack(feed.epoch, 4))
+    assert made.go == [(1, 0)] and feeds(made, 1.0) == []
+
+
+def test_a_slow_keeper_is_left_for_another_by_the_witness():
+    made = origin((1, 2, 3))
+    made.take(0.0, Taken(1, True, 1000, NO_NAME, b""), b"1")
+    made.send(0.0, 1, 0, "w")
+    [(slow, feed)] = feeds(made)
+    out, now = [], 0.0
+    while not any(isinstance(message, Leave) for _, message in out) and now < 1000:
+        now += 5.0
+        out += feeds(made, now)
+    assert PATIENCE_MS <= now <= 2 * PATIENCE_MS
+    made.hear(now, feed.witness, feed.witness_life, Ruled(0, 1, feed.epoch, False))
+    [(other, again)] = feeds(made, now)
+    assert other != slow and made.go == []
+    made.hear(now, other, 1, Ack(again.epoch, 2))
+    assert made.go == [(1, 0)]
+    made.take(now, Taken(2, True, 1000, NO_NAME, b""), b"1")
+    assert feeds(made, now)[0][0] != slow  # nor is it asked for what comes next
+
+
+def test_another_room_keeps_and_few_move_when_a_member_comes():
+    made = origin(tuple(range(1, 9)), r1="a", r2="a", r3="a")
+    chosen = {slot: made._ranked(slot, "a", 0)[0] for slot in range(64)}
+    assert {member.number for member in chosen.values()} <= {4, 5, 6, 7, 8}
+    made.members(0.0, {n: Member(n, 1, "a" if n < 4 else "") for n in range(1, 10)})
+    moved = sum(made._ranked(slot, "a", 0)[0] != chosen[slot] for slot in range(64))
+    assert 0 < moved < 24  # a sixth is the newcomer's part
+
+
+def test_a_keeper_that_hears_nothing_holds_so_much_at_most():
+    made = origin((1,))
+    taken = [made.take(0.0, Taken(n, True, 1000, NO_NAME, b""), b"%d" % n) for n in range(MOST_UNHEARD + 5)]
+    assert sum(taken) == MOST_UNHEARD and made.counts["unprotected_no_keeper"] == 5
+
+
+def test_a_full_keeper_takes_no_more_and_says_no_word():
+    keeper = Keeper(1, 1, most=2)
+    keeper.hear(0.0, 0, 1, Feed(1, 1, -1, 0, 1, 1, tuple(Taken(n, True, 1000, NO_NAME, b"") for n in range(4))))
+    assert keeper.out == [(0, Ack(1, 2))] and keeper.count == 2
+
+
+def test_a_lease_decides_when_the_witness_is_asked_and_signs_of_life_keep_it():
+    made, keeper, witness = origin(r2="a"), Keeper(1, 1), Witness(1)
+    made.take(0.0, Taken(1, True, 60_000, NO_NAME, b"r"), b"3")
+    for now in range(0, 5000, 10):
+        for receiver, message in feeds(made, float(now)):
+            if receiver == 1:
+                keeper.hear(float(now), 0, 1, message)
+        keeper.flush(float(now))
+        for _, message in keeper.out:
+            made.hear(float(now), 1, 1, message)
+        keeper.out.clear()
+    assert keeper.count == 1
+    assert keeper.counts["leases_out"] == 0
+    keeper.flush(6100.0)
+    [(receiver, close)] = keeper.out
+    witness.hear(1, 1, close)
+    keeper.hear(6100.0, receiver, 1, witness.out[0][1])
+    assert [kept.record for _, _, kept in keeper.taken] == [b"r"] and keeper.count == 0
+
+
+def test_messages_come_back_as_they_went():
+    for message in MESSAGES:
+        data = pack(message)
+        assert unpack(data) == message
+        for cut in range(len(data)):
+            assert unpack(data[:cut]) is None
+    with pytest.raises(ValueError, match="record: 1101 bytes are more than 1100"):
+        pack(Feed(1, 1, -1, 0, 1, 1, (Taken(1, True, 0, NO_NAME, bytes(MOST_RECORD + 1)),)))
+
+
+def test_noise_is_no_message_and_raises_nothing():
+    rng = random.Random(5)
+    for _ in range(4000):
+        data = bytearray(pack(rng.choice(MESSAGES)))
+        for _ in range(rng.randrange(1, 4)):
+            data[rng.randrange(len(data))] = rng.randrange(256)
+        unpack(bytes(data))
