A try at a third gatekeeper meets the keeper; slow and late keepers by processes; make losses

Need: a proxy that lost its gatekeeper may ask any other with the same request id. At one that was not the keeper it would have run beside what had left; now the name leads it to the keeper, which turns it away where it may have run, and lets go where nothing left. A keeper that took over what it had itself given way to runs one of the two. Records that move say the time that is left then. Tests by processes: a keeper that answers in 300 ms makes at most two requests late; messages delayed beyond the lease change nothing; proxies at a third gatekeeper.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 RUN = .venv/bin/python
 
-.PHONY: test day lint bench bench-model bench-config fuzz steady standing search bench-members
+.PHONY: test day lint bench bench-model bench-config fuzz steady standing search losses bench-members
 .venv/made: pyproject.toml requirements.txt requirements-run.txt requirements-dev.txt
 	test -d .venv || $(PYTHON) -m venv .venv
 	$(RUN) -m pip -q --disable-pip-version-check install -r requirements.txt -r requirements-run.txt -r requirements-dev.txt
@@ -45,5 +45,9 @@
 search: .venv/made
 	$(RUN) tests/search.py 3000
 
+# Kills with work in hand, with keepers and without, twenty rounds each; about eight minutes.
+losses: .venv/made
+	$(RUN) tests/losses.py 20
+
 bench-members: .venv/made
 	$(RUN) -m benchmarks.members 24 100 200
--- a/anisefront/carriers/proxied.py
+++ b/anisefront/carriers/proxied.py
@@ -70,6 +70,7 @@
     past: Past
     sent: dict[int, tuple[str, float]]  # attempts that may have run: where, and since when
     reply: Reply | None = None  # a proxy that is ahead of its log
+    waits: bool = True  # nobody has come back for it yet, and its time is not over
 
 
 @dataclass(slots=True)
@@ -92,7 +93,8 @@
         # Danger: ids are the clients' to choose. Counted over all, one customer's could block another's request.
         self._by_id: dict[str, dict[str, int]] = {}  # by request id, then by customer: open requests
         self.counts: Counter[str] = Counter()
-        self.keeping = False  # whether other gatekeepers are told of what is here
+        # Where others are told of what is here: whether another has this customer's request of that name in hand.
+        self.kept: Callable[[str, str], bool] | None = None
         self._inherited: dict[tuple[str, int], Inherited] = {}  # by its proxy's token
         self._awaited: dict[tuple[str, str], Inherited] = {}  # by customer and request id
 
@@ -109,10 +111,12 @@
         identity = identity or request_id
         if (customer, identity) in self._awaited:
             return self._come_back(self._awaited[customer, identity], reply, peer, request_id)
-        if customer in of_id:
-            # Danger: the same try over two proxies would run twice, each way unknown to the other.
+        elsewhere = self.kept is not None and identity and self.kept(customer, identity)
+        if customer in of_id or elsewhere:
+            # Danger: the same try over two proxies, or two gatekeepers, would run twice, each unknown to the other.
             self.counts["same_id_twice"] += 1
-            self.exchanges[of_id[customer]].contested = True
+            if customer in of_id:
+                self.exchanges[of_id[customer]].contested = True
             reply(Answer(Verdict.REFUSED, retry_in_ms=1000.0, reason="in-progress"))
             return None
         number = self._accept(identity, customer, class_name, plan_name, due_ms, units, first_gateway, spread,
@@ -125,7 +129,7 @@
 
     def _accept(self, identity: str, customer: str, class_name: str, plan_name: str, due_ms: float, units: float,
                 first_gateway: int, spread: int, is_repeat: bool, past: Past | None = None) -> int | None:
-        work = Work("proxied", identity, {"life": self._life}) if self.keeping else None
+        work = Work("proxied", identity, {"life": self._life}) if self.kept is not None else None
         return self._ledger.accept(self, customer, class_name, plan_name, due_ms, units, first_gateway, spread,
                                    is_repeat, copies=False, past=past, work=work)
 
@@ -236,7 +240,7 @@
 
     def go_on(self, life: str, number: int, identity: str, customer: str, class_name: str, plan_name: str,
               due_ms: float, units: float, first_gateway: int, spread: int, past: Past,
-              sent: dict[int, tuple[str, float]]) -> None:
+              sent: dict[int, tuple[str, float]]) -> Inherited:
         """A request that another gatekeeper had: nothing can leave before its proxy or its client comes back."""
         inherited = self._inherited[life, number] = Inherited(
             (life, number), identity, (customer, class_name, plan_name, due_ms, units, first_gateway, spread), past,
@@ -244,7 +248,8 @@
         if identity:
             self._awaited[customer, identity] = inherited
         self.counts["inherited"] += 1
-        self._timers.callLater(max(0.0, due_ms - self._ledger.now_ms()) / 1000, self._let_go, inherited)
+        self._timers.callLater(max(0.0, due_ms - self._ledger.now_ms()) / 1000, self.let_go, inherited)
+        return inherited
 
     def _inherited_by(self, token: str) -> tuple[Inherited | None, int]:
         life, _, rest = token.partition(".")
@@ -253,16 +258,17 @@
             return None, 0
         return self._inherited.get((life, int(number))), int(attempt)
 
-    def _let_go(self, inherited: Inherited) -> bool:
-        """False where that was before."""
+    def let_go(self, inherited: Inherited) -> None:
+        """Wait for it no longer."""
+        inherited.waits = False
         awaited = (inherited.terms[0], inherited.identity)
         if self._awaited.get(awaited) is inherited:
             del self._awaited[awaited]
-        return self._inherited.pop(inherited.token, None) is not None
+        self._inherited.pop(inherited.token, None)
 
     def _come_back(self, inherited: Inherited, reply: Reply, peer: str = "", request_id: str = "") -> int | None:
         """Its proxy or its client is here: the module decides on it, with the attempts that may have run."""
-        self._let_go(inherited)
+        self.let_go(inherited)
         self.counts["came_back"] += 1
         waiting, inherited.reply = inherited.reply, None
         if waiting is not None and waiting is not reply:
@@ -285,7 +291,7 @@
             del inherited.sent[attempt]
         if over or result is Result.OK:
             inherited.reply = None
-            self._let_go(inherited)
+            self.let_go(inherited)
             if reply is not None:
                 reply(Answer(Verdict.FAILED, reason="unknown-attempt"))
         elif reply is not None:
--- a/anisefront/daemon/keepers.py
+++ b/anisefront/daemon/keepers.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from anisefront.carriers.own import Answer, Job, Own
-from anisefront.carriers.proxied import Proxied
+from anisefront.carriers.proxied import Inherited, Proxied
 from anisefront.carriers.returning import Returning, name_of
 from anisefront.config.types import Config
 from anisefront.core.ledger import Entry, Ledger
@@ -45,6 +45,7 @@
         self.counts: Counter[str] = Counter()
         self._names: dict[int, bytes] = {}  # of our bound requests in hand, by number
         self._numbers: dict[bytes, int] = {}
+        self._inherited: dict[bytes, Inherited] = {}  # proxies' requests taken over, that nobody came back for yet
         self._turned: dict[bytes, set[int]] = {}  # whom to tell what becomes of a name
         self.keeper.ours = self._ours
         self._wake = LateWake(reactor, clock, self._due, LATE_MS)
@@ -52,9 +53,19 @@
 
     def _ours(self, name: bytes, sender: int) -> bool:
         """Whether a request of this name is in hand here, or its answer."""
+        inherited = self._inherited.pop(name, None)
+        if inherited is not None and inherited.waits:
+            if inherited.sent and self._kinds[inherited.terms[1]].repeat is Repeat.UNSAFE:
+                self._inherited[name] = inherited
+                return True
+            # Its proxy went to another gatekeeper, and nothing stands in the way there: it goes on without us.
+            self._proxied.let_go(inherited)
         number = self._numbers.get(name)
         return name in self.returning if number is None else not self.origin.gives_way(number, sender)
 
+    def _kept(self, customer: str, identity: str) -> bool:
+        return name_of(customer, identity, self._settings.tag_key) in self.keeper.names
+
     def change(self, config: Config) -> None:
         """Other settings from now on."""
         self._settings, self._rooms, self._protected_only = config.settings, config.rooms, config.protected_only
@@ -66,7 +77,7 @@
         ledger.guard = self
         ledger.after_turn.append(self.work)
         own.returning = self
-        proxied.keeping = True
+        proxied.kept = self._kept
 
     # ---- the ledger's guard ----------------------------------------------------------------------
 
@@ -89,8 +100,7 @@
         now = self._clock()
         left_ms = max(0, int(arrival.due_ms - now))
         if not why:
-            if self.origin.take(now, Taken(arrival.id, bound, left_ms, name, record), name + arrival.customer.encode(
-                    errors="surrogatepass") if name != NO_NAME else b"%d" % arrival.id):
+            if self.origin.take(now, Taken(arrival.id, bound, left_ms, name, record)):
                 self.counts["protected"] += 1
                 return True
             why = "no_keeper"
@@ -272,6 +282,13 @@
         sent = sorted(kept.sent.items())
         server, server_ms = sent[0][1] if sent else ("", 0.0)
         past = Past(sent[-1][0] + 1 if sent else 0, len(sent), server, server_ms, bool(sent))
+        number = self._numbers.get(kept.name)
+        if number is not None:
+            # Danger: ours had given way to the lost one, and is still here. One of them goes on, not both.
+            self.counts["taken_in_hand"] += 1
+            if kept.sent and not self._keyed(kept):
+                self._ledger.lose(number)
+            return
         self._log.info("taken_over", origin=origin, life=life, request=kept.request, attempts=past.attempts)
         if carrier == "own":
             job = Job(data["method"], data["target"], data["headers"], base64.b64decode(data["body"]))
@@ -280,8 +297,14 @@
             self._own.go_on(job, lambda answer: self._finished(kept.name, answer), customer, class_name, plan,
                             kept.until_ms, units, first, spread, identity, past)
         else:
-            self._proxied.go_on(data["life"], kept.request, identity, customer, class_name, plan, kept.until_ms,
-                                units, first, spread, past, dict(kept.sent))
+            inherited = self._proxied.go_on(data["life"], kept.request, identity, customer, class_name, plan,
+                                            kept.until_ms, units, first, spread, past, dict(kept.sent))
+            if kept.name == NO_NAME or not kept.bound:
+                return
+            while self._inherited and not next(iter(self._inherited.values())).waits:
+                del self._inherited[next(iter(self._inherited))]
+            self._inherited[kept.name] = inherited
+            self._settled(kept.name, Word.NEVER_RAN if self._keyed(kept) else Word.MAY_HAVE_RUN)
 
     def _finished(self, name: bytes, answer: Answer) -> None:
         if name != NO_NAME:
--- a/anisefront/fleet/origin.py
+++ b/anisefront/fleet/origin.py
@@ -16,7 +16,7 @@
 import hashlib
 import heapq
 from collections import Counter, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from anisefront.fleet.keeping import (
@@ -60,6 +60,7 @@
 
     taken: Taken
     slot: int
+    due_ms: float
     epoch: int = 0
     sent: dict[int, str] = field(default_factory=dict)  # attempts, by number, not proved never to have run
     waiting: set[int] = field(default_factory=set)  # attempts that wait for the keeper's word
@@ -125,13 +126,14 @@
 
     # ---- what happens to requests ----------------------------------------------------------------
 
-    def take(self, now: float, taken: Taken, identity: bytes) -> bool:
+    def take(self, now: float, taken: Taken) -> bool:
         """A request has been accepted. False: nobody can keep it, and nobody is told of it."""
-        slot = int.from_bytes(hashlib.blake2b(identity, digest_size=2).digest(), "big") % SLOTS
+        known_by = taken.name if taken.name != NO_NAME else b"%d" % taken.request
+        slot = int.from_bytes(hashlib.blake2b(known_by, digest_size=2).digest(), "big") % SLOTS
         link = self._link(now, slot, taken.name != NO_NAME)
         if link is None:
             return False
-        self._works[taken.request] = _Work(taken, slot, link.epoch)
+        self._works[taken.request] = _Work(taken, slot, now + taken.left_ms, link.epoch)
         link.requests.add(taken.request)
         self._add(now, link, taken)
         self._beat(now, link)
@@ -285,7 +287,7 @@
             work.waiting.clear()
             return
         link.requests.add(request)
-        self._add(now, link, work.taken)
+        self._add(now, link, replace(work.taken, left_ms=max(0, int(work.due_ms - now))))
         self._beat(now, link)
         for attempt, worker in sorted(work.sent.items()):
             self._add(now, link, Sent(request, attempt, worker, attempt in work.waiting))
--- a/tests/keeping_net.py
+++ b/tests/keeping_net.py
@@ -66,8 +66,7 @@
         node = self.nodes[number]
         if called != NO_NAME:
             node.named = request
-        node.origin.take(self.now, Taken(request, True, 1_000_000, called, b""),
-                         called if called != NO_NAME else b"%d" % request)
+        node.origin.take(self.now, Taken(request, True, 1_000_000, called, b""))
         self.names[number, node.life, request] = name
         self.todo.append((number, node.life, request))
         self._after(number)
--- /dev/null
+++ b/tests/losses.py
@@ -0,0 +1,92 @@
+"""`make losses`: a gatekeeper is killed with work in hand, round after round, with keepers and without, in one run.
+
+Clients come back, at gatekeepers drawn by the seed, until their time is up. Prints by class and by where it stood
+how many ended served, how many unsafe requests ran twice, and how long after the kill the next unsafe attempt came."""
+
+import pathlib
+import random
+import statistics
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter
+
+from hands import MORE, Hands, until
+
+COUNT, LOAD, PATHS = 6, 120, ("/pay", "/order", "/look")
+TIME_S = 8.0
+
+
+class Client:
+    """One request of one client, and all its tries."""
+
+    def __init__(self, hands, rng, number):
+        self.path, self.key, self.final, self.tries = PATHS[number % 3], f"k{number}", "", 0
+        self._hands, self._rng, self._began = hands, rng, time.monotonic()
+        self.thread = threading.Thread(target=self._work, daemon=True)
+        self.thread.start()
+
+    def _work(self):
+        where = 0
+        while time.monotonic() - self._began < TIME_S:
+            self.tries += 1
+            try:
+                self.final = self._hands.call(where, self.path, self.key).final()
+            except (OSError, KeyError, AssertionError):
+                self.final = "gone"
+            if self.final in ("served", "failed"):
+                return
+            where = self._rng.choice([n for n in self._hands.fleet.up if n])
+            time.sleep(0.1)
+
+
+def one(seed, more):
+    """One round: counts by path, where it stood and whether it was served; unsafe ones that ran twice; seconds from the
+    kill to the next unsafe attempt."""
+    rng = random.Random(seed)
+    with tempfile.TemporaryDirectory() as folder:
+        hands = Hands(pathlib.Path(folder), COUNT, more, ready=True, seed=seed)
+        try:
+            until(lambda: all(each.state()["servers"].get("ready") == 3 for each in hands.fleet.up.values()))
+            hands.workers.gate.clear()  # so that what left stays out, and the rest is held for the window
+            clients = [Client(hands, rng, number) for number in range(LOAD)]
+            until(lambda: hands.fleet.up[0].state()["counts"].get("accepted", 0) == LOAD)
+            time.sleep(0.3)
+            out = set(hands.workers.came)
+            hands.fleet.kill(0)
+            killed = time.monotonic()
+            hands.workers.gate.set()
+            first = None
+            while any(client.thread.is_alive() for client in clients):
+                if first is None and any(path == "/pay" and (path, key) not in out for path, key in hands.workers.came):
+                    first = time.monotonic() - killed
+                time.sleep(0.005)
+            served = Counter()
+            for client in clients:
+                stood = "out" if (client.path, client.key) in out else "held"
+                served[client.path, stood, client.final == "served"] += 1
+            twice = sum(times > 1 for (path, _), times in hands.workers.runs.items() if path == "/pay")
+            return served, twice, first
+        finally:
+            hands.close()
+
+
+def main(rounds):
+    faults = 0
+    for name, more in (("keepers", MORE), ("none", MORE.replace("keepers lease 600ms\n", ""))):
+        results = [one(seed, more) for seed in range(rounds)]
+        total = sum((result[0] for result in results), Counter())
+        said = [f"{path} {stood} {total[path, stood, True]} of {total[path, stood, True] + total[path, stood, False]}"
+                for path in PATHS for stood in ("held", "out")]
+        twice, firsts = sum(r[1] for r in results), sorted(r[2] for r in results if r[2] is not None)
+        if name == "keepers":
+            faults = twice
+        print(f"{name}: served {', '.join(said)}; unsafe ran twice {twice}; "
+              f"next unsafe attempt after {statistics.median(firsts):.2f} s (most {firsts[-1]:.2f})", flush=True)
+    print(f"{rounds - min(rounds, faults)} passed, {min(rounds, faults)} failed")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(int(sys.argv[1])))
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,5 +1,6 @@
-"""Several gatekeepers as processes, with a relay between them that cuts, loses and doubles their datagrams."""
+"""Several gatekeepers as processes, with a relay between them that cuts, loses, doubles and delays their datagrams."""
 
+import heapq
 import random
 import select
 import socket
@@ -35,6 +36,8 @@
         self.rng, self.targets = random.Random(seed), targets
         self.cut = lambda sender, receiver: False
         self.loss = self.twice = 0.0
+        self.delay_s = lambda sender, receiver: 0.0
+        self._later = []  # what is under way: when, a serial, to whom, what
         self.links = [self._bound() for _ in targets]
         self.ports = [link.getsockname()[1] for link in self.links]
         self._over = False
@@ -48,17 +51,34 @@
         return link
 
     def _work(self):
+        serial = 0
         while not self._over:
-            for link in select.select(self.links, (), (), 0.05)[0]:
-                receiver, data = self.links.index(link), link.recv(2048)
+            now = time.monotonic()
+            while self._later and self._later[0][0] <= now:
+                _, _, receiver, data = heapq.heappop(self._later)
+                self._pass_on(receiver, data)
+            wait = min(0.05, self._later[0][0] - now) if self._later else 0.05
+            for link in select.select(self.links, (), (), max(0.0, wait))[0]:
+                try:
+                    receiver, data = self.links.index(link), link.recv(2048)
+                except OSError:
+                    continue  # a port before was closed, and the kernel says so here
                 sender = int.from_bytes(data[1:3], "big")
                 if self.cut(sender, receiver) or self.rng.random() < self.loss:
                     continue
                 for _ in range(1 + (self.rng.random() < self.twice)):
-                    try:
-                        link.sendto(data, ("127.0.0.1", self.targets[receiver]))
-                    except OSError:
-                        pass
+                    delay_s = self.delay_s(sender, receiver)
+                    if delay_s:
+                        serial += 1
+                        heapq.heappush(self._later, (time.monotonic() + delay_s, serial, receiver, data))
+                    else:
+                        self._pass_on(receiver, data)
+
+    def _pass_on(self, receiver, data):
+        try:
+            self.links[receiver].sendto(data, ("127.0.0.1", self.targets[receiver]))
+        except OSError:
+            pass
 
     def close(self):
         self._over = True
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -115,8 +115,8 @@
 
 def test_a_bound_attempt_waits_for_the_keeper_and_a_safe_one_does_not():
     made = origin()
-    assert made.take(0.0, Taken(1, True, 1000, NO_NAME, b""), b"1") and made.take(
-        0.0, Taken(2, False, 1000, NO_NAME, b""), b"1")
+    named = b"one name"
+    assert made.take(0.0, Taken(1, True, 1000, named, b"")) and made.take(0.0, Taken(2, False, 1000, named, b""))
     assert not made.send(0.0, 1, 0, "w") and made.send(0.0, 2, 0, "w")
     [(keeper, feed)] = feeds(made)
     assert len(feed.entries) == 4  # a batch of the turn
@@ -128,7 +128,7 @@
 
 def test_a_slow_keeper_is_left_for_another_by_the_witness():
     made = origin((1, 2, 3))
-    made.take(0.0, Taken(1, True, 1000, NO_NAME, b""), b"1")
+    made.take(0.0, Taken(1, True, 1000, NO_NAME, b""))
     made.send(0.0, 1, 0, "w")
     [(slow, feed)] = feeds(made)
     out, now = [], 0.0
@@ -141,7 +141,7 @@
     assert other != slow and made.go == []
     made.hear(now, other, 1, Ack(again.epoch, 2))
     assert made.go == [(1, 0)]
-    made.take(now, Taken(2, True, 1000, NO_NAME, b""), b"1")
+    made.take(now, Taken(2, True, 1000, NO_NAME, b""))
     assert feeds(made, now)[0][0] != slow  # nor is it asked for what comes next
 
 
@@ -156,7 +156,7 @@
 
 def test_a_keeper_that_hears_nothing_holds_so_much_at_most():
     made = origin((1,))
-    taken = [made.take(0.0, Taken(n, True, 1000, NO_NAME, b""), b"%d" % n) for n in range(MOST_UNHEARD + 5)]
+    taken = [made.take(0.0, Taken(n, True, 1000, NO_NAME, b"")) for n in range(MOST_UNHEARD + 5)]
     assert sum(taken) == MOST_UNHEARD and not any(taken[MOST_UNHEARD:])
 
 
@@ -168,7 +168,7 @@
 
 def test_a_lease_decides_when_the_witness_is_asked_and_signs_of_life_keep_it():
     made, keeper, witness = origin(r2="a"), Keeper(1, 1), Witness(1)
-    made.take(0.0, Taken(1, True, 60_000, NO_NAME, b"r"), b"3")
+    made.take(0.0, Taken(1, True, 60_000, NO_NAME, b"r"))
     for now in range(0, 5000, 10):
         for receiver, message in feeds(made, float(now)):
             if receiver == 1:
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -172,6 +172,33 @@
     assert {hands.workers.came["/pay", f"k{n}"] for n in range(20)} == {1}
 
 
+def test_a_keeper_that_answers_late_makes_no_request_late(hands):
+    hands.open()
+    until(lambda: hands.fleet.up[0].state()["servers"].get("ready") == 3)
+    hands.fleet.relay.delay_s = lambda sender, receiver: 0.3 if sender == 1 else 0.0
+    calls = []
+    for number in range(30):
+        calls.append(hands.call(0, "/pay", f"k{number}"))
+        calls[-1].end()
+        time.sleep(0.02)
+    assert [call.final() for call in calls] == ["served"] * 30
+    late = [call for call in calls if call.took > 0.25]
+    assert len(late) <= 2, [round(call.took, 3) for call in calls]  # the first that met it, and is moved to another
+
+
+def test_messages_that_come_after_the_lease_is_out_change_nothing(hands):
+    first = hands.call(0, "/pay", "a")
+    keeper = hands.keeper()
+    hands.fleet.relay.delay_s = lambda sender, receiver: 1.5 if 0 in (sender, receiver) else 0.0
+    until(lambda: hands.count(keeper, "taken_over") == 1)
+    hands.open()
+    assert hands.call(keeper, "/pay", "a").final() == "served"
+    hands.fleet.relay.delay_s = lambda sender, receiver: 0.0  # what is under way still comes, behind what is newer
+    assert first.final() == "failed"
+    time.sleep(1.5)
+    assert hands.workers.came["/pay", "a"] == 1 and hands.call(0, "/pay", "b").final() == "served"
+
+
 def test_origin_and_keeper_killed_together_run_nothing_twice(hands):
     first = hands.call(0, "/pay", "a")
     keeper = hands.keeper()
@@ -267,6 +294,32 @@
     assert hands.fleet.up[keeper].state()["proxied"]["came_back"] == 1
 
 
+def test_a_proxy_that_asks_a_third_gatekeeper_gets_no_second_run(hands):
+    hands.open()
+    until(lambda: all(each.state()["servers"].get("ready") == 3 for each in hands.fleet.up.values()))
+    assert check(hands, 0)["x-anisefront-attempt"]  # let go, and its log never comes
+    keeper = hands.keeper()
+    hands.fleet.kill(0)
+    until(lambda: hands.count(keeper, "taken_over") == 1)
+    third = others(hands, keeper)[0]
+    assert check(hands, third) == 409  # it may have run
+    assert check(hands, third, request_id="r2")["x-anisefront-attempt"]
+
+
+def test_a_held_check_may_go_on_at_a_third_gatekeeper(hands):
+    held = in_thread(check, hands, 0)
+    keeper = hands.keeper()
+    hands.fleet.kill(0)
+    with pytest.raises(grpc.RpcError):
+        held.result(10)
+    until(lambda: hands.count(keeper, "taken_over") == 1)
+    third = others(hands, keeper)[0]
+    again = in_thread(check, hands, third)
+    hands.open()
+    assert again.result(10)["x-anisefront-attempt"]
+    assert check(hands, keeper) == 409  # it keeps that one now
+
+
 def test_a_check_that_was_held_is_asked_again_at_the_keeper_and_goes(hands):
     held = in_thread(check, hands, 0)
     keeper = hands.keeper()
