A lost request leaves no attempt behind in the module; guard and returning clients tested in memory

Found by a new test: a request that another gatekeeper had taken over was told to the module after the ends of its attempts, so the module made a further attempt that no entry of the ledger stood for, and its place in the window was never free again. It is told first now. A taken-over request avoids the server it was tried at, also where that is proved never to have run it (a test of a proxy's next attempt had found the same worker by chance).

--- a/anisefront/carriers/proxied.py
+++ b/anisefront/carriers/proxied.py
@@ -274,7 +274,8 @@
         if waiting is not None and waiting is not reply:
             waiting(Answer(Verdict.FAILED, reason="unknown-attempt"))  # another check took its place
         sent = sorted(inherited.sent.items())
-        past = Past(inherited.past.attempts, len(sent), *(sent[0][1] if sent else ("", 0.0)), inherited.past.paid)
+        past = Past(inherited.past.attempts, len(sent), *(sent[0][1] if sent else (inherited.past.server, 0.0)),
+                    inherited.past.paid)
         number = self._accept(inherited.identity, *inherited.terms, False, past)
         if number is None:
             reply(Answer(Verdict.FAILED, reason="failed") if sent else
--- a/anisefront/core/ledger.py
+++ b/anisefront/core/ledger.py
@@ -248,7 +248,10 @@
             return
         entry.lost = True
         self.counts["lost"] += 1
-        self._post(ClientGone(request))  # the module is done with it
+        # Danger: told of the ends below first, the module would make a further attempt for it.
+        self._ends.append(ClientGone(request))
+        self._came += 1
+        self._plan_turn()
         for attempt in [number for number, out in entry.out.items() if out.parked_ms is not None]:
             self.outcome(request, attempt, Result.MOOT, 0.0)
         if not entry.ended:
--- a/anisefront/policy/interface.py
+++ b/anisefront/policy/interface.py
@@ -188,7 +188,7 @@
 
     attempts: int = 0  # that were sent
     uncertain: int = 0  # of these, not proved never to have run
-    server: str = ""  # where the first of these went, and when, by our clock; -inf: so long ago as can be
+    server: str = ""  # where the first went; and when, by our clock (-inf: so long ago as can be)
     server_ms: float = -math.inf
     paid: bool = False  # its units were drawn from the quota
 
--- a/anisefront/policy/state.py
+++ b/anisefront/policy/state.py
@@ -107,10 +107,11 @@
             return
         self.attempts, self.uncertain = past.attempts, past.uncertain
         self.paid = self.arrival.units * past.paid
-        if past.uncertain:  # of a server that nobody lists no group is known
-            self.anchor = known.get(past.server) or Backend(Server(past.server, "?", -1, State.GONE))
-            self.anchor_ms = past.server_ms
-            self.tried.append(self.anchor)
+        if past.server:  # of one that nobody lists no group is known
+            first = known.get(past.server) or Backend(Server(past.server, "?", -1, State.GONE))
+            self.tried.append(first)
+            if past.uncertain:
+                self.anchor, self.anchor_ms = first, past.server_ms
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/tests/test_guard.py
@@ -0,0 +1,179 @@
+"""What a request that another gatekeeper had means to the module, and what the ledger's guard holds back; in memory."""
+
+from dataclasses import replace
+
+import pytest
+from test_core import SERVERS, Desk
+from test_module import FLEET, ask, gateway, of
+from twisted.internet.task import Clock
+
+from anisefront.carriers.own import Answer
+from anisefront.carriers.proxied import Verdict
+from anisefront.carriers.returning import Returning
+from anisefront.policy.interface import Fail, Fleet, Past, Refuse, Result, Send, State, Tell
+
+FIRST = FLEET.servers[0].id
+
+
+class Guard:
+    """Says nothing until it is told to."""
+
+    def __init__(self):
+        self.asked, self.refusals, self.never, self.ended = [], [], [], []
+
+    def taken(self, entry):
+        return True
+
+    def sending(self, request, attempt, worker):
+        self.asked.append((request, attempt, worker))
+        return False
+
+    def refusing(self, request):
+        self.refusals.append(request)
+        return False
+
+    def never_ran(self, request, attempt):
+        self.never.append((request, attempt))
+
+    def over(self, request):
+        self.ended.append(request)
+
+
+def guarded():
+    desk, guard = Desk(), Guard()
+    desk.ledger.guard = guard
+    return desk, guard
+
+
+# ---- the module -----------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("name, past, kind", [
+    ("debit", Past(1, 1, FIRST, 900.0, True), Fail),  # it may have run
+    ("debit", Past(1, 0, FIRST, 900.0, True), Send),  # it is proved that it never ran
+    ("debit", Past(), Send), ("look", Past(1, 1, FIRST, 900.0, True), Send),
+    ("look", Past(99, 1, FIRST, 900.0, True), Refuse)])
+def test_a_request_that_another_gateway_had(name, past, kind):
+    actions = gateway().handle(1000.0, [FLEET, replace(ask(1, name), past=past)])
+    assert of(kind, actions), actions
+    assert all(send.server != past.server for send in of(Send, actions))
+
+
+def test_units_that_were_drawn_are_not_drawn_again():
+    asked = of(Tell, gateway(gateways=3, number=0, may_tell=True).handle(1000.0, [
+        FLEET, replace(ask(1), past=Past(1, 1, FIRST, 900.0, True), first_gateway=1, spread=1)]))
+    assert asked == []
+
+
+# ---- the ledger -----------------------------------------------------------------------------------
+
+
+def test_an_attempt_leaves_when_the_guard_says_so_and_in_what_time_is_left():
+    desk, guard = guarded()
+    number = desk.ask(kind="unsafe")
+    desk.run(0.1)
+    assert desk.told == [] and guard.asked[0][:2] == (number, 0)
+    desk.ledger.go(number, 0)
+    assert desk.told[0].verdict is Verdict.GO and desk.told[0].allow_ms < 1900
+    desk.ledger.go(number, 0)  # said twice
+    desk.log(desk.told[0].attempt, Result.OK)
+    assert desk.empty() and guard.ended == [number] and len(desk.told) == 1
+
+
+def test_an_attempt_whose_worker_drains_meanwhile_is_decided_anew():
+    desk, guard = guarded()
+    number = desk.ask(kind="unsafe")
+    gone = guard.asked[0][2]
+    desk.ledger.roster(Fleet(tuple(replace(each, state=State.DRAINING) if each.id == gone else each
+                                   for each in SERVERS)))
+    desk.run(0.005)
+    desk.ledger.go(number, 0)
+    desk.run(0.005)
+    assert guard.never == [(number, 0)] and guard.asked[1][1:] != (0, gone) and guard.asked[1][2] != gone
+
+
+def test_a_lost_request_is_failed_and_nothing_leaves_for_it():
+    desk, guard = guarded()
+    number = desk.ask(kind="unsafe")
+    desk.ledger.lose(number)
+    desk.ledger.go(number, 0)
+    desk.run(0.01)
+    assert [answer.verdict for answer in desk.told] == [Verdict.FAILED] and desk.empty()
+    assert desk.ledger.counts["lost"] == 1
+
+
+def test_a_lost_request_passes_on_what_its_own_attempt_brings_and_asks_for_no_other():
+    desk, guard = guarded()
+    number = desk.ask(kind="unsafe")
+    desk.ledger.go(number, 0)
+    desk.ledger.lose(number)
+    desk.run(0.01)
+    assert desk.log(desk.told[0].attempt, Result.OK) and desk.ledger.counts["served"] == 1 and desk.empty()
+    other = desk.ask("r2", kind="unsafe")
+    desk.ledger.go(other, 0)
+    desk.ledger.lose(other)
+    desk.log(desk.told[1].attempt, Result.CONNECT_FAILED)
+    desk.again(desk.told[1].attempt)
+    assert desk.told[-1].verdict is Verdict.FAILED and len(guard.asked) == 2
+
+
+def test_a_refusal_waits_for_the_guard_and_is_failed_where_no_word_comes_in_time():
+    desk, guard = guarded()
+    desk.ledger.roster(Fleet(()))
+    number, other = desk.ask("r1", "unsafe", 600.0), desk.ask("r2", "unsafe", 600.0)
+    desk.run(0.55)
+    assert guard.refusals and desk.told == []
+    desk.ledger.answer(number)
+    assert [answer.verdict for answer in desk.told] == [Verdict.REFUSED]
+    desk.run(0.1)
+    assert [answer.verdict for answer in desk.told] == [Verdict.REFUSED, Verdict.FAILED]  # no promise without a word
+    assert desk.empty() and other in guard.ended
+
+
+def test_a_guard_that_wants_protection_has_nothing_counted():
+    desk, guard = guarded()
+    guard.taken = lambda entry: False
+    assert desk.ask(kind="unsafe") is None and desk.told[0].verdict is Verdict.REFUSED and desk.empty()
+
+
+# ---- clients that come back --------------------------------------------------------------------------
+
+
+def returning():
+    clock = Clock()
+    return clock, Returning(lambda: clock.seconds() * 1000, clock), []
+
+
+def test_all_tries_of_one_name_get_the_one_answer_before_and_after_it_came():
+    _, desk, told = returning()
+    desk.expect(b"n", b"m", 5000.0, told.append, lambda: told.append("alone"))
+    assert desk.begin(b"n", b"m", 5000.0) and not desk.begin(b"n", b"m", 5000.0)
+    assert desk.join(b"n", b"m", told.append) and desk.join(b"n", b"x", told.append)
+    assert [answer.reason for answer in told] == ["another-request-under-this-name"]
+    answer = Answer(reason="failed")
+    desk.finish(b"n", answer)
+    desk.finish(b"n", Answer(refused=True))
+    assert desk.join(b"n", b"m", told.append) and told[1:] == [answer] * 3
+
+
+def test_a_try_whose_time_is_up_or_whose_way_is_free_waits_no_longer():
+    clock, desk, told = returning()
+    desk.expect(b"n", b"m", 1000.0, told.append, lambda: told.append("alone"))
+    desk.expect(b"o", b"m", 9000.0, told.append, lambda: told.append("alone"))
+    clock.advance(1.1)
+    assert [answer.reason for answer in told] == ["in-progress"]
+    desk.released(b"o", False)
+    desk.released(b"n", False)
+    desk.expect(b"o", b"m", 9000.0, told.append, lambda: told.append("alone"))
+    desk.released(b"o", True)
+    assert told[1] == "alone" and told[2].reason == "ended-elsewhere" and len(told) == 3
+
+
+def test_answers_are_let_go_when_their_time_is_over():
+    clock, desk, _ = returning()
+    for number in range(5):
+        desk.begin(b"%d" % number, b"m", 1000.0)
+        desk.finish(b"%d" % number, Answer())
+    clock.advance(60.0)
+    desk.begin(b"last", b"m", 70_000.0)
+    assert len(desk) == 1
