A record of another version or class is passed over and ends nothing else

Found on reading the change again: a record that could not be read raised in the midst of taking over, and what stood behind it in that turn was lost. In a rolling restart two versions run side by side. One reader says what a record holds or that it holds nothing here.

--- a/anisefront/daemon/keepers.py
+++ b/anisefront/daemon/keepers.py
@@ -264,7 +264,8 @@
         return bool(go or answer or lost or taken or released or turned or elsewhere)
 
     def _keyed(self, kept: Kept) -> bool:
-        return self._kinds[json.loads(kept.record)[4]].repeat is Repeat.KEYED
+        fields = read_record(kept.record, self._kinds)
+        return fields is not None and self._kinds[fields[3]].repeat is Repeat.KEYED
 
     # ---- taking over -----------------------------------------------------------------------------
 
@@ -274,11 +275,11 @@
         if kept.until_ms <= self._clock():
             self.counts["taken_too_late"] += 1
             return
-        try:
-            _, carrier, identity, customer, class_name, plan, units, first, spread, data = json.loads(kept.record)
-        except ValueError:  # of another version of this program
+        fields = read_record(kept.record, self._kinds)
+        if fields is None:
             self.counts["records_unreadable"] += 1
             return
+        carrier, identity, customer, class_name, plan, units, first, spread, data = fields
         sent = sorted(kept.sent.items())
         server, server_ms = sent[0][1] if sent else ("", 0.0)
         past = Past(sent[-1][0] + 1 if sent else 0, len(sent), server, server_ms, bool(sent))
@@ -323,6 +324,17 @@
                                                                + self.returning.counts)}
 
 
+def read_record(record: bytes, kinds: dict[str, Any]) -> list[Any] | None:
+    """What a record says, None where it is of another version of this program or of a class that we don't have.
+
+    Danger: versions run side by side in a rolling restart; one record must not end the taking over of the others."""
+    try:
+        version, *fields = json.loads(record)
+    except (ValueError, TypeError):
+        return None
+    return fields if version == RECORD_VERSION and len(fields) == 9 and fields[3] in kinds else None
+
+
 def written(answer: Answer) -> bytes:
     """An answer as bytes, for another gatekeeper."""
     message = answer.message
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -1,5 +1,6 @@
 """What a request that another gatekeeper had means to the module, and what the ledger's guard holds back; in memory."""
 
+import json
 from dataclasses import replace
 
 import pytest
@@ -10,6 +11,7 @@
 from anisefront.carriers.own import Answer
 from anisefront.carriers.proxied import Verdict
 from anisefront.carriers.returning import Returning
+from anisefront.daemon.keepers import read_record
 from anisefront.policy.interface import Fail, Fleet, Past, Refuse, Result, Send, State, Tell
 
 FIRST = FLEET.servers[0].id
@@ -136,6 +138,14 @@
     assert desk.ask(kind="unsafe") is None and desk.told[0].verdict is Verdict.REFUSED and desk.empty()
 
 
+def test_a_record_of_another_version_or_class_is_no_record():
+    good = [1, "own", "", "c", "pay", "p", 1.0, 0, 1, {}]
+    assert read_record(json.dumps(good).encode(), {"pay": None}) == good[1:]
+    for bad in (b"", b"[]", b"3", b"{}", b"\xff", json.dumps([2, *good[1:]]).encode(), json.dumps(good[:-1]).encode()):
+        assert read_record(bad, {"pay": None}) is None
+    assert read_record(json.dumps(good).encode(), {"order": None}) is None
+
+
 # ---- clients that come back --------------------------------------------------------------------------
 
 
