Keepers: one way to hand a request over, one look-up of epochs, one held check in tests

Found on reading the change again. Twice: handing a kept request over (all of an epoch at its closing, safe ones alone), the look-up of an origin's epochs with a row made for nothing where there is none, and the test's way to a held check whose gatekeeper is killed.

--- a/anisefront/fleet/keeper.py
+++ b/anisefront/fleet/keeper.py
@@ -182,10 +182,14 @@
     def lost(self, now: float, origin: int, life: int) -> None:
         """That life of an origin is out or gone: dead, stopped or cut off. What it had becomes ours if its witness
         says so."""
-        for epoch in list(self._lives.get((origin, life), _Life()).epochs.values()):
+        for epoch in list(self._epochs(origin, life).values()):
             if epoch.state is _State.OPEN and epoch.kept:
                 self._begin_to_close(now, epoch)
 
+    def _epochs(self, origin: int, life: int) -> dict[int, _Epoch]:
+        of_life = self._lives.get((origin, life))
+        return of_life.epochs if of_life is not None else {}
+
     def _begin_to_close(self, now: float, epoch: _Epoch) -> None:
         if epoch.witness < 0:
             self._close(epoch)  # a fleet of two: its origin can't leave us either
@@ -246,12 +250,16 @@
         epoch.state = _State.CLOSED
         self._closing.pop((epoch.origin, epoch.life, epoch.epoch), None)
         self.counts["epochs_taken"] += 1
-        for kept in epoch.kept.values():
-            self._forget_name(epoch, kept)
-            self.taken.append((epoch.origin, epoch.life, kept))
-        epoch.kept = {}
+        for kept in list(epoch.kept.values()):
+            self._take(epoch, kept)
         self._bound_memory(epoch)
 
+    def _take(self, epoch: _Epoch, kept: Kept) -> None:
+        """It is ours from now on."""
+        del epoch.kept[kept.request]
+        self._forget_name(epoch, kept)
+        self.taken.append((epoch.origin, epoch.life, kept))
+
     def _drop(self, epoch: _Epoch) -> None:
         self._closing.pop((epoch.origin, epoch.life, epoch.epoch), None)
         for kept in list(epoch.kept.values()):
@@ -272,12 +280,12 @@
         what is too late. After a standstill what waits in our sockets is to be taken in before."""
         while self._until and self._until[0][0] <= now:
             _, origin, life, number, request = heapq.heappop(self._until)
-            epoch = self._lives.get((origin, life), _Life()).epochs.get(number)
+            epoch = self._epochs(origin, life).get(number)
             if epoch is not None and request in epoch.kept:
                 self._let_go(epoch, epoch.kept[request])
         while self._leases and self._leases[0][0] <= now:
             _, origin, life, number = heapq.heappop(self._leases)
-            epoch = self._lives.get((origin, life), _Life()).epochs.get(number)
+            epoch = self._epochs(origin, life).get(number)
             if epoch is not None:
                 self._look_at_lease(now, epoch)
         for epoch in list(self._closing.values()):
@@ -285,9 +293,7 @@
                 self._ask(now, epoch)
             if now - epoch.closing_ms >= ALONE_MS:
                 for kept in [kept for kept in epoch.kept.values() if not kept.bound]:
-                    del epoch.kept[kept.request]
-                    self._forget_name(epoch, kept)
-                    self.taken.append((epoch.origin, epoch.life, kept))
+                    self._take(epoch, kept)
 
     @property
     def due_ms(self) -> float:
@@ -295,6 +301,7 @@
         asked = min((epoch.asked_ms for epoch in self._closing.values()), default=math.inf) + ASK_AGAIN_MS
         return min(asked, self._leases[0][0]) if self._leases else asked
 
+
 class Witness:
     """Who has an epoch: its origin, which left its keeper, or the keeper, which took it over. The first who asks.
 
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -306,13 +306,19 @@
     assert check(hands, third, request_id="r2")["x-anisefront-attempt"]
 
 
-def test_a_held_check_may_go_on_at_a_third_gatekeeper(hands):
+def keeper_of_a_held_check(hands):
+    """A check is held, its gatekeeper is killed, and its keeper has taken it over."""
     held = in_thread(check, hands, 0)
     keeper = hands.keeper()
     hands.fleet.kill(0)
     with pytest.raises(grpc.RpcError):
         held.result(10)
     until(lambda: hands.count(keeper, "taken_over") == 1)
+    return keeper
+
+
+def test_a_held_check_may_go_on_at_a_third_gatekeeper(hands):
+    keeper = keeper_of_a_held_check(hands)
     third = others(hands, keeper)[0]
     again = in_thread(check, hands, third)
     hands.open()
@@ -321,12 +327,7 @@
 
 
 def test_a_check_that_was_held_is_asked_again_at_the_keeper_and_goes(hands):
-    held = in_thread(check, hands, 0)
-    keeper = hands.keeper()
-    hands.fleet.kill(0)
-    with pytest.raises(grpc.RpcError):
-        held.result(10)
-    until(lambda: hands.count(keeper, "taken_over") == 1)
+    keeper = keeper_of_a_held_check(hands)
     again = in_thread(check, hands, keeper)
     hands.open()
     assert again.result(10)["x-anisefront-attempt"]
