--- a/anisefront/daemon/keepers.py
+++ b/anisefront/daemon/keepers.py
@@ -296,6 +296,9 @@
                 return  # its client was here before: that try is in hand or answered
             self._own.go_on(job, lambda answer: self._finished(kept.name, answer), customer, class_name, plan,
                             kept.until_ms, units, first, spread, identity, past)
+            if self._numbers.get(kept.name) is not None:  # who keeps it for us may have clients of that name waiting
+                keeper = self.origin.protected_by(self._numbers[kept.name])
+                self._turned.setdefault(kept.name, set()).update(set() if keeper is None else {keeper})
         else:
             inherited = self._proxied.go_on(data["life"], kept.request, identity, customer, class_name, plan,
                                             kept.until_ms, units, first, spread, past, dict(kept.sent))
--- a/anisefront/fleet/origin.py
+++ b/anisefront/fleet/origin.py
@@ -79,8 +79,9 @@
     entries: deque[tuple[Entry, int]] = field(default_factory=deque)  # not acknowledged, with their bytes
     first: int = 1  # number of the first of these
     told: int = 0  # number of the last that has been sent
-    asked_ms: float = 0.0  # when we last sent, and since when we wait for a word
-    since_ms: float = 0.0
+    asked_ms: float = 0.0  # when we last sent
+    since_ms: float = 0.0  # since when we wait for a word that says more than the one before
+    again_ms: float = 0.0  # when to ask again without one
     gap_ms: float = ASK_AGAIN_MS
     leaving: bool = False
     beats: bool = False  # whether it is to be looked at for a sign of life, and when
@@ -90,7 +91,7 @@
     @property
     def waits(self) -> bool:
         """Whether the keeper's word is due."""
-        return bool(self.entries) or self.beat_out
+        return self.told >= self.first or self.beat_out
 
     @property
     def next(self) -> int:
@@ -135,7 +136,7 @@
             return False
         self._works[taken.request] = _Work(taken, slot, now + taken.left_ms, link.epoch)
         link.requests.add(taken.request)
-        self._add(now, link, taken)
+        self._add(link, taken)
         self._beat(now, link)
         return True
 
@@ -154,7 +155,7 @@
             # Danger: an attempt that leaves before the keeper's word runs a second time when the keeper takes over.
             work.waiting.add(attempt)
         if not link.leaving:
-            self._add(now, link, Sent(request, attempt, worker))
+            self._add(link, Sent(request, attempt, worker))
         return not work.taken.bound
 
     def never_ran(self, now: float, request: int, attempt: int) -> None:
@@ -162,7 +163,7 @@
         work = self._works.get(request)
         if work is not None and work.sent.pop(attempt, None) is not None:
             work.waiting.discard(attempt)
-            self._tell(now, work, Ended(request, attempt))
+            self._tell(work, Ended(request, attempt), at_once=False)
 
     def refuse(self, now: float, request: int) -> bool:
         """A request is to be refused as never run. True: it may be said at once; else it is in `answer` when it may,
@@ -177,7 +178,7 @@
         # Danger: a refusal lets the client try again elsewhere. A keeper that has not heard of it and takes over
         # would run the request beside that try.
         work.refused = True
-        self._tell(now, work, Over(request))
+        self._tell(work, Over(request))
         return False
 
     def over(self, now: float, request: int) -> None:
@@ -188,19 +189,20 @@
             if link is not None:
                 link.requests.discard(request)
                 if not work.refused:
-                    self._tell(now, work, Over(request))
+                    # A client's next try of this name may wait at the keeper for just this.
+                    self._tell(work, Over(request), at_once=work.taken.bound and work.taken.name != NO_NAME)
                 self._tidy(link)
 
-    def _tell(self, now: float, work: _Work, entry: Entry) -> None:
+    def _tell(self, work: _Work, entry: Entry, at_once: bool = True) -> None:
         link = self._links.get(work.epoch)
         if link is not None and not link.leaving:
-            self._add(now, link, entry)
+            self._add(link, entry, at_once)
 
-    def _add(self, now: float, link: _Link, entry: Entry) -> None:
-        if not link.entries:
-            link.since_ms, link.gap_ms = now, ASK_AGAIN_MS
+    def _add(self, link: _Link, entry: Entry, at_once: bool = True) -> None:
+        """An entry for the keeper; one that nobody waits for goes with what is told next, or with a sign of life."""
         link.entries.append((entry, len(pack_entry(entry))))
-        self._new[link.epoch] = None
+        if at_once:
+            self._new[link.epoch] = None
 
     # ---- who keeps ---------------------------------------------------------------------------------
 
@@ -253,19 +255,20 @@
         """Its keeper does not answer: others get what it had, once the witness says that it can't take over."""
         if link.leaving:
             return
-        link.leaving, link.since_ms, link.asked_ms, link.gap_ms = True, now, now, ASK_AGAIN_MS
+        link.leaving, link.gap_ms = True, ASK_AGAIN_MS
         self.counts["keepers_left"] += 1
         if self._current.get(link.keeper.number) == link.epoch:
             del self._current[link.keeper.number]
         for request in sorted(link.requests):
             if not self._works[request].taken.bound:  # it may run any number of times
                 self._move(now, request)
-        self._ask_witness(link)
+        self._ask_witness(now, link)
 
-    def _ask_witness(self, link: _Link) -> None:
+    def _ask_witness(self, now: float, link: _Link) -> None:
         if link.witness is not None and link.requests:
             self.out.append((link.witness.number, Leave(link.epoch, link.witness.life)))
-            self._look(link, link.asked_ms + link.gap_ms)
+            link.again_ms = now + link.gap_ms
+            self._look(link, link.again_ms)
 
     def _look(self, link: _Link, at_ms: float) -> None:
         heapq.heappush(self._agenda, (at_ms, link.epoch))
@@ -287,10 +290,10 @@
             work.waiting.clear()
             return
         link.requests.add(request)
-        self._add(now, link, replace(work.taken, left_ms=max(0, int(work.due_ms - now))))
+        self._add(link, replace(work.taken, left_ms=max(0, int(work.due_ms - now))))
         self._beat(now, link)
         for attempt, worker in sorted(work.sent.items()):
-            self._add(now, link, Sent(request, attempt, worker, attempt in work.waiting))
+            self._add(link, Sent(request, attempt, worker, attempt in work.waiting))
 
     # ---- what is heard -----------------------------------------------------------------------------
 
@@ -335,7 +338,7 @@
                 self.answer.append(entry.request)
         if moved or not link.entries:
             link.beat_out = False
-            link.since_ms, link.gap_ms = now, ASK_AGAIN_MS
+            link.since_ms, link.gap_ms, link.again_ms = now, ASK_AGAIN_MS, now + ASK_AGAIN_MS
             self._slow.pop(link.keeper.number, None)
         self._tidy(link)
 
@@ -400,18 +403,18 @@
         """No word yet, or one to what we sent before: ask again, or leave."""
         if link.beats and not link.leaving and now >= link.beat_ms:
             link.beats = False
-            if link.requests:
+            if link.requests or link.entries:
                 # Without a sign of life the lease runs out: the keeper would take over what we have in hand.
-                if not link.waits and now - link.asked_ms >= self.lease_ms * BEAT_PART / 2:
-                    link.beat_out, link.since_ms, link.gap_ms = True, now, ASK_AGAIN_MS
-                    self._feed(now, link, link.next)
+                if not link.waits and (link.entries or now - link.asked_ms >= self.lease_ms * BEAT_PART / 2):
+                    self._feed(now, link, max(link.first, link.told + 1))
+                    link.beat_out = True
                 self._beat(now, link)
-        if now < link.asked_ms + link.gap_ms:
+        if now < link.again_ms:
             if link.waits or link.leaving:
-                self._look(link, link.asked_ms + link.gap_ms)
+                self._look(link, link.again_ms)
         elif link.leaving:
-            link.asked_ms, link.gap_ms = now, min(ASK_MOST_MS, 2 * link.gap_ms)
-            self._ask_witness(link)
+            link.gap_ms = min(ASK_MOST_MS, 2 * link.gap_ms)
+            self._ask_witness(now, link)
         elif link.waits:
             others = any(number != link.keeper.number for number in self._members)
             if others and now - link.since_ms >= PATIENCE_MS:
@@ -421,10 +424,16 @@
                 if not others:
                     link.gap_ms = min(ASK_MOST_MS, 2 * link.gap_ms)
                 self.counts["fed_again"] += 1
+                link.again_ms = now + link.gap_ms
                 self._feed(now, link, link.first)
+                self._look(link, link.again_ms)
 
     def _feed(self, now: float, link: _Link, first: int) -> None:
         """The entries from number `first` on, as many messages as they take."""
+        if not link.waits:
+            # Danger: counted from what was sent last, a lost entry would never be sent again while others follow it.
+            link.since_ms, link.gap_ms, link.again_ms = now, ASK_AGAIN_MS, now + ASK_AGAIN_MS
+            self._look(link, link.again_ms)
         part, size, at = list[Entry](), 0, first
         for number in range(first, link.next):
             entry, length = link.entries[number - link.first]
@@ -435,7 +444,6 @@
             size += length
         self._post(link, at, part)
         link.told, link.asked_ms = max(link.told, link.next - 1), now
-        self._look(link, now + link.gap_ms)
 
     def _beat(self, now: float, link: _Link) -> None:
         if not link.beats:
--- a/benchmarks/standing.py
+++ b/benchmarks/standing.py
@@ -8,8 +8,8 @@
 import sys
 
 ROOT = pathlib.Path(__file__).parent.parent
-KIT = "../given/kit/more"  # from the root: what it is called with stands in the journal, which names no machine's folders
-BENCH, SITE = f"{KIT}/mass/bin/lbreal", f"{KIT}/node/sites/neihu-main.toml"
+KIT = ROOT.parent / "given/kit/more"
+BENCH, SITE = KIT / "mass/bin/lbreal", KIT / "node/sites/neihu-main.toml"
 
 
 def entries(folder: pathlib.Path) -> list[dict]:
@@ -35,7 +35,7 @@
 
 
 def main() -> int:
-    if not (ROOT / BENCH).exists():
+    if not BENCH.exists():
         print("standing: the users' bench is not beside this repository, so nothing was played")
         return 2
     before = entries(ROOT / "journal")
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -145,6 +145,32 @@
     assert feeds(made, now)[0][0] != slow  # nor is it asked for what comes next
 
 
+def test_a_lost_entry_is_fed_again_while_others_follow_it():
+    made, keeper = origin((1,)), Keeper(1, 1)
+    made.take(0.0, Taken(1, True, 1000, NO_NAME, b""))
+    feeds(made)  # lost
+    for now in range(5, 100, 5):
+        made.take(float(now), Taken(1 + now, True, 1000, NO_NAME, b""))
+        for _, message in feeds(made, float(now)):
+            keeper.hear(float(now), 0, 1, message)
+        for _, message in keeper.out:
+            made.hear(float(now), 1, 1, message)
+        keeper.out.clear()
+    assert keeper.count == 20
+
+
+def test_an_end_is_told_with_what_comes_next_or_with_a_sign_of_life():
+    made, keeper = origin((1,)), Keeper(1, 1)
+    made.take(0.0, Taken(1, True, 60_000, NO_NAME, b""))
+    keeper.hear(0.0, 0, 1, feeds(made)[0][1])
+    made.hear(1.0, 1, 1, keeper.out.pop()[1])
+    made.over(2.0, 1)
+    assert feeds(made, 3.0) == [] and keeper.count == 1
+    keeper.hear(260.0, 0, 1, feeds(made, 260.0)[0][1])
+    made.hear(261.0, 1, 1, keeper.out.pop()[1])
+    assert keeper.count == 0 and feeds(made, 2000.0) == []  # and then there is nothing more to say
+
+
 def test_another_room_keeps_and_few_move_when_a_member_comes():
     made = origin(tuple(range(1, 9)), r1="a", r2="a", r3="a")
     chosen = {slot: made._ranked(slot, "a", 0)[0] for slot in range(64)}
