--- a/anisefront/carriers/http.py
+++ b/anisefront/carriers/http.py
@@ -9,6 +9,7 @@
     """The answers on one connection."""
 
     fault = MessageFault
+    early = True  # a server may answer before it has read the whole request
 
     def __init__(self, most_body: int) -> None:
         self._reader = Reader(requests=False, most_body=most_body)
--- a/anisefront/carriers/pool.py
+++ b/anisefront/carriers/pool.py
@@ -1,7 +1,7 @@
 """A pool of connections to workers, on Twisted. It carries one exchange a connection at a time.
 
-    connecting --connected--> busy --whole answer--> resting --> idle --next exchange--> busy
-    cancel and time-out close the connection; a fault before the request was written proves that nothing ran
+    connecting --connected--> writing --all with the system--> waiting --whole answer--> resting --> idle --> writing
+    cancel and time-out close the connection; a fault before the last byte was with the system proves that nothing ran
 
 What the workers speak is handed in: a reader of answers for each connection (`carriers/http.py` has HTTP/1.1's).
 """
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from twisted.internet import protocol
+from twisted.internet import error, protocol
 from twisted.internet.abstract import isIPAddress, isIPv6Address
 from twisted.python.failure import Failure
 
@@ -28,6 +28,7 @@
     """Reads the answers on one connection, one at a time."""
 
     fault: type[Exception]  # what `feed` raises for what can't be read
+    early: bool  # whether an answer may begin before the whole request is written
 
     def feed(self, data: bytes) -> tuple[Any, bool] | None:
         """The answer that these bytes complete, and whether the connection can carry a further exchange."""
@@ -66,18 +67,42 @@
         self.answers = pool.answers()
         self.idle_since = 0.0
         self._stall: Any = None
+        self._data: bytes | None = None  # to be handed to the transport
+        self.writing = False  # a part of the request is not with the system yet
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         exchange, self.exchange = self.exchange, None
         exchange.connected(self)
 
+    def write(self, data: bytes) -> None:
+        """Hand a request over. The transport asks its producer for more when all is with the system."""
+        self._data, self.writing = data, True
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        data, self._data = self._data, None
+        if data is not None:
+            self.transport.write(data)
+        else:
+            self.writing = False
+            self.transport.unregisterProducer()
+
+    def stopProducing(self) -> None:
+        """The transport is closing."""
+
     def dataReceived(self, data: bytes) -> None:
         exchange = self.exchange
         if exchange is None:  # nobody asked: what it says can't be an answer to what comes next
             self.pool.counts["unasked"] += 1
             self.transport.abortConnection()
             return
+        if self.writing and not self.answers.early:
+            # Danger: what came between the look at an idle connection and the write would pass for the answer to a
+            # command that its worker has not read.
+            self.pool.counts["unasked"] += 1
+            self._give_up(exchange, Result.CONNECT_FAILED)
+            return
         try:
             found = self.answers.feed(data)
         except self.answers.fault:
@@ -90,7 +115,7 @@
             return
         self._unwatch()
         self.exchange = None
-        if found[1]:
+        if found[1] and not self.writing:
             self.pool.keep(self)
         else:
             self.transport.loseConnection()
@@ -124,11 +149,12 @@
         exchange, self.exchange = self.exchange, None
         if exchange is None:
             return
-        whole = self.answers.close()
+        # Danger: a reset is no end: an answer without a length that it breaks off is not whole.
+        whole = self.answers.close() if reason.check(error.ConnectionDone) else None
         if whole is not None:
             exchange.finish(None, whole)
         else:
-            exchange.finish(Result.RESET, None)
+            exchange.finish(Result.CONNECT_FAILED if self.writing else Result.RESET, None)
 
     def dead(self) -> bool:
         """Whether the other side has closed or said more, though the event loop has not told yet."""
@@ -144,9 +170,9 @@
     """One request on its way. `done` is called once, whatever happens."""
 
     def __init__(self, pool: Pool, worker: str, data: bytes, allow_s: float, done: Done,
-                 head_only: bool) -> None:
+                 head_only: bool, may_begin: Callable[[], bool]) -> None:
         self._pool, self._worker, self._data, self._done = pool, worker, data, done
-        self._head_only, self._client = head_only, None
+        self._head_only, self._may_begin, self._client = head_only, may_begin, None
         self._stop_connecting: Callable[[], object] | None = None  # while we are
         self._timer = pool.reactor.callLater(max(0.001, allow_s), self._end, Result.TIMEOUT)
 
@@ -168,14 +194,16 @@
         if self._done is None:  # it ended while it was being connected
             client.transport.abortConnection()
             return
-        if not self._pool.may_send(self._worker):
-            # Danger: the worker may have left service while we were connecting: a send now would break its drain.
+        # Danger: while we were connecting its worker may have moved, or the reason for the attempt may have gone.
+        moved = self._pool.address_of(self._worker) != client.address
+        if moved or not self._may_begin():
+            self._pool.counts["not_begun"] += 1
             client.transport.loseConnection()
-            self.finish(Result.MOOT, None)
+            self._pool.reactor.callLater(0, self.finish, Result.MOOT, None)  # the caller may not have got us yet
             return
         self._client, client.exchange = client, self
         client.answers.begin(self._head_only)
-        client.transport.write(self._data)
+        client.write(self._data)
 
     def unconnected(self) -> None:
         """No connection came up: nothing was written."""
@@ -195,6 +223,8 @@
             return
         if client is not None and client.exchange is self:
             client.exchange = None
+            if client.writing and result is Result.TIMEOUT:
+                result = Result.CONNECT_FAILED
             client.transport.abortConnection()
         self.finish(result, None)
 
@@ -224,23 +254,24 @@
 class Pool:
     """Connections to all workers.
 
-    `answers` makes a reader for each connection; `address_of` tells where a worker listens (None: nowhere), `may_send`
-    whether a request may still begin there; both are asked anew each time."""
+    `answers` makes a reader for each connection; `address_of` tells where a worker listens (None: nowhere) and is
+    asked anew each time."""
 
     def __init__(self, reactor: Any, limits: PoolLimits | None = None, answers: Callable[[], Answers] | None = None,
-                 address_of: Callable[[str], tuple[str, int] | None] = split_address,
-                 may_send: Callable[[str], bool] = lambda worker: True) -> None:
+                 address_of: Callable[[str], tuple[str, int] | None] = split_address) -> None:
         self.reactor, self.limits = reactor, limits or PoolLimits()
         self.answers = answers or (lambda: HttpAnswers(self.limits.most_body))
-        self.address_of, self.may_send = address_of, may_send
+        self.address_of = address_of
         self.connections = 0  # open, or being connected
         self.counts: Counter[str] = Counter()
         self._idle: dict[str, deque[_Client]] = {}  # of each worker, the longest idle first
         self._sweep_call: Any = None
 
-    def request(self, worker: str, data: bytes, allow_s: float, done: Done, head_only: bool = False) -> Exchange:
-        """Send a written request to a worker; `done` hears its end within `allow_s`."""
-        exchange = Exchange(self, worker, data, allow_s, done, head_only)
+    def request(self, worker: str, data: bytes, allow_s: float, done: Done, head_only: bool = False,
+                may_begin: Callable[[], bool] = lambda: True) -> Exchange:
+        """Send a written request to a worker; `done` hears its end within `allow_s`. `may_begin` is asked at the last
+        moment before the first byte."""
+        exchange = Exchange(self, worker, data, allow_s, done, head_only, may_begin)
         exchange.start()
         return exchange
 
--- a/anisefront/carriers/pooled.py
+++ b/anisefront/carriers/pooled.py
@@ -54,7 +54,8 @@
         def ended(result: Result | None, answer: Any) -> None:
             self._ended(request, attempt, worker, result, answer)
 
-        self._exchanges[request, attempt] = self._pool.request(worker, data, allow_ms / 1000, ended, head_only)
+        self._exchanges[request, attempt] = self._pool.request(
+            worker, data, allow_ms / 1000, ended, head_only, lambda: self._ledger.may_begin(request, attempt))
 
     def _ended(self, request: int, attempt: int, worker: str, result: Result | None, answer: Any) -> None:
         load: tuple[float, ...] = ()
--- a/anisefront/carriers/proxied.py
+++ b/anisefront/carriers/proxied.py
@@ -164,7 +164,7 @@
             number, worker, allow, parked_ms = exchange.parked
             exchange.parked = None
             waited = self._ledger.now_ms() - parked_ms
-            if waited > self.limits.park_ms or not self._ledger.may_go_to(worker):
+            if waited > self.limits.park_ms or not self._ledger.may_begin(exchange.number, number):
                 # Danger: what was right then may break a drain or a repeat's time now: it is decided anew.
                 self._ledger.outcome(exchange.number, number, Result.MOOT, 0.0)
             else:
--- a/anisefront/cli/main.py
+++ b/anisefront/cli/main.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
-import importlib
-import json
 import sys
-from pathlib import Path
 
-import click
+from anisefront.daemon import signals
+
+if sys.argv[1:2] in (["serve"], ["node"]):  # before anything that takes time to load
+    signals.hold()
+
+import importlib  # noqa: E402
+import json  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import click  # noqa: E402
 
 
 # Commands with much behind them, each from its own module: a gatekeeper of little memory loads none of the others'.
--- a/anisefront/core/ledger.py
+++ b/anisefront/core/ledger.py
@@ -97,10 +97,12 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One attempt that is out. `parked_ms`: it waits for the guard's word, and until when it would be allowed."""
+    """One attempt that is out. `parked_ms`: it waits for the guard's word, and until when it would be allowed;
+    `begin_by_ms`: its effect may begin until then."""
 
     worker: str
     sent_ms: float
+    begin_by_ms: float
     parked_ms: float | None = None
 
 
@@ -228,8 +230,7 @@
         if out is None or out.parked_ms is None:
             return
         allow_ms, out.parked_ms, out.sent_ms = out.parked_ms - self.now_ms(), None, self.now_ms()
-        if entry.ended or allow_ms <= 0 or not self.may_go_to(out.worker):
-            # Danger: what was right when it was decided may break a drain by now: it is decided anew.
+        if allow_ms <= 0 or not self.may_begin(request, attempt):  # it is decided anew
             self.outcome(request, attempt, Result.MOOT, 0.0)
         else:
             entry.carrier.send(request, attempt, out.worker, allow_ms)
@@ -285,9 +286,15 @@
         """Other settings for what arrives from now on."""
         self._post(settings)
 
-    def may_go_to(self, worker: str) -> bool:
-        """Whether the list in force still has the worker ready: a fact for carriers that send with delay."""
-        return self.servers.get(worker) is State.READY
+    def may_begin(self, request: int, attempt: int) -> bool:
+        """Whether what was decided before may still leave: asked by carriers at the last moment before it does.
+
+        Danger: meanwhile its worker may have begun to drain, its client may have gone, another gatekeeper may have
+        taken it over, or the window in which its group knows a repeat may be over."""
+        entry = self.entries.get(request)
+        out = entry.out.get(attempt) if entry is not None else None
+        return out is not None and not entry.ended and not entry.lost and self.now_ms() <= out.begin_by_ms \
+            and self.servers.get(out.worker) is State.READY
 
     # ---- turns ---------------------------------------------------------------------------------
 
@@ -452,7 +459,7 @@
         if entry is None:
             return
         number, entry.attempts = entry.attempts, entry.attempts + 1
-        entry.out[number] = Attempt(action.server, now)
+        entry.out[number] = Attempt(action.server, now, now + action.begin_ms)
         self.counts["attempts"] += 1
         if entry.ended or entry.lost:
             # The guard of rule 1: nothing goes out for a request that has its final answer or is another's.
--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -263,6 +263,10 @@
             self._wait_for_end()
         return self._drained
 
+    def hurry(self) -> None:
+        """End the drain now."""
+        self._drain_end = self.clock()
+
     def _wait_for_end(self) -> None:
         if self.ledger.entries and self.clock() < self._drain_end:
             self.reactor.callLater(0.02, self._wait_for_end)
--- a/anisefront/daemon/process.py
+++ b/anisefront/daemon/process.py
@@ -12,7 +12,8 @@
 
 import structlog
 
-from anisefront.daemon import logs
+from anisefront.daemon import logs, signals
+from anisefront.daemon.lifecycle import Do, Lifecycle, Phase, Step
 
 if TYPE_CHECKING:  # a gatekeeper of another front must not pay for these
     from anisefront.config.checker import Checked
@@ -42,79 +43,91 @@
         hang_up: Callable[[Any], object] | None = None) -> int:
     """Run a gatekeeper until it is stopped; the exit code.
 
-    `make(reactor, on_fault)` makes it: it has `start`, `drain`, `ledger` and `collector`. `before` is called with it
-    and does what its start costs and needs no port, `hang_up` at each SIGHUP; what that raises is logged and ends
-    nothing."""
+    `make(reactor, on_fault)` makes it: it has `start`, `drain`, `hurry`, `ledger` and `collector`. `before` is called
+    with it and does what its start costs and needs no port, `hang_up` at each SIGHUP; what that raises is logged and
+    ends nothing."""
     logs.set_up(log_level)
     logs.follow_twisted()
     from twisted.internet import reactor
     log = structlog.get_logger().bind(gatekeeper=name)
     code = [0]
+    life = Lifecycle()
+    waiting = signals.held()
+
+    def on_signal(number: int, frame: Any) -> None:
+        waiting.append(number)
+        reactor.callFromThread(look)
+
+    # Danger: from here on until the first turn of the loop, too, either signal must end nothing.
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, on_signal)
+
+    def look() -> None:
+        """Take the signals that have come. Danger: two alike in one turn, as from a process and its group, are one;
+        taken for two, the second would cut short what the first began."""
+        came = set()
+        while waiting:
+            came.add(waiting.pop())
+        if signal.SIGHUP in came:
+            take(Step.HANG_UP)
+        if came - {signal.SIGHUP}:
+            log.info("signal", signals=sorted(signal.Signals(number).name for number in came))
+            take(Step.TERMINATE)
+
+    def take(step: Step) -> None:
+        do = life.take(step)
+        if do in (Do.LISTEN, Do.LISTEN_AND_RELOAD):
+            where = gatekeeper.start()
+            # Every front takes its port only once the first fleet list has been handed in.
+            print(json.dumps({"ready": True, **where, "pid": os.getpid()}), flush=True)
+        if do in (Do.RELOAD, Do.LISTEN_AND_RELOAD):
+            take_again()
+        elif do is Do.DRAIN:
+            gatekeeper.drain().addBoth(lambda _: take(Step.DRAINED))
+        elif do is Do.HURRY:
+            log.warning("stopped_at_once", open=gatekeeper.ledger.open)
+            code[0] = 1
+            gatekeeper.hurry()
+        elif do is Do.STOP and reactor.running:
+            reactor.stop()
 
     def module_fault(problem: Exception) -> None:
         log.critical("module_fault", exc_info=problem, open_failed=gatekeeper.ledger.counts["failed"])
         code[0] = 3
-        reactor.callLater(0.2, end)  # the failures are being written
+        reactor.callLater(0.2, take, Step.FAULT)  # the failures are being written
 
     gatekeeper = make(reactor, module_fault)
 
     def step(call: Callable[[], None]) -> None:
         """One step of starting; a port that can't be had ends it."""
+        if life.phase is Phase.ENDED:
+            return
         try:
             call()
         except OSError as problem:
             log.error("not_started", fault=str(problem))
             code[0] = 1
-            reactor.stop()
+            take(Step.FAULT)
 
     def prepare() -> None:
         before(gatekeeper)
         gatekeeper.collector.start()
         # Danger: who connects while we still set things up is read late, and its time counts from when it was sent.
         # So we listen only once the loop has waited: all that starting cost is behind us then.
-        reactor.callLater(SETTLE_S, step, begin)
-
-    def begin() -> None:
-        where = gatekeeper.start()
-        # Every front takes its port only once the first fleet list has been handed in.
-        print(json.dumps({"ready": True, **where, "pid": os.getpid()}), flush=True)
-
-    signals = [0]
-
-    def on_signal(number: int, frame: Any) -> None:
-        signals[0] += 1
-        reactor.callFromThread(stop, signal.Signals(number).name)
-
-    def stop(name: str) -> None:
-        if signals[0] > 1:
-            log.warning("stopped_at_once", signal=name, open=gatekeeper.ledger.open)
-            code[0] = 1
-            end()
-        else:
-            log.info("signal", signal=name)
-            gatekeeper.drain().addBoth(lambda _: end())
-
-    def end() -> None:
-        if reactor.running:
-            reactor.stop()
-
-    def on_hangup(number: int, frame: Any) -> None:
-        if hang_up is not None:
-            reactor.callFromThread(take_again)
+        reactor.callLater(SETTLE_S, step, lambda: take(Step.READY))
 
     def take_again() -> None:
         try:
-            hang_up(gatekeeper)
+            if hang_up is not None:
+                hang_up(gatekeeper)
         except Exception as problem:  # Danger: a file that nobody foresaw must not end a gatekeeper in service
             log.error("reload_raised", exc_info=problem)
 
+    reactor.callWhenRunning(look)
     reactor.callWhenRunning(step, prepare)
-    signal.signal(signal.SIGHUP, on_hangup)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, on_signal)
     started = time.monotonic()
     reactor.run(installSignalHandlers=False)
     log.info("exit", code=code[0], up_s=round(time.monotonic() - started, 1),
-             why={0: "drained", 1: "stopped at once" if signals[0] else "could not start", 3: "module fault"}[code[0]])
+             why={0: "drained", 1: "could not start or stopped at once", 3: "module fault"}[code[0]])
     sys.stderr.flush()
     return code[0]
--- a/anisefront/node/carrier.py
+++ b/anisefront/node/carrier.py
@@ -21,6 +21,7 @@
     """The answers on one connection to a worker, for the pool."""
 
     fault = resp.RespFault
+    early = False  # a worker begins a command when its last byte has come
 
     def __init__(self) -> None:
         self._reader = resp.AnswerReader()
--- a/anisefront/node/discovery.py
+++ b/anisefront/node/discovery.py
@@ -8,6 +8,7 @@
 
 import json
 import math
+import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -18,7 +19,7 @@
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 MOST_LINE = 4 << 20  # bytes of one change
 MOST_WORKERS = 10_000
-QUIET_S = 5.0  # an empty line comes every 2 s: a watch that is silent for so long is dead
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
 class DiscoveryFault(ValueError):
@@ -111,6 +112,10 @@
     def _moved(old: Entry, new: Entry | None) -> bool:
         return new is None or new.address != old.address or new.server.started_ms != old.server.started_ms
 
+    def forget_version(self) -> None:
+        """What is told next comes from a discovery that counts its versions anew; the list stays in force."""
+        self.index = 0
+
     def address_of(self, worker: str) -> tuple[str, int] | None:
         """Where a worker listens; None for one that is not listed."""
         entry = self.entries.get(worker)
@@ -123,11 +128,14 @@
 
 
 class WatchReader:
-    """Reads the answer to a watch: a change a line, however the chunks are cut."""
+    """Reads the answer to a watch: a change a line, or over several where it comes indented, however chunks are cut."""
 
     def __init__(self) -> None:
         self._http = Reader(requests=False, parts=True)
         self._line = bytearray()
+        self._object = bytearray()  # the lines so far of an object that goes on
+        self._depth = 0  # of its brackets
+        self.lines = 0  # whole objects, and empty lines between them: signs of life
         self.ended = False
 
     def feed(self, data: bytes) -> list[Change]:
@@ -148,6 +156,8 @@
             else:
                 self.ended = True
                 yield from self._lines(event.body + b"\n")
+                if self._depth:
+                    raise DiscoveryFault("the answer ends in the middle of an object")
 
     def _lines(self, data: bytes) -> Iterable[Change]:
         seen = len(self._line)
@@ -156,10 +166,24 @@
             line = bytes(self._line[:end]).strip()
             del self._line[:end + 1]
             seen = 0
-            if line:
-                try:
-                    yield read_change(json.loads(line))
-                except (ValueError, RecursionError) as problem:
-                    raise DiscoveryFault(str(problem)) from problem
-        if len(self._line) > MOST_LINE:
-            raise DiscoveryFault(f"a line of over {MOST_LINE} bytes")
+            if line or not self._depth:
+                yield from self._whole(line)
+        if len(self._line) + len(self._object) > MOST_LINE:
+            raise DiscoveryFault(f"an object of over {MOST_LINE} bytes")
+
+    def _whole(self, line: bytes) -> Iterable[Change]:
+        """The change that this line ends, if it does. No string of JSON holds an end of line, so brackets are counted
+        a line at a time."""
+        if line:
+            bare = _STRING.sub(b"", line)
+            self._depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+            self._object += line
+            if self._depth > 0:
+                return
+        self.lines += 1
+        found, self._object, self._depth = bytes(self._object), bytearray(), 0
+        if found:
+            try:
+                yield read_change(json.loads(found))
+            except (ValueError, RecursionError) as problem:
+                raise DiscoveryFault(str(problem)) from problem
--- a/anisefront/node/front.py
+++ b/anisefront/node/front.py
@@ -1,10 +1,13 @@
 """Clients of the platform: connections, commands in, answers in the order of the commands, on Twisted.
 
-    young --first whole command--> busy <--> idle          closed: the longest idle where there are too many
+    young --first whole command--> busy <--> idle          ended: the longest idle where there are too many
       |                             |
-      +---- half a command ---------+                      closed: when it does not come whole in time
+      +---- half a command ---------+                      ended: when it does not come whole in time
+    any --end--> closing --all written, our half shut--> shut --the client ends, or a time is over--> gone
 
-What can't be read ends its connection; what can be read and not used gets an error line, and its sender is read on no
+A connection is closed by halves: a close over unread bytes would reset it, and with the reset would go answers that
+the client has not read. A request that is read before our half is shut gets its answer, one that comes later none.
+What can't be read ends its connection; what can be read and not used gets an error line, and its sender is heard no
 faster than others are served. Nothing here decides about requests that can be used: the ledger hears of all of them.
 """
 
@@ -17,7 +20,9 @@
 from typing import Any
 
 from twisted.internet import protocol
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from anisefront.fronts.backpressure import Backpressure
 from anisefront.node import resp
@@ -30,11 +35,14 @@
 STUCK_S = 5.0  # a client that does not read its answers is cut off
 SWEEP_S = 0.1
 UNREAD_MS, UNREAD_PART = 100.0, 0.1  # for how long a request may have waited to be read; or such a part of its time
+CLOSE_S = 2.0  # a connection whose end was begun is gone by then, whatever its client does
+MOST_DISCARDED = 1 << 20  # bytes that are thrown away of a connection that is closing; one that sends more is cut off
+MOST_UNREAD = (64 << 10) + 1024  # bytes that may wait behind a command that can't be used: one whole command
 MOST_OPEN = 64  # commands of one connection without an answer; more at once is no client of ours
 PAUSE_S, MOST_PAUSE_S = 0.1, 1.6  # nothing is read after a command that can't be used; twice as long after each more
 BUSY_MS = 250.0  # advice where this gatekeeper is full
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
-YOUNG, HALF, IDLE, BUSY = "young", "half", "idle", "busy"
+YOUNG, HALF, IDLE, BUSY, CLOSING = "young", "half", "idle", "busy", "closing"
 
 
 @dataclass(slots=True)
@@ -42,6 +50,7 @@
     """Caps of the front. Sizes in bytes."""
 
     most_connections: int = 100
+    most_closing: int = 16  # beside them: closing, so that what was written to them is read
     many_connections: int = 30  # with commands; where there are more, those that were idle for IDLE_S are closed
     most_bodies: int = 8 << 20  # of values held for open requests
 
@@ -55,6 +64,7 @@
     size: int = 0
 
 
+@implementer(IHalfCloseableProtocol)
 class Client(Backpressure):
     """One connection."""
 
@@ -65,7 +75,9 @@
         self.since = 0.0  # in this place
         self._bad = 0
         self._spoke = self._asked = False  # a whole command has come; one that asks for something has
-        self._ending = False
+        self._ending = self._shut = False  # no request is taken any more; our half is shut
+        self._discarded = 0  # bytes, while it is closing
+        self._unread = bytearray()  # what waits while it is paused
         self._pause: Any = None
 
     def connectionMade(self) -> None:
@@ -74,8 +86,28 @@
         self.front.put(self, YOUNG)
 
     def dataReceived(self, data: bytes) -> None:
-        if self._ending:
-            return
+        if self._shut or (self._ending and self.reader.fault is not None):
+            self._discard(data)
+        elif self._pause is not None:
+            self._keep_unread(data)
+        else:
+            self._take_in(data)
+
+    def _discard(self, data: bytes) -> None:
+        self._discarded += len(data)
+        if self._discarded > MOST_DISCARDED:
+            self.abort()
+
+    def _keep_unread(self, data: bytes) -> None:
+        """Danger: with reading stopped instead we would not see that the client leaves, and what it has open here
+        would be sent on for nobody."""
+        front = self.front
+        self._unread += data
+        front.bodies += len(data)
+        if len(self._unread) > MOST_UNREAD or front.bodies > front.limits.most_bodies:
+            self._refuse_all(resp.RespFault("too much at once").line)
+
+    def _take_in(self, data: bytes) -> None:
         commands = self.reader.feed(data)
         if len(self.slots) + len(commands) > MOST_OPEN:
             self._refuse_all(resp.RespFault("too many commands at once").line)
@@ -104,6 +136,9 @@
 
     def _ask(self, slot: _Slot, parts: list[bytes]) -> None:
         front, self._asked = self.front, True
+        if self._ending:  # it came before our half was shut: it is not sent on, and its client is told so
+            slot.answer = refusal(BUSY_MS)
+            return
         try:
             wanted = front.terms.read(parts)
         except TermsFault as problem:
@@ -133,24 +168,33 @@
 
     def _unfit(self, slot: _Slot, why: str) -> None:
         """A command that can't be used. Danger: the same again at once, without end, would take the time of all
-        others; so nothing more is read from this connection for a moment."""
+        others; so nothing more of this connection is looked at for a moment."""
         self.front.counts["unfit"] += 1
         slot.answer = resp.error(b"ERR " + why.encode("ascii", "replace"))
         if self._pause is None:
             self._pause = self.front.reactor.callLater(min(MOST_PAUSE_S, PAUSE_S * 2 ** self._bad), self._read_on)
             self._bad += 1
-            self.hold()
 
     def _read_on(self) -> None:
+        if self._pause is not None and self._pause.active():
+            self._pause.cancel()
         self._pause = None
-        self.go_on()
+        data = self._forget_unread()
+        if data and self.reader.fault is None:
+            self._take_in(data)
+
+    def _forget_unread(self) -> bytes:
+        data, self._unread = bytes(self._unread), bytearray()
+        self.front.bodies -= len(data)
+        return data
 
     def _refuse_all(self, line: bytes) -> None:
         """What came can't be read: what is open here is called off, each command gets its error, and we close."""
         self.front.counts["unreadable"] += 1
+        if self.reader.fault is None:
+            self.reader.fault = resp.RespFault("nothing more is read")
         self.slots.append(_Slot(resp.error(line)))
         self.fail_all()
-        self.front.put(self, YOUNG)  # cut off where it does not read this either
 
     def _withdraw(self, slot: _Slot) -> None:
         number, slot.number = slot.number, None
@@ -162,10 +206,10 @@
         slots, ready = self.slots, []
         while slots and slots[0].answer is not None:
             ready.append(slots.popleft().answer)
-        if self._ending:
-            return
         if ready:
             self.transport.write(b"".join(ready))
+        if self._ending:
+            return
         if not self._spoke:
             place = YOUNG
         elif self.reader.midway:
@@ -174,12 +218,32 @@
             place = BUSY if slots else IDLE
         if place != self.place:
             self.front.put(self, place)
-        if place == IDLE and self.front.closing and self._asked:
+        if place == IDLE and self.front.draining and self._asked:
             self.end()  # one that only greeted us is about to ask: the sweep closes it
 
     def end(self) -> None:
-        """Close between requests, when what was written has gone out."""
+        """Close, when what was written has gone out: take no more requests, shut our half, wait for the client's."""
+        if not self._ending:
+            self._begin_end()
+            self._read_on()  # what waits was read before our half is shut
+            self.transport.resumeProducing()
+            self.transport.loseWriteConnection()
+
+    def _begin_end(self) -> None:
         self._ending = True
+        self.transport.unregisterProducer()  # else a full buffer, once it is free, would not be followed by the end
+        self.front.put(self, CLOSING)
+
+    def writeConnectionLost(self) -> None:
+        """All is written and our half is shut: what is read from now on came too late."""
+        self._shut = True
+
+    def readConnectionLost(self) -> None:
+        """The client has ended its half: it has gone, or has seen that we are closing."""
+        self._withdraw_all()
+        if not self._ending:
+            self._begin_end()
+        self._shut = True
         self.transport.loseConnection()
 
     def fail_all(self) -> None:
@@ -196,25 +260,26 @@
 
     def overdue(self) -> None:
         """Its command did not come whole in time."""
-        if self._ending:
-            self.abort()
-        else:
-            self._refuse_all(resp.RespFault("a command did not come whole in time").line)
+        self._refuse_all(resp.RespFault("a command did not come whole in time").line)
 
     def abort(self) -> None:
         """Cut it off."""
-        self._ending = True
+        self._ending = self._shut = True
         self.transport.abortConnection()
 
-    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
-        self._ending = True
-        self.forget_reader()
-        if self._pause is not None and self._pause.active():
-            self._pause.cancel()
+    def _withdraw_all(self) -> None:
         for slot in self.slots:
             if slot.number is not None:
                 self._withdraw(slot)
         self.slots.clear()
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        self._ending = self._shut = True
+        self.forget_reader()
+        if self._pause is not None and self._pause.active():
+            self._pause.cancel()
+        self._forget_unread()
+        self._withdraw_all()
         self.front.gone(self)
 
 
@@ -228,17 +293,17 @@
         self.reactor, self.carrier, self.terms, self.now_ms, self.limits = reactor, carrier, terms, now_ms, limits
         self.counts: Counter[str] = Counter()
         self.bodies = 0
-        self.closing = False
+        self.draining = False
         self.latest_ms = float("inf")  # all is answered by then, whatever the clients would wait
         # Of each place the connections by the time since which they are in it, the longest first.
         self.places: dict[str, OrderedDict[Client, None]] = {
-            place: OrderedDict() for place in (YOUNG, HALF, IDLE, BUSY)}
+            place: OrderedDict() for place in (YOUNG, HALF, IDLE, BUSY, CLOSING)}
         self._sweep_call: Any = None
 
     @property
     def connections(self) -> int:
-        """How many connections are open."""
-        return sum(map(len, self.places.values()))
+        """How many connections are open; those that are closing are counted apart."""
+        return sum(len(kept) for place, kept in self.places.items() if place != CLOSING)
 
     def due_ms(self, wait_ms: float) -> float:
         """When a request that is read now is to be answered.
@@ -255,8 +320,7 @@
                 if self.places[place]:
                     client = next(iter(self.places[place]))
                     self.counts["made_room"] += 1
-                    self.gone(client)
-                    client.abort()
+                    client.end()
                     break
             else:
                 self.counts["turned_away"] += 1
@@ -270,6 +334,12 @@
         self.gone(client)
         client.place, client.since = place, self.reactor.seconds()
         self.places[place][client] = None
+        closing = self.places[CLOSING]
+        if len(closing) > self.limits.most_closing:
+            oldest = next(iter(closing))
+            self.gone(oldest)
+            self.counts["closing_cut"] += 1
+            oldest.abort()
 
     def gone(self, client: Client) -> None:
         """A connection is in no place any more: it has ended, or is about to."""
@@ -285,27 +355,29 @@
                 self.counts["overdue"] += 1
                 client.overdue()
         idle = self.places[IDLE]
-        if self.closing:
+        if self.draining:
             for client in self._since(IDLE, now - LINGER_S):
                 client.end()
+        for client in self._since(CLOSING, now - CLOSE_S):
+            self.gone(client)
+            client.abort()
         used = len(idle) + len(self.places[BUSY]) + len(self.places[HALF])
         for client in self._since(IDLE, now - IDLE_S)[:max(0, used - self.limits.many_connections)]:
             self.counts["idle_closed"] += 1
             client.end()
-            self.gone(client)
-        self._sweep_call = self.reactor.callLater(SWEEP_S, self._sweep) if self.connections else None
+        self._sweep_call = self.reactor.callLater(SWEEP_S, self._sweep) if any(self.places.values()) else None
 
     def _since(self, place: str, moment: float) -> list[Client]:
         return list(itertools.takewhile(lambda client: client.since <= moment, self.places[place]))
 
     def close_idle(self) -> None:
         """From now on connections end between requests."""
-        self.closing = True
+        self.draining = True
         for client in list(self.places[IDLE]):
             client.end()
 
     def fail_all(self) -> None:
         """The end: what has no answer yet gets one that promises nothing, and all connections close."""
-        for place in self.places.values():
-            for client in list(place):
+        for place in (YOUNG, HALF, IDLE, BUSY):
+            for client in list(self.places[place]):
                 client.fail_all()
--- a/anisefront/node/gatekeeper.py
+++ b/anisefront/node/gatekeeper.py
@@ -31,8 +31,11 @@
 REST_S = 0.01  # after an answer, before its connection is used again
 STALL_S = 0.4  # an answer that has begun goes on within this time
 IDLE_PART = 0.6  # of the time after which the machine closes an idle connection
+CLOSING_PART = 1 / 8  # of the clients' connections, beside the others: closing
 LISTEN_ON_MS = 500.0  # after SIGTERM new connections still come for a while
-LAST_MS = 3400.0  # after SIGTERM all is answered by then; the platform kills no sooner than after 3.7 s
+# After SIGTERM the platform kills no sooner than the longest deadline, counted so long at most, and so much more.
+MOST_DEADLINE_MS, KILL_MS = 3000.0, 700.0
+WRITE_MS, LEAVE_MS = 300.0, 100.0  # before the kill all is answered; and we are gone
 REPORT_S, COLLECT_S = 10.0, 2.0
 
 
@@ -54,14 +57,16 @@
         self.book = Book()
         most = max(32, config.sockets - OTHER_SOCKETS)
         clients = int(most * CLIENT_PART)
+        closing = max(8, int(clients * CLOSING_PART))
         self.pool = Pool(reactor, PoolLimits(
             connect_s=config.connect_timeout_ms / 1000, idle_s=config.idle_ms * IDLE_PART / 1000, idle_each=64,
             most=most - clients, rest_s=REST_S, stall_s=STALL_S),
-            RespAnswers, self.book.address_of, self.ledger.may_go_to)
+            RespAnswers, self.book.address_of)
         self.carrier = NodeCarrier(self.ledger, self.pool, settings.report_fields)
         self.front = Front(reactor, self.carrier, Reader(settings), self.clock, FrontLimits(
-            clients, config.sockets // 8, int(config.memory_mb * (1 << 20) / 8)))
-        self.watch = Watch(reactor, config.discovery, lambda: self.book.index, self.told, self._discovery_fault)
+            clients - closing, closing, config.sockets // 8, int(config.memory_mb * (1 << 20) / 8)))
+        self.watch = Watch(reactor, config.discovery, lambda: self.book.index, self.told, self._discovery_fault,
+                           self.book.forget_version)
         self.collector = Collector(reactor, lambda: self.ledger.open, every_s=COLLECT_S)
         self._port: Any = None
         self._drained: defer.Deferred[None] | None = None
@@ -156,22 +161,42 @@
         """Finish what was begun and what still comes; fires when all is answered or the time is up."""
         if self._drained is None:
             self._drained = defer.Deferred()
-            self._term_ms = self.clock()
-            self.front.latest_ms = self._term_ms + LAST_MS
-            self.log.info("draining", open=self.ledger.open)
+            self._drain_ms = self.clock()
+            longest = max(kind.deadline_ms for kind in self.config.settings.classes)
+            # Danger: what the kill finds unanswered is lost; where all deadlines are short it comes soon.
+            self._kill_ms = self._drain_ms + min(longest, MOST_DEADLINE_MS) + KILL_MS
+            self.front.latest_ms = self._kill_ms - WRITE_MS
+            self.log.info("draining", open=self.ledger.open, answered_within_ms=self.front.latest_ms - self._drain_ms)
             self.front.close_idle()
             self._wait_for_end()
         return self._drained
 
+    def hurry(self) -> None:
+        """End the drain now."""
+        self.front.latest_ms = self.clock()
+
     def _wait_for_end(self) -> None:
-        since = self.clock() - self._term_ms
-        if since >= LISTEN_ON_MS and self._port is not None:
-            self._port.stopListening()
-            self._port = None
-        if since < LISTEN_ON_MS or (since < LAST_MS and (self.ledger.open or self.front.connections)):
+        now, latest = self.clock(), self.front.latest_ms
+        listen_until = min(self._drain_ms + LISTEN_ON_MS, latest)
+        if now >= listen_until and self._port is not None:
+            self._stop_listening()
+        if now < listen_until or (now < latest and (self.ledger.open or self.front.connections)):
             self.reactor.callLater(0.02, self._wait_for_end)
             return
         self.log.info("drained", left_open=self.ledger.open)
         self.front.fail_all()
+        self._wait_for_close()
+
+    def _stop_listening(self) -> None:
+        """Danger: who was let in by the system and not by us is reset with the listener; so they come in first."""
+        self._port.doRead()
+        self._port.stopListening()
+        self._port = None
+
+    def _wait_for_close(self) -> None:
+        """The last answers are being written and read."""
+        if self.clock() < self._kill_ms - LEAVE_MS and any(self.front.places.values()):
+            self.reactor.callLater(0.02, self._wait_for_close)
+            return
         self.watch.stop()
-        self.reactor.callLater(0.1, self._drained.callback, None)  # the last answers are being written
+        self._drained.callback(None)
--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -772,12 +772,12 @@
         backend = self.servers.choose(self.now, request, self.allowed(request), load)
         if backend is None or request.attempts >= self.settings.max_attempts:
             return False
-        number = request.arrival.id
+        number, due_ms = request.arrival.id, request.arrival.due_ms
         if request.held:
             self.waits[request.kind.name].append(self.now - request.came_ms)
             self.budget = min(RETRY_MOST, self.budget + RETRY_PART)
             request.held, request.toss_ms = False, 0.0
-        self.actions.append(Send(number, backend.entry.id, max(1.0, request.arrival.due_ms - self.now)))
+        self.actions.append(Send(number, backend.entry.id, max(1.0, due_ms - self.now), request.begin_ms))
         self.attempts[number, request.attempts] = (backend, request.kind.name, size, load)
         self.out[request.kind.name] += 1
         request.out[request.attempts] = backend
@@ -795,11 +795,11 @@
 
     def allowed(self, request: Request) -> list[Backend] | None:
         """The only servers that rule 2 (its group and window) leaves to this request now; None for all."""
-        kind, anchor = request.kind, request.anchor
+        kind, anchor, request.begin_ms = request.kind, request.anchor, math.inf
         if anchor is None or not request.uncertain or kind.repeat is Repeat.SAFE:
             return None
-        left = request.anchor_ms + kind.window_ms - self.settings.tick_ms - self.now
-        if kind.repeat is Repeat.UNSAFE or left <= 0:
+        request.begin_ms = request.anchor_ms + kind.window_ms - self.settings.tick_ms - self.now
+        if kind.repeat is Repeat.UNSAFE or request.begin_ms <= 0:
             return []
         same, group = anchor.entry, kind.scope
         return None if group is Scope.ALL else [
--- a/anisefront/policy/interface.py
+++ b/anisefront/policy/interface.py
@@ -281,11 +281,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; attempts of a request are numbered from 0 in the order of their sends."""
+    """Start an attempt; attempts of a request are numbered from 0 in the order of their sends.
+
+    It may take `allow_ms`, and begin within `begin_ms`: later, what may have run before is not known there any more."""
 
     id: int
     server: str
     allow_ms: float
+    begin_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/anisefront/policy/state.py
+++ b/anisefront/policy/state.py
@@ -89,6 +89,7 @@
     uncertain: int = 0  # attempts out or not proved never to have run
     anchor: Backend | None = None  # server of the first of these, and when it was sent
     anchor_ms: float = 0.0
+    begin_ms: float = math.inf  # within so long a further attempt has to begin, or their group has forgotten them
     serial: int = 0  # of its business with the home; 0: none
     asks: int = 0
     asked_ms: float = 0.0
--- /dev/null
+++ b/tests/stage.py
@@ -0,0 +1,89 @@
+"""A front, a carrier and a pool on real loopback sockets, a turn of the loop at a time, with time handed in.
+
+What crosses the loopback is there at once, so a test says what lies in which socket before the next turn begins."""
+
+import socket
+import struct
+
+from test_node_front import Script
+from test_rules import settings
+from twisted.internet.epollreactor import EPollReactor
+
+from anisefront.carriers.pool import Pool, PoolLimits
+from anisefront.core.ledger import Ledger
+from anisefront.node import resp
+from anisefront.node.carrier import NodeCarrier, RespAnswers
+from anisefront.node.front import Front, FrontLimits
+from anisefront.node.terms import Reader
+from anisefront.policy.interface import Fleet, Server, State
+
+
+class Stage:
+    """One gatekeeper's sockets around a scripted module, with workers `s1` and `s2` that the test plays."""
+
+    def __init__(self, **limits):
+        self.time, self.reactor, self.module, self.links = 0.0, EPollReactor(), Script(), []
+        self.reactor.seconds = lambda: self.time
+        now = lambda: self.time * 1000 + 1000  # noqa: E731
+        self.ledger = Ledger(self.module, now, self.reactor)
+        self.ledger.roster(Fleet(tuple(Server(name, "z", 0, State.READY) for name in ("s1", "s2"))))
+        self.listeners = {name: self._keep(socket.create_server(("127.0.0.1", 0))) for name in ("s1", "s2")}
+        address = {name: listener.getsockname() for name, listener in self.listeners.items()}
+        self.pool = Pool(self.reactor, PoolLimits(rest_s=0.01, stall_s=0.4), RespAnswers, address.get)
+        self.carrier = NodeCarrier(self.ledger, self.pool, ("util", "inflight"))
+        self.front = Front(self.reactor, self.carrier, Reader(settings()), now, FrontLimits(**limits))
+        self.port = self.reactor.listenTCP(0, self.front, interface="127.0.0.1")
+
+    def _keep(self, link):
+        link.settimeout(2)
+        self.links.append(link)
+        return link
+
+    def close(self):
+        self.port.stopListening()
+        for link in self.links:
+            link.close()
+        self.turns()
+
+    def turns(self, count=8):
+        """So many turns of the loop."""
+        for _ in range(count):
+            self.reactor.iterate(0)
+
+    def wait(self, seconds):
+        """Time goes by, a tenth of a second at a time."""
+        for _ in range(round(seconds * 10)):
+            self.time += 0.1
+            self.turns(2)
+
+    def say(self, *actions):
+        """The module says this now."""
+        self.module.next = list(actions)
+        self.ledger._plan_turn()
+        self.turns()
+
+    def client(self, *commands):
+        """A connection that has sent these commands, and they were taken in."""
+        link = self._keep(socket.create_connection(("127.0.0.1", self.port.getHost().port)))
+        link.sendall(b"".join(map(resp.command, commands)))
+        self.turns()
+        return link
+
+    def accept(self, worker="s1"):
+        """The connection that was made to a worker."""
+        self.turns()
+        return self._keep(self.listeners[worker].accept()[0])
+
+
+def reset(link):
+    """Close it so that its other side is reset."""
+    link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    link.close()
+
+
+def rest(link):
+    """All that comes until its other side ends; `ConnectionResetError` where that is no clean end."""
+    found = b""
+    while data := link.recv(65536):
+        found += data
+    return found
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,229 @@
+"""Attempts over connections of our own: what each end proves, and what may still begin at the last moment."""
+
+import math
+
+import pytest
+from stage import Stage, reset
+from test_module import FLEET, ask, gateway
+from test_node_front import House, other, sent
+from test_node_wire import ASK, SERVED
+from twisted.internet import error
+from twisted.python.failure import Failure
+
+from anisefront.node import resp
+from anisefront.policy.interface import Fleet, Outcome, Result, Send, Server, State
+
+NEVER = (Result.CONNECT_FAILED, Result.FULL, Result.MOOT)
+
+
+@pytest.fixture
+def stage():
+    made = Stage()
+    yield made
+    made.close()
+
+
+def results(module):
+    return [each.result for each in module.ends if isinstance(each, Outcome)]
+
+
+def test_the_ends_that_prove_that_nothing_ran_are_these_and_no_others():
+    assert tuple(each for each in Result if each.never_ran) == tuple(each for each in Result if each in NEVER)
+
+
+# ---- before, at and after the last byte ------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("full", "reason", "end"), [
+    (True, error.ConnectionLost(), Result.CONNECT_FAILED), (True, error.ConnectionDone(), Result.CONNECT_FAILED),
+    (False, error.ConnectionLost(), Result.RESET), (False, error.ConnectionDone(), Result.RESET)])
+def test_a_break_before_the_last_byte_is_with_the_system_proves_that_it_never_ran(full, reason, end):
+    house = House()
+    house.say(house.client(), ASK)
+    house.turn(Send(1, "s1", 400.0))
+    worker = house.worker(full)
+    worker.protocol.connectionLost(Failure(reason))
+    house.turn()
+    assert results(house.module) == [end]
+
+
+def test_a_time_out_before_the_last_byte_is_with_the_system_proves_that_it_never_ran():
+    house = House()
+    house.say(house.client(), ASK)
+    house.turn(Send(1, "s1", 400.0))
+    worker = house.worker(full=True)
+    house.reactor.advance(0.5)
+    house.turn()
+    assert worker.aborted and results(house.module) == [Result.CONNECT_FAILED]
+
+
+@pytest.mark.parametrize("early", [SERVED, b"-BUSY\r\n", b"*3\r\n$2"])
+def test_what_comes_before_the_last_byte_is_with_the_system_is_no_answer(early):
+    """Half a line on a resting connection, a second copy that is late, a refusal in the middle of a body."""
+    house = House()
+    client = house.client()
+    house.say(client, ASK)
+    house.turn(Send(1, "s1", 400.0))
+    worker = house.worker(full=True)
+    worker.protocol.dataReceived(early)
+    house.turn()
+    assert worker.aborted and results(house.module) == [Result.CONNECT_FAILED] and client.take() == b""
+
+
+def test_half_a_line_between_the_look_at_a_resting_connection_and_the_write_serves_nobody(stage):
+    client = stage.client(ASK)
+    stage.say(Send(1, "s1", 400.0))
+    worker = stage.accept()
+    assert worker.recv(1000) and worker.sendall(SERVED) is None
+    stage.turns()
+    assert client.recv(1000) == b"$5\r\nva\r\nl\r\n"
+    stage.time += 0.02
+    client.sendall(resp.command(other(2)))
+    stage.turns()
+    stage.module.next = [Send(2, "s1", 400.0)]
+    stage.ledger._turn_due = None
+    stage.ledger._turn()  # the connection is chosen and written to; the loop has not read its sockets since
+    worker.sendall(SERVED)  # a second copy
+    stage.turns()
+    assert results(stage.module) == [Result.OK, Result.CONNECT_FAILED]
+    client.setblocking(False)
+    with pytest.raises(BlockingIOError):
+        client.recv(1000)
+
+
+def test_a_connection_closed_by_its_worker_in_the_turn_in_which_we_write_never_ran(stage):
+    client = stage.client(ASK)
+    stage.say(Send(1, "s1", 400.0))
+    worker = stage.accept()
+    worker.recv(1000)
+    worker.sendall(SERVED)
+    stage.turns()
+    client.recv(1000)
+    stage.time += 0.02
+    client.sendall(resp.command(other(2)))
+    stage.turns()
+    stage.module.next = [Send(2, "s1", 400.0)]
+    stage.ledger._turn_due = None
+    stage.ledger._turn()
+    worker.close()
+    stage.turns()
+    assert results(stage.module) == [Result.OK, Result.CONNECT_FAILED]
+
+
+@pytest.mark.parametrize("leave", [lambda link: link.close(), reset])
+@pytest.mark.parametrize("said", [b"", b"*3\r\n$5\r\nva"])
+def test_a_break_after_the_last_byte_may_have_run(stage, leave, said):
+    stage.client(ASK)
+    stage.say(Send(1, "s1", 400.0))
+    worker = stage.accept()
+    worker.recv(1000)
+    worker.sendall(said)
+    stage.turns()
+    leave(worker)
+    stage.turns()
+    assert results(stage.module) == [Result.RESET]
+
+
+def test_an_answer_in_single_bytes_is_whole_and_one_after_our_time_out_is_nobodys():
+    house = House()
+    client, worker = sent(house)
+    for byte in SERVED:
+        worker.protocol.dataReceived(bytes([byte]))
+    house.turn()
+    assert results(house.module) == [Result.OK] and client.take() == b"$5\r\nva\r\nl\r\n"
+    client, worker = sent(house, 2)
+    house.reactor.advance(1.5)
+    worker.protocol.dataReceived(SERVED)
+    house.turn()
+    assert results(house.module) == [Result.OK, Result.TIMEOUT] and client.take() == b"" and worker.aborted
+
+
+# ---- what may still begin --------------------------------------------------------------------------
+
+
+def test_a_worker_that_moved_while_the_connection_was_made_is_not_written_to_at_its_old_address():
+    house = House()
+    house.say(house.client(), ASK)
+    house.turn(Send(1, "s1", 400.0))
+    house.address["s1"] = ("127.0.0.1", 7009)  # and another worker is at the old one now
+    worker = house.worker()
+    house.turn()
+    assert worker.take() == b"" and worker.disconnecting and results(house.module) == [Result.MOOT]
+
+
+def test_an_attempt_whose_window_is_over_before_its_connection_is_up_is_not_begun():
+    house = House()
+    house.say(house.client(), ASK)
+    house.turn(Send(1, "s1", 1400.0, begin_ms=200.0))
+    house.reactor.advance(0.19)
+    first = house.worker()
+    assert first.take()
+    house.say(house.client(), other(2))
+    house.turn(Send(2, "s1", 1400.0, begin_ms=200.0))
+    house.reactor.advance(0.21)
+    late = house.worker()
+    house.turn()
+    assert late.take() == b"" and results(house.module) == [Result.MOOT]
+
+
+def test_an_attempt_of_what_another_gatekeeper_has_taken_over_is_not_begun():
+    house = House()
+    house.say(house.client(), ASK)
+    house.turn(Send(1, "s1", 400.0))
+    house.ledger.lose(1)
+    late = house.worker()
+    house.turn()
+    assert late.take() == b"" and results(house.module) == [Result.MOOT]
+
+
+def test_a_connection_that_is_given_up_and_comes_up_after_all_is_not_written_to_and_counts_once(stage):
+    stage.client(ASK)
+    stage.module.next = [Send(1, "s1", 400.0)]
+    stage.ledger._turn()
+    stage.reactor.runUntilCurrent()  # the system has made the connection, the loop has not seen it
+    assert stage.pool.connections == 1
+    stage.carrier.cancel(1, 0)
+    stage.turns()
+    assert stage.pool.connections == 0 and results(stage.module) == [Result.CANCELLED]
+    try:
+        assert stage.accept().recv(100) == b""
+    except ConnectionResetError:
+        pass
+
+
+def sends(actions):
+    return [each for each in actions if isinstance(each, Send)]
+
+
+@pytest.mark.parametrize("kind", ["look", "book"])
+def test_a_further_attempt_has_to_begin_inside_the_window_that_the_first_has_begun(kind):
+    """The window counts from the first that may have run; a connection may come up long after the decision."""
+    c = gateway()
+    c.handle(1000, [FLEET])
+    first, = sends(c.handle(1100, [ask(1, kind)]))
+    assert first.begin_ms == math.inf
+    window = c.classes[kind].window_ms
+    again, = sends(c.handle(1300, [Outcome(1, 0, first.server, 200.0, Result.RESET, False)]))
+    assert again.begin_ms == (math.inf if kind == "look" else window - 200.0 - c.settings.tick_ms)
+    more = sends(c.handle(1350, [Outcome(1, 1, again.server, 50.0, Result.CONNECT_FAILED, False)]))
+    assert [each.begin_ms for each in more] == ([math.inf] if kind == "look" else
+                                               [window - 250.0 - c.settings.tick_ms]) * len(more)
+
+
+def test_after_what_never_ran_the_window_begins_anew():
+    c = gateway()
+    c.handle(1000, [FLEET])
+    first, = sends(c.handle(1100, [ask(1, "book")]))
+    again, = sends(c.handle(1300, [Outcome(1, 0, first.server, 200.0, Result.CONNECT_FAILED, False)]))
+    assert again.begin_ms == math.inf
+
+
+def test_a_list_between_the_choice_and_the_write_keeps_the_drain(stage):
+    stage.client(ASK)
+    stage.module.next = [Send(1, "s1", 400.0)]
+    stage.ledger._plan_turn()
+    stage.reactor.iterate(0)
+    stage.ledger.roster(Fleet((Server("s1", "z", 0, State.DRAINING), Server("s2", "z", 0, State.READY))))
+    stage.turns()
+    worker = stage.accept()
+    assert worker.recv(1000) == b"" and results(stage.module) == [Result.MOOT]
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,118 @@
+"""Closing by halves: no answer goes with a reset, and nothing is taken that comes after our half is shut.
+
+Over real sockets, a turn of the loop at a time: each test says what lies unread in which socket at which moment."""
+
+import socket
+
+import pytest
+from stage import Stage, rest
+from test_node_front import other
+from test_node_wire import ASK
+
+from anisefront.node import front as fronts
+from anisefront.node import resp
+from anisefront.policy.interface import Refuse
+
+
+@pytest.fixture
+def stage():
+    made = Stage(most_connections=3, most_closing=2)
+    yield made
+    made.close()
+
+
+def test_an_answer_is_not_lost_with_what_its_client_sends_in_that_moment(stage):
+    client = stage.client(ASK)
+    stage.front.close_idle()
+    stage.module.next = [Refuse(1, 0.0)]
+    stage.ledger._plan_turn()
+    stage.reactor.iterate(0)  # the answer is written, the end begun
+    stage.turns()
+    client.sendall(resp.command(other(2)))  # it crosses our end
+    stage.turns()
+    assert rest(client) == b"-BUSY\r\n" and len(stage.module.arrivals) == 1
+    client.close()
+    stage.turns()
+    assert not any(stage.front.places.values())
+
+
+def test_a_request_that_is_read_before_our_half_is_shut_is_refused_and_not_sent_on(stage):
+    client = stage.client([b"PING"])
+    assert client.recv(100) == b"+PONG\r\n"
+    client.sendall(resp.command(other(2)))  # it lies in our socket
+    stage.front.close_idle()
+    stage.turns()
+    assert rest(client) == b"-BUSY 250\r\n" and not stage.module.arrivals
+
+
+@pytest.mark.parametrize("more", [b"", b"x" * 100_000])
+def test_what_cannot_be_read_gets_its_error_line_and_a_clean_end(stage, more):
+    client = stage.client()
+    client.sendall(b"GET / HTTP/1.1\r\n\r\n" + more)
+    stage.turns(40)
+    client.sendall(b"more")
+    stage.turns()
+    assert rest(client).startswith(b"-ERR Protocol error") and not stage.module.arrivals
+    client.close()
+    stage.turns()
+    assert not any(stage.front.places.values())
+
+
+def test_a_client_that_never_ends_its_half_is_gone_after_the_stated_time(stage):
+    client = stage.client(ASK)
+    stage.front.fail_all()
+    stage.wait(fronts.CLOSE_S + 0.2)
+    assert rest_or_reset(client).startswith(b"-ERR failed\r\n") and not any(stage.front.places.values())
+
+
+def rest_or_reset(link):
+    found = b""
+    try:
+        while data := link.recv(65536):
+            found += data
+    except ConnectionResetError:
+        pass
+    return found
+
+
+def test_one_that_goes_on_sending_while_it_is_closed_is_cut_off(stage):
+    client = stage.client()
+    client.sendall(b"no RESP at all\r\n")
+    stage.turns()
+    client.setblocking(False)
+    sent = 0
+    try:
+        while sent < 4 * fronts.MOST_DISCARDED:
+            sent += client.send(b"x" * 65536)
+            stage.turns(8)
+    except ConnectionError:
+        pass
+    assert sent < 2 * fronts.MOST_DISCARDED and not any(stage.front.places.values())
+
+
+def test_at_the_cap_room_is_made_by_a_clean_end_and_closing_connections_have_a_cap_of_their_own(stage):
+    first = [stage.client([b"PING"]) for _ in range(3)]
+    more = [stage.client([b"PING"]) for _ in range(2)]
+    assert [rest(link) for link in first[:2]] == [b"+PONG\r\n"] * 2
+    assert stage.front.connections == 3 and len(stage.front.places["closing"]) == 2
+    more += [stage.client([b"PING"]) for _ in range(2)]
+    assert stage.front.counts["closing_cut"] == 2 and len(stage.front.places["closing"]) == 2
+    assert all(link.recv(100) == b"+PONG\r\n" for link in more)
+
+
+def test_what_a_slow_reader_has_not_read_yet_is_still_written_when_its_connection_ends(stage):
+    client = stage._keep(socket.socket())
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.connect(("127.0.0.1", stage.port.getHost().port))
+    value = b"v" * 60_000
+    for _ in range(40):  # more than both sides' buffers hold
+        client.sendall(resp.command([b"PING", value]))
+        stage.turns(16)
+    stage.front.fail_all()
+    stage.turns()
+    got, client_sees = b"", True
+    while client_sees:
+        stage.turns(2)
+        data = client.recv(65536)
+        got, client_sees = got + data, bool(data)
+    assert got.count(b"$60000\r\n") * len(resp.bulk(value)) == len(got) and len(got) > 60_000
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -269,7 +269,7 @@
     def __init__(self):
         self.asked = []
 
-    def request(self, worker, data, allow_s, done, head_only=False):
+    def request(self, worker, data, allow_s, done, head_only=False, may_begin=lambda: True):
         exchange = type("Exchange", (), {"worker": worker, "done": staticmethod(done), "called_off": False})()
 
         def cancel():
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,82 @@
+"""Clients that leave while their request waits: withdrawn within a turn, and no attempt for it begins after."""
+
+import pytest
+from stage import Stage, reset
+from test_node_front import House, other
+from test_node_wire import ASK
+from twisted.internet import error
+from twisted.python.failure import Failure
+
+from anisefront.node import front as fronts
+from anisefront.node import resp
+from anisefront.policy.interface import ClientGone, Outcome, Result, Send
+
+UNFIT = [b"FLUSHALL"]
+
+
+@pytest.fixture
+def stage():
+    made = Stage()
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize("leave", [lambda link: link.close(), reset, lambda link: link.shutdown(1)])
+@pytest.mark.parametrize("behind", [b"", b"*2\r\n$4\r\nPI", resp.command(other(3)), resp.command(UNFIT),
+                                    resp.command(UNFIT) + resp.command(other(3)) + b"*2\r\n$4\r\nPI"])
+def test_it_is_noticed_whatever_is_behind_the_request(stage, leave, behind):
+    client = stage.client(ASK)
+    client.sendall(behind)
+    stage.turns(1)
+    leave(client)
+    stage.turns()
+    ends = [end for end in stage.module.ends if isinstance(end, ClientGone)]
+    assert len(ends) == len(stage.module.arrivals) >= 1
+    assert not stage.carrier.open and not stage.ledger.entries and not stage.front.connections
+    assert stage.front.bodies == 0
+
+
+def test_it_is_noticed_while_what_follows_an_unfit_command_waits(stage):
+    client = stage.client(ASK, UNFIT)
+    client.sendall(resp.command(other(3)) * 3)
+    stage.turns()
+    assert len(stage.module.arrivals) == 1  # the others wait
+    client.close()
+    stage.turns()
+    assert [type(end) for end in stage.module.ends] == [ClientGone]
+    stage.wait(fronts.MOST_PAUSE_S)
+    assert len(stage.module.arrivals) == 1 and stage.front.bodies == 0
+
+
+def test_what_waits_behind_an_unfit_command_has_a_cap(stage):
+    client = stage.client(ASK, UNFIT)
+    client.sendall(resp.command(other(3)) * 600)
+    stage.turns(40)
+    assert [type(end) for end in stage.module.ends] == [ClientGone] and len(stage.module.arrivals) == 1
+    assert client.recv(65536).endswith(b"-ERR Protocol error: too much at once\r\n") and stage.front.bodies == 0
+
+
+def test_an_attempt_still_connecting_for_a_client_that_left_is_not_begun():
+    house = House()
+    client = house.client()
+    house.say(client, ASK)
+    house.turn(Send(1, "s1", 400.0))
+    client.protocol.connectionLost(Failure(error.ConnectionDone()))
+    house.turn()  # and the module calls nothing off, as where the settings forbid it
+    house.reactor.advance(0.3)
+    worker = house.worker()
+    house.turn()
+    assert worker.take() == b"" and worker.disconnecting and not house.ledger.entries
+    assert [each.result for each in house.module.ends if isinstance(each, Outcome)] == [Result.MOOT]
+
+
+def test_a_first_attempt_that_was_decided_for_one_that_has_left_does_not_leave(stage):
+    client = stage.client(ASK)
+    client.close()
+    stage.module.next = [Send(1, "s1", 400.0)]
+    stage.ledger._plan_turn()
+    stage.turns()
+    stage.listeners["s1"].setblocking(False)
+    with pytest.raises(BlockingIOError):
+        while True:  # a connection may have been made, but nothing was written on it
+            assert stage.listeners["s1"].accept()[0].recv(100) == b""
--- a/tests/test_node_front.py
+++ b/tests/test_node_front.py
@@ -42,8 +42,6 @@
         super().__init__()
         self.paused = False
 
-    def registerProducer(self, producer, streaming):
-        pass
 
     def pauseProducing(self):
         self.paused = True
@@ -71,7 +69,7 @@
         self.ledger = Ledger(self.module, now, self.reactor)
         self.ledger.roster(Fleet(tuple(Server(name, "z", 0, State.READY) for name in self.address)))
         self.pool = Pool(self.reactor, PoolLimits(rest_s=0.01, stall_s=0.4, most=limits.pop("most", 0)), RespAnswers,
-                         self.address.get, self.ledger.may_go_to)
+                         self.address.get)
         self.carrier = NodeCarrier(self.ledger, self.pool, ("util", "inflight"))
         self.front = Front(self.reactor, self.carrier, Reader(settings()), now, FrontLimits(**limits))
 
@@ -94,9 +92,10 @@
         self.ledger._plan_turn()
         self.reactor.advance(0)
 
-    def worker(self):
-        """The connection that was asked for last comes up."""
+    def worker(self, full=False):
+        """The connection that was asked for last comes up; `full`: the system takes nothing of what is written."""
         transport = Transport()
+        transport.full = full
         transport.protocol = self.reactor.tcpClients[-1][2].buildProtocol(None)
         transport.protocol.makeConnection(transport)
         return transport
@@ -143,9 +142,12 @@
     house.say(client, other(2, [ASK[0], ASK[1], ASK[2], ASK[3].replace(b"look", b"gold")]), [b"FLUSHALL"])
     assert not house.module.arrivals
     assert client.take() == b"-ERR c: no such class\r\n-ERR unknown command 'FLUSHALL'\r\n"
-    assert client.paused and not client.disconnecting
-    house.reactor.advance(fronts.PAUSE_S + 0.01)
-    assert not client.paused
+    house.say(client, [b"PING"], other(3))
+    house.reactor.advance(fronts.PAUSE_S - 0.01)
+    assert client.take() == b"" and not house.module.arrivals and not client.disconnecting
+    house.reactor.advance(0.02)
+    house.turn()
+    assert client.take() == b"+PONG\r\n" and len(house.module.arrivals) == 1
 
 
 def test_another_clients_open_id_is_refused_and_its_request_goes_on():
@@ -217,7 +219,7 @@
     busy, silent = house.client(), house.client()
     house.say(busy, ASK)
     third = house.client()
-    assert silent.aborted and not busy.aborted
+    assert silent.disconnecting and not busy.disconnecting and not silent.aborted
     house.say(third, other(2))
     assert house.client() is None and house.front.connections == 2 and house.front.counts["turned_away"] == 1
 
@@ -404,18 +406,19 @@
     assert b"GET /v1/endpoints?watch=1&from=41 HTTP/1.1" in link.take()
     link.protocol.dataReceived(LIST)
     assert [each.index for each in told.changes] == [43]
-    told.reactor.advance(5.1)  # no empty line came
-    assert link.aborted
-    told.reactor.advance(0.11)
+    told.reactor.advance(3.1)  # no empty line came
+    told.reactor.advance(0)
     assert len(told.reactor.tcpClients) == 2
     told.reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(error.ConnectionRefusedError()))
-    told.reactor.advance(0.21)
-    assert len(told.reactor.tcpClients) == 3
+    told.reactor.advance(0.11)
+    assert len(told.reactor.tcpClients) == 3 and not link.aborted
+    told.link().protocol.dataReceived(LIST)
+    assert link.aborted and [each.index for each in told.changes] == [43, 43]
 
 
 def test_a_watch_that_cannot_be_read_says_so_and_begins_anew():
     told = Told()
-    told.link().protocol.dataReceived(chunked(b"{\n"))
+    told.link().protocol.dataReceived(chunked(b"}\n"))
     assert told.faults and not told.changes
     told.reactor.advance(0.2)
     assert len(told.reactor.tcpClients) == 2
--- a/tests/test_node_wire.py
+++ b/tests/test_node_wire.py
@@ -187,7 +187,7 @@
 
 
 @pytest.mark.parametrize("data", [
-    b"HTTP/1.1 503 No\r\n\r\n", b"nonsense\r\n\r\n", chunked(b"{\n"), chunked(b"[]\n"),
+    b"HTTP/1.1 503 No\r\n\r\n", b"nonsense\r\n\r\n", chunked(b"}\n"), chunked(b"[]\n"), chunked(b"{\n") + b"0\r\n\r\n",
     chunked(b'{"endpoints":[{}]}\n'),
     chunked(json.dumps(change(1, row("s", address="nowhere"))).encode() + b"\n"),
     chunked(json.dumps(change(1, row("s", status="odd"))).encode() + b"\n")])
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -28,6 +28,7 @@
     def __init__(self):
         super().__init__()
         self.handle, self.aborted = Handle(), False
+        self.full = False  # the system takes nothing
 
     def getHandle(self):
         return self.handle
@@ -39,6 +40,24 @@
     def setTcpNoDelay(self, on):
         pass
 
+    def registerProducer(self, producer, streaming):
+        self.producer = producer
+        if not streaming:
+            producer.resumeProducing()
+            if not self.full:
+                producer.resumeProducing()
+
+    def unregisterProducer(self):
+        self.producer = None
+
+    def loseWriteConnection(self):
+        """Both ends see it in the next turn of a loop; `shut` is that turn."""
+        self.disconnecting = True
+
+    def shut(self):
+        """All is written, and our half is shut."""
+        self.protocol.writeConnectionLost()
+
 
 class Line:
     """A pool and its connections, made by hand."""
@@ -141,16 +160,18 @@
     assert line.ends == [(Result.CONNECT_FAILED, None)]
 
 
-@pytest.mark.parametrize(("data", "end"), [
-    (b"", (Result.RESET, None)), (ANSWER[:20], (Result.RESET, None)), (ANSWER[:-1], (Result.RESET, None)),
-    (b"HTTP/1.0 200 OK\r\n\r\nall", (None, b"all"))])
-def test_connection_lost_before_headers_in_them_and_in_the_body(data, end):
+@pytest.mark.parametrize(("data", "reason", "end"), [
+    *[(data, reason, (Result.RESET, None)) for data in (b"", ANSWER[:20], ANSWER[:-1])
+      for reason in (error.ConnectionLost(), error.ConnectionDone())],
+    (b"HTTP/1.0 200 OK\r\n\r\nall", error.ConnectionDone(), (None, b"all")),
+    (b"HTTP/1.0 200 OK\r\n\r\nall", error.ConnectionLost(), (Result.RESET, None))])  # a reset is no end
+def test_connection_lost_before_headers_in_them_and_in_the_body(data, reason, end):
     line = Line()
     line.ask()
     transport = line.connect()
     if data:
         transport.protocol.dataReceived(data)
-    transport.protocol.connectionLost(Failure(error.ConnectionLost()))
+    transport.protocol.connectionLost(Failure(reason))
     assert line.ends == [end]
 
 
