--- a/anisefront/carriers/pool.py
+++ b/anisefront/carriers/pool.py
@@ -94,7 +94,9 @@
     def dataReceived(self, data: bytes) -> None:
         exchange = self.exchange
         if exchange is None:  # nobody asked: what it says can't be an answer to what comes next
+            # Danger: its end is told in a later turn; until then it would be taken for one that is free.
             self.pool.counts["unasked"] += 1
+            self.pool.not_idle(self)
             self.transport.abortConnection()
             return
         if self.writing and not self.answers.early:
@@ -290,7 +292,8 @@
         idle = self._idle.get(worker)
         if not idle:
             return None
-        rested = self.reactor.seconds() - self.limits.rest_s
+        now = self.reactor.seconds()
+        rested, fresh = now - self.limits.rest_s, now - self.limits.idle_s
         resting: list[_Client] = []
         found = None
         while idle:
@@ -299,8 +302,9 @@
                 resting.append(client)
                 continue
             # Danger: a connection that the worker closed while it was idle would look like a failed request, and
-            # what it said unasked would pass for the next answer.
-            if not client.dead():
+            # what it said unasked would pass for the next answer. One idle for too long, as after a standstill, may
+            # have been forgotten on its way, and nobody says so.
+            if client.idle_since > fresh and not client.dead():
                 found = client
                 break
             self.counts["dead"] += 1
@@ -355,6 +359,10 @@
     def gone(self, client: _Client) -> None:
         """A connection that has ended."""
         self.connections -= 1
+        self.not_idle(client)
+
+    def not_idle(self, client: _Client) -> None:
+        """A connection that carries nothing more."""
         idle = self._idle.get(client.worker)
         if idle is not None and client in idle:
             idle.remove(client)
--- a/anisefront/core/ledger.py
+++ b/anisefront/core/ledger.py
@@ -137,9 +137,11 @@
     def __init__(self, controller: Controller, now_ms: Callable[[], float], timers: Timers,
                  tell: Callable[[int, bytes], None] = lambda receiver, data: None,
                  subscribe: Callable[[], None] = lambda: None, most_open: int = 50_000,
-                 on_fault: Callable[[Exception], None] | None = None) -> None:
+                 on_fault: Callable[[Exception], None] | None = None,
+                 on_raise: Callable[[Exception], None] | None = None) -> None:
         self.controller, self.now_ms, self._timers = controller, now_ms, timers
         self._tell, self._subscribe, self.most_open, self._on_fault = tell, subscribe, most_open, on_fault
+        self._on_raise = on_raise  # hears of an action that could not be carried out; none: it is raised
         self.stopped = False
         self.observer: Callable[[float, object], None] | None = None  # is shown each event and each action
         self.guard: Guard | None = None
@@ -386,7 +388,22 @@
         for action in self._decide(now, events):
             if self.observer is not None:
                 self.observer(now, action)
-            self._carry_out(now, action)
+            try:
+                self._carry_out(now, action)
+            except Exception as problem:
+                if self._on_raise is None:
+                    raise
+                self._raised(action, problem)
+
+    def _raised(self, action: object, problem: Exception) -> None:
+        """Danger: one action that can't be carried out would take with it all that the module said behind it."""
+        self.counts["raised"] += 1
+        self._on_raise(problem)
+        entry = self.entries.get(getattr(action, "id", None))
+        if entry is not None and isinstance(action, Send) and entry.out:  # it may have left: its end is owed still
+            self.outcome(action.id, max(entry.out), Result.ERROR)
+        elif entry is not None:
+            self._forget(action.id, entry)
 
     def _decide(self, now: float, events: list[Event]) -> list[object]:
         try:
--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -68,7 +68,8 @@
                                        int(self.started_ms), config.peers, seed, config.members_ms)
         self.ledger = Ledger(Controller(settings, seed), self.clock, reactor,
                              self.peer_port.tell if self.peer_port else lambda receiver, data: None,
-                             most_open=config.most_open, on_fault=on_fault)
+                             most_open=config.most_open, on_fault=on_fault,
+                             on_raise=lambda problem: self.log.error("action_raised", exc_info=problem))
         limits = proxied.Limits(config.log_ms, config.ask_again_ms, park_ms=config.park_ms)
         self.proxied = proxied.Proxied(self.ledger, reactor, self.life, limits)
         self.pool = Pool(reactor)
--- a/anisefront/node/front.py
+++ b/anisefront/node/front.py
@@ -171,7 +171,7 @@
         others; so nothing more of this connection is looked at for a moment."""
         self.front.counts["unfit"] += 1
         slot.answer = resp.error(b"ERR " + why.encode("ascii", "replace"))
-        if self._pause is None:
+        if self._pause is None and not self._ending:
             self._pause = self.front.reactor.callLater(min(MOST_PAUSE_S, PAUSE_S * 2 ** self._bad), self._read_on)
             self._bad += 1
 
--- a/anisefront/node/gatekeeper.py
+++ b/anisefront/node/gatekeeper.py
@@ -53,7 +53,8 @@
                                       lambda sender, data: self.ledger.hear(sender, data))
         self.ledger = Ledger(Controller(settings, config.seed), self.clock, reactor,
                              self.peer_port.tell if self.peer_port else lambda receiver, data: None,
-                             most_open=max(64, int(config.memory_mb * 16)), on_fault=on_fault)
+                             most_open=max(64, int(config.memory_mb * 16)), on_fault=on_fault,
+                             on_raise=lambda problem: self.log.error("action_raised", exc_info=problem))
         self.book = Book()
         most = max(32, config.sockets - OTHER_SOCKETS)
         clients = int(most * CLIENT_PART)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,6 +4,7 @@
 
 import pytest
 from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
 
 from anisefront.carriers.outcomes import FLAGS, of_answer, of_flags
 from anisefront.carriers.proxied import Proxied, Verdict
@@ -11,11 +12,14 @@
 from anisefront.policy.control import Controller
 from anisefront.policy.interface import (
     Fleet,
+    Outcome,
     Plan,
+    Refuse,
     Repeat,
     RequestClass,
     Result,
     Scope,
+    Send,
     Server,
     Settings,
     State,
@@ -380,3 +384,44 @@
             desk.ledger.hear(0, b"flood")
         desk.run(0.005)
     assert answers and answers[0] <= due
+
+
+def test_an_action_that_cannot_be_carried_out_takes_nothing_else_with_it():
+    class Module:
+        def __init__(self):
+            self.next, self.events = [], []
+
+        def handle(self, now, events):
+            self.events += events
+            out, self.next = self.next, []
+            return out
+
+    class Carrier:
+        def __init__(self, good):
+            self.good, self.did = good, []
+
+        def send(self, *what):
+            self.refuse(*what)
+
+        def refuse(self, *what):
+            if not self.good:
+                raise OSError("no more descriptors")
+            self.did.append(what)
+
+    reactor, raised = MemoryReactorClock(), []
+    module, bad, good = Module(), Carrier(False), Carrier(True)
+    ledger = Ledger(module, lambda: reactor.seconds() * 1000, reactor, on_raise=raised.append)
+    ledger.roster(Fleet((Server("s1", "z", 0, State.READY),)))
+    for carrier in (bad, good, bad, good):
+        ledger.accept(carrier, "f", "look", "rated", 5000.0)
+    module.next = [Send(1, "s1", 100.0), Send(2, "s1", 100.0), Refuse(3), Refuse(4)]
+    reactor.advance(0)
+    reactor.advance(0)
+    assert [type(each) for each in raised] == [OSError, OSError] and len(good.did) == 2
+    assert [each.result for each in module.events if isinstance(each, Outcome)] == [Result.ERROR]
+    assert set(ledger.entries) == {1, 2} and ledger.open == 2
+    module.next = [Send(1, "s1", 100.0)]
+    ledger._on_raise = None
+    ledger._plan_turn()
+    with pytest.raises(OSError):
+        reactor.advance(0)
--- /dev/null
+++ b/tests/test_idle_connections.py
@@ -0,0 +1,75 @@
+"""Connections to workers between two exchanges: dead, spoken on, forgotten, too many, or of a worker that went."""
+
+import pytest
+from stage import Stage, reset
+from test_node_front import House, other, sent
+from test_node_wire import ASK, SERVED
+
+from anisefront.node import resp
+from anisefront.policy.interface import Outcome, Result, Send
+
+
+@pytest.fixture
+def stage():
+    made = Stage()
+    yield made
+    made.close()
+
+
+def served(stage):
+    """A worker's connection that has carried one exchange and has rested."""
+    client = stage.client(ASK)
+    stage.say(Send(1, "s1", 400.0))
+    worker = stage.accept()
+    worker.recv(1000)
+    worker.sendall(SERVED)
+    stage.turns()
+    assert client.recv(1000)
+    stage.time += 0.02
+    return client, worker
+
+
+@pytest.mark.parametrize("spoil", [lambda link: link.close(), reset, lambda link: link.sendall(b"*3\r\n$5"),
+                                   lambda link: link.sendall(SERVED), lambda link: link.shutdown(1)])
+@pytest.mark.parametrize("seen", [False, True])
+def test_one_that_ended_or_spoke_while_it_was_idle_carries_nothing_more(stage, spoil, seen):
+    """Whether the loop has seen it already or it lies in the socket when the next attempt looks for a connection."""
+    client, worker = served(stage)
+    spoil(worker)
+    if seen:
+        stage.turns()
+    client.sendall(resp.command(other(2)))
+    stage.reactor.iterate(0)
+    stage.module.next = [Send(2, "s1", 400.0)]
+    stage.ledger._turn_due = None
+    stage.ledger._turn()
+    fresh = stage.accept()
+    assert b"%016x" % 2 in fresh.recv(1000)
+    fresh.sendall(SERVED)
+    stage.turns()
+    assert client.recv(1000) == b"$5\r\nva\r\nl\r\n" and stage.pool.connections == 1
+    assert [each.result for each in stage.module.ends if isinstance(each, Outcome)] == [Result.OK, Result.OK]
+
+
+def test_one_that_was_idle_for_too_long_is_not_used_even_where_no_timer_has_run_yet():
+    """After a standstill the loop may ask for a connection before the sweep; on its way it may have been forgotten."""
+    house = House()
+    _, worker = sent(house)
+    worker.protocol.dataReceived(SERVED)
+    house.reactor.advance(0.02)
+    assert house.pool.take("s1") is worker.protocol
+    house.pool.keep(worker.protocol)
+    house.reactor.rightNow += house.pool.limits.idle_s + 1
+    assert house.pool.take("s1") is None and worker.aborted
+
+
+def test_a_second_copy_while_it_rests_ends_it(stage):
+    client = stage.client(ASK)
+    stage.say(Send(1, "s1", 400.0))
+    worker = stage.accept()
+    worker.recv(1000)
+    worker.sendall(SERVED)
+    stage.turns()
+    worker.sendall(SERVED)
+    stage.turns()
+    assert client.recv(1000) == b"$5\r\nva\r\nl\r\n" and not stage.pool.connections and not stage.pool._idle
--- a/tests/test_node_front.py
+++ b/tests/test_node_front.py
@@ -94,9 +94,13 @@
 
     def worker(self, full=False):
         """The connection that was asked for last comes up; `full`: the system takes nothing of what is written."""
+        return self.worker_transport(self.reactor.tcpClients[-1][2], full)
+
+    @staticmethod
+    def worker_transport(factory, full=False):
         transport = Transport()
         transport.full = full
-        transport.protocol = self.reactor.tcpClients[-1][2].buildProtocol(None)
+        transport.protocol = factory.buildProtocol(None)
         transport.protocol.makeConnection(transport)
         return transport
 
