A drain that ends in serve answers what is open; nothing half started is left standing

Seen in tests that failed without the mend: a JSON-RPC call open at the end of `drain` was closed without an answer (daemon/gatekeeper.py _wait_for_end; with keepers another carries it on, so nothing is said there); an exception in a step of starting that is no OSError left a process that listened nowhere and did not end (process.py step); a line that is too long was answered and then reset over what its client still sent (jsonrpc.py _refuse). Change: Ledger.fail_open, any exception ends the start with 1, the JSON-RPC front closes by halves. Ruled out by reading: pool.give_up and cancel (nothing idle is left), Watch.stop, PeerPort (an unreadable datagram is counted and ignored), NodeConfig at SIGHUP (taken whole or not).

--- a/anisefront/core/ledger.py
+++ b/anisefront/core/ledger.py
@@ -223,6 +223,12 @@
             self._post(ClientGone(request))
             self._forget(request, entry)
 
+    def fail_open(self) -> None:
+        """At the end: whoever is still owed an answer gets the one that promises nothing."""
+        for entry in list(self.entries.values()):
+            if not entry.ended:
+                self._fail(entry)
+
     # ---- what the guard says -------------------------------------------------------------------
 
     def go(self, request: int, attempt: int) -> None:
@@ -414,9 +420,7 @@
             # Danger: a module that raised in the middle of a turn can't be asked again, and all that it held
             # would stay unanswered. Each gets the answer that promises nothing; then the process is to end.
             self.stopped = True
-            for entry in list(self.entries.values()):
-                if not entry.ended:
-                    self._fail(entry)
+            self.fail_open()
             self._on_fault(problem)
             return []
 
--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -275,6 +275,8 @@
         self.log.info("drained", left_open=self.ledger.open)
         if self.keepers is not None:
             self.keepers.leave()
+        else:  # nobody else carries on with what is open
+            self.ledger.fail_open()
         if self.members is not None:
             self.members.leave()
         if self.recorder is not None:
--- a/anisefront/daemon/process.py
+++ b/anisefront/daemon/process.py
@@ -99,13 +99,14 @@
     gatekeeper = make(reactor, module_fault)
 
     def step(call: Callable[[], None]) -> None:
-        """One step of starting; a port that can't be had ends it."""
+        """One step of starting; a port that can't be had ends it, as does anything nobody foresaw: left half started
+        it would serve nobody and be taken for alive."""
         if life.phase is Phase.ENDED:
             return
         try:
             call()
-        except OSError as problem:
-            log.error("not_started", fault=str(problem))
+        except Exception as problem:
+            log.error("not_started", fault=str(problem), exc_info=None if isinstance(problem, OSError) else problem)
             code[0] = 1
             take(Step.FAULT)
 
--- a/anisefront/fronts/jsonrpc.py
+++ b/anisefront/fronts/jsonrpc.py
@@ -137,9 +137,13 @@
             self._refuse("too many connections")
 
     def _refuse(self, why: str) -> None:
+        """Danger: closed over what it still sends, the connection would be reset, and its client might not read why. So
+        our half is shut, and what comes is thrown away until the client ends or a second is over."""
         self.write(jsonrpc.error(None, jsonrpc.INVALID_REQUEST, why))
         self._done_reading = True
-        self.transport.loseConnection()
+        self._withdraw()
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
         self.factory.reactor.callLater(1.0, self.transport.abortConnection)
 
     def dataReceived(self, data: bytes) -> None:
@@ -236,9 +240,15 @@
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         self.factory.connections.discard(self)
         self.forget_reader()
+        self._withdraw()
+
+    def _withdraw(self) -> None:
+        """Nobody waits for what is open here any more."""
         for number in list(self._open):
             self.factory.desk.own.withdraw(number)
         self._open.clear()
+        self._waiting = 0
+        self._unread.clear()
 
 
 class JsonRpcFactory(protocol.ServerFactory):
--- a/tests/hands.py
+++ b/tests/hands.py
@@ -20,6 +20,14 @@
 route GET /look class look pool main"""
 
 
+def roster_of(ports, health="HEALTHY"):
+    """A list of workers at these ports, in two rooms by turns."""
+    return json.dumps({"cluster_name": "main", "endpoints": [{
+        "locality": {"zone": f"room-{'ab'[n % 2]}"}, "lb_endpoints": [{"health_status": health, "endpoint": {
+            "address": {"socket_address": {"address": "127.0.0.1", "port_value": port}}}}]}
+        for n, port in enumerate(ports)]})
+
+
 class Workers:
     """Servers in threads. `runs` counts by (path, key) what had an effect: a keyed repeat has none, as its group drops
     it. While `gate` is closed, what came runs and is not answered."""
@@ -66,11 +74,7 @@
             threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True).start()
 
     def roster(self, ready=True):
-        health = "HEALTHY" if ready else "DRAINING"
-        return json.dumps({"cluster_name": "main", "endpoints": [{
-            "locality": {"zone": f"room-{'ab'[n % 2]}"}, "lb_endpoints": [{"health_status": health, "endpoint": {
-                "address": {"socket_address": {"address": "127.0.0.1", "port_value": server.server_port}}}}]}
-            for n, server in enumerate(self.servers)]})
+        return roster_of([server.server_port for server in self.servers], "HEALTHY" if ready else "DRAINING")
 
     def close(self):
         self.gate.set()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,11 +1,16 @@
 """The process's own matters: memory by purpose, the collector, the pulse."""
 
 import gc
+import json
+import signal
+import socket
 import subprocess
 import sys
 import tracemalloc
 
 import pytest
+from hands import roster_of
+from processes import SETTINGS
 from test_module import FLEET, ask, gateway
 from test_path import ROOT, Running, told
 from twisted.internet.task import Clock
@@ -151,10 +156,35 @@
     """The step before listening was outside the guard for a while: the process would have stood there for good."""
     code = ("import types\nfrom anisefront.daemon import process\n"
             "def taken(*_): raise OSError('port taken')\n"
+            "def strange(*_): raise RuntimeError('port taken, and nobody foresaw it')\n"
             "nothing = types.SimpleNamespace(start=lambda: None)\n"
             "made = types.SimpleNamespace(start={start}, collector=nothing)\n"
             "raise SystemExit(process.run(lambda *_: made, 'error', 'one', {before}))")
-    for start, before in (("dict", "taken"), ("taken", "lambda _: None")):
+    for start, before in (("dict", "taken"), ("taken", "lambda _: None"), ("dict", "strange"), ("strange", "taken")):
         ended = subprocess.run([sys.executable, "-c", code.format(start=start, before=before)], cwd=ROOT, timeout=20,
                                capture_output=True, text=True)
         assert ended.returncode == 1 and "port taken" in ended.stderr and "ready" not in ended.stdout
+
+
+def test_a_drain_that_ends_with_a_call_open_answers_it(tmp_path):
+    """A worker that never answers, and a drain shorter than the request's time."""
+    with socket.create_server(("127.0.0.1", 0)) as worker, socket.socket(type=socket.SOCK_DGRAM) as spare:
+        spare.bind(("127.0.0.1", 0))
+        port = spare.getsockname()[1]
+        spare.close()
+        roster, conf = tmp_path / "roster.json", tmp_path / "one.conf"
+        roster.write_text(roster_of([worker.getsockname()[1]]))
+        conf.write_text(SETTINGS.format(number=0, count=1, room="a", port=port, more="", routes="",
+                                        peers=f"peer 0 127.0.0.1:{port}", pool=f'roster "{roster}"'))
+        running = Running(conf)
+        try:
+            host, port = running.where["jsonrpc"].split(":")
+            with socket.create_connection((host, int(port)), 5) as link:
+                call = {"method": "GET", "path": "/stock-view", "headers": {"x-api-key": "me"}, "body": ""}
+                link.sendall(json.dumps({"jsonrpc": "2.0", "id": 1, "method": "call", "params": call}).encode() + b"\n")
+                assert worker.accept()
+                running.process.send_signal(signal.SIGTERM)
+                answer = json.loads(link.makefile().readline())
+            assert answer["error"]["data"]["reason"] == "failed" and running.process.wait(5) == 0
+        finally:
+            running.stop()
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -211,6 +211,16 @@
     assert sorted(answer["id"] for answer in answers if "result" in answer) == list(range(30))
 
 
+def test_a_line_too_long_gets_its_error_and_a_clean_end_though_more_is_on_its_way(gatekeeper):
+    host, port = gatekeeper.where["jsonrpc"].split(":")
+    with socket.create_connection((host, int(port)), 5) as link:
+        link.sendall(b"x" * (1 << 20) + b"y" * (1 << 19))
+        time.sleep(0.2)
+        link.sendall(b"more")
+        time.sleep(0.1)
+        assert link.recv(65536).count(b'"error"') == 1 and link.recv(65536) == b""
+
+
 def test_drain_finishes_what_was_begun_and_refuses_what_is_new(tmp_path):
     running = Running(ROOT / "examples/loopback.conf")
     token = told(running.check(x_request_id="f1"))["x-anisefront-attempt"]
