Keepers hear 20 ms late of what may simply run again, and not at all where it has ended

Change: an origin holds the entries of safe requests back for 20 ms; a request that is over by then leaves no entry. Entries are packed once, not for their length and again to be sent.

--- a/anisefront/fleet/keeping.py
+++ b/anisefront/fleet/keeping.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum
 
 MARK = 0x4B  # first byte; the module's messages begin with their version, membership's with 0x4D
@@ -65,7 +65,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Feed:
-    """Entries of an epoch from number `first` on, for one life of the keeper. Epochs below `oldest` are done with."""
+    """Entries of an epoch from number `first` on, for one life of the keeper. Epochs below `oldest` are done with.
+
+    `packed`: the entries' bytes, where they were made before."""
 
     epoch: int
     keeper_life: int
@@ -74,6 +76,7 @@
     oldest: int
     first: int
     entries: tuple[Entry, ...]
+    packed: bytes = field(default=b"", compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,7 +205,7 @@
     if isinstance(message, Feed):
         head = _FEED.pack(message.epoch, message.keeper_life, message.witness, message.witness_life, message.oldest,
                           message.first, len(message.entries))
-        return _KIND.pack(MARK, 1) + head + b"".join(map(pack_entry, message.entries))
+        return _KIND.pack(MARK, 1) + head + (message.packed or b"".join(map(pack_entry, message.entries)))
     if isinstance(message, Settled):
         return _KIND.pack(MARK, _SETTLED_KIND) + _SETTLED.pack(message.name, message.word) + message.data
     kind, form = _FORMS[type(message)]
--- a/anisefront/fleet/origin.py
+++ b/anisefront/fleet/origin.py
@@ -43,6 +43,7 @@
 MOST_UNHEARD = 4000  # entries that one keeper has not acknowledged; beyond them its requests are not protected
 FEED_ENTRIES = 255  # in one message
 BEAT_PART = 0.25  # of a lease: so often a keeper hears of us while it keeps something
+LATE_MS = 20.0  # what may simply run again is told so much later: most of it has ended by then, and costs nothing
 SLOTS = 64  # identities fall into so many, each with its own order of keepers
 
 
@@ -76,7 +77,9 @@
     keeper: Member
     witness: Member | None
     requests: set[int] = field(default_factory=set)
-    entries: deque[tuple[Entry, int]] = field(default_factory=deque)  # not acknowledged, with their bytes
+    entries: deque[tuple[Entry, bytes]] = field(default_factory=deque)  # not acknowledged, with their bytes
+    late: dict[int, list[Entry]] = field(default_factory=dict)  # of requests that it was not told of yet
+    late_ms: float = 0.0  # when these are told; 0: there are none
     first: int = 1  # number of the first of these
     told: int = 0  # number of the last that has been sent
     asked_ms: float = 0.0  # when we last sent
@@ -135,9 +138,7 @@
         if link is None:
             return False
         self._works[taken.request] = _Work(taken, slot, now + taken.left_ms, link.epoch)
-        link.requests.add(taken.request)
-        self._add(link, taken)
-        self._beat(now, link)
+        self._begin(now, link, taken)
         return True
 
     def send(self, now: float, request: int, attempt: int, worker: str) -> bool:
@@ -155,7 +156,7 @@
             # Danger: an attempt that leaves before the keeper's word runs a second time when the keeper takes over.
             work.waiting.add(attempt)
         if not link.leaving:
-            self._add(link, Sent(request, attempt, worker))
+            self._add(link, Sent(request, attempt, worker), at_once=work.taken.bound)
         return not work.taken.bound
 
     def never_ran(self, now: float, request: int, attempt: int) -> None:
@@ -188,7 +189,7 @@
             link = self._links.get(work.epoch)
             if link is not None:
                 link.requests.discard(request)
-                if not work.refused:
+                if link.late.pop(request, None) is None and not work.refused:
                     # A client's next try of this name may wait at the keeper for just this.
                     self._tell(work, Over(request), at_once=work.taken.bound and work.taken.name != NO_NAME)
                 self._tidy(link)
@@ -198,12 +199,34 @@
         if link is not None and not link.leaving:
             self._add(link, entry, at_once)
 
+    def _begin(self, now: float, link: _Link, taken: Taken) -> None:
+        """A keeper's first entry of a request."""
+        link.requests.add(taken.request)
+        if taken.bound:
+            self._add(link, taken)
+        else:
+            link.late[taken.request] = [taken]
+            if not link.late_ms:
+                link.late_ms = now + LATE_MS
+                self._look(link, link.late_ms)
+        self._beat(now, link)
+
     def _add(self, link: _Link, entry: Entry, at_once: bool = True) -> None:
         """An entry for the keeper; one that nobody waits for goes with what is told next, or with a sign of life."""
-        link.entries.append((entry, len(pack_entry(entry))))
+        if entry.request in link.late:
+            link.late[entry.request].append(entry)
+            return
+        link.entries.append((entry, pack_entry(entry)))
         if at_once:
             self._new[link.epoch] = None
 
+    def _tell_late(self, link: _Link) -> None:
+        """What may simply run again and is still in hand: its keeper hears of it now."""
+        late, link.late, link.late_ms = link.late, {}, 0.0
+        for entries in late.values():
+            for entry in entries:
+                self._add(link, entry)
+
     # ---- who keeps ---------------------------------------------------------------------------------
 
     def members(self, now: float, alive: dict[int, Member]) -> None:
@@ -238,7 +261,7 @@
             link = self._links.get(self._current.get(keeper.number, 0))
             if link is None:
                 link = self._open(keeper)
-            if len(link.entries) < MOST_UNHEARD:
+            if len(link.entries) + len(link.late) < MOST_UNHEARD:
                 return link
         return None
 
@@ -256,6 +279,7 @@
         if link.leaving:
             return
         link.leaving, link.gap_ms = True, ASK_AGAIN_MS
+        link.late.clear()
         self.counts["keepers_left"] += 1
         if self._current.get(link.keeper.number) == link.epoch:
             del self._current[link.keeper.number]
@@ -289,9 +313,7 @@
             self.go += [(request, attempt) for attempt in sorted(work.waiting)]
             work.waiting.clear()
             return
-        link.requests.add(request)
-        self._add(link, replace(work.taken, left_ms=max(0, int(work.due_ms - now))))
-        self._beat(now, link)
+        self._begin(now, link, replace(work.taken, left_ms=max(0, int(work.due_ms - now))))
         for attempt, worker in sorted(work.sent.items()):
             self._add(link, Sent(request, attempt, worker, attempt in work.waiting))
 
@@ -348,7 +370,7 @@
         link.requests.discard(request)
         for place, (entry, _) in enumerate(link.entries):
             if entry.request == request:
-                link.entries[place] = (Over(request), len(pack_entry(Over(request))))
+                link.entries[place] = (Over(request), pack_entry(Over(request)))
         link.told, work.epoch, work.lost = link.first - 1, 0, True
         self._new[link.epoch] = None
         self.counts["names_elsewhere"] += 1
@@ -367,6 +389,7 @@
         self.counts["epochs_lost"] += 1
         link.requests.clear()
         link.entries.clear()
+        link.late.clear()
         if self._current.get(link.keeper.number) == link.epoch:
             del self._current[link.keeper.number]
         self._forget(link)
@@ -401,6 +424,8 @@
 
     def _unanswered(self, now: float, link: _Link) -> None:
         """No word yet, or one to what we sent before: ask again, or leave."""
+        if link.late_ms and now >= link.late_ms:
+            self._tell_late(link)
         if link.beats and not link.leaving and now >= link.beat_ms:
             link.beats = False
             if link.requests or link.entries:
@@ -434,14 +459,14 @@
             # Danger: counted from what was sent last, a lost entry would never be sent again while others follow it.
             link.since_ms, link.gap_ms, link.again_ms = now, ASK_AGAIN_MS, now + ASK_AGAIN_MS
             self._look(link, link.again_ms)
-        part, size, at = list[Entry](), 0, first
+        part, size, at = list[tuple[Entry, bytes]](), 0, first
         for number in range(first, link.next):
-            entry, length = link.entries[number - link.first]
-            if part and (size + length > MOST_BYTES or len(part) == FEED_ENTRIES):
+            entry = link.entries[number - link.first]
+            if part and (size + len(entry[1]) > MOST_BYTES or len(part) == FEED_ENTRIES):
                 self._post(link, at, part)
                 part, size, at = [], 0, number
             part.append(entry)
-            size += length
+            size += len(entry[1])
         self._post(link, at, part)
         link.told, link.asked_ms = max(link.told, link.next - 1), now
 
@@ -450,10 +475,11 @@
             link.beats, link.beat_ms = True, now + self.lease_ms * BEAT_PART
             self._look(link, link.beat_ms)
 
-    def _post(self, link: _Link, first: int, part: list[Entry]) -> None:
+    def _post(self, link: _Link, first: int, part: list[tuple[Entry, bytes]]) -> None:
         witness, oldest = link.witness or Member(-1, 0), self._epochs[link.keeper.number][0]
         self.out.append((link.keeper.number, Feed(link.epoch, link.keeper.life, witness.number, witness.life, oldest,
-                                                  first, tuple(part))))
+                                                  first, tuple(entry for entry, _ in part),
+                                                  b"".join(packed for _, packed in part))))
 
     @property
     def due_ms(self) -> float:
