--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 RUN = .venv/bin/python
 
-.PHONY: test day lint bench bench-model bench-config fuzz steady standing search losses bench-members
+.PHONY: test day lint bench bench-model bench-config fuzz steady standing search losses kills bench-members
 .venv/made: pyproject.toml requirements.txt requirements-run.txt requirements-dev.txt
 	test -d .venv || $(PYTHON) -m venv .venv
 	$(RUN) -m pip -q --disable-pip-version-check install -r requirements.txt -r requirements-run.txt -r requirements-dev.txt
@@ -37,7 +37,7 @@
 fuzz: .venv/made
 	$(RUN) tests/fuzz_config.py 60
 
-# The quick set of the users' standing test beside the last committed score; some minutes, 600 processes.
+# The quick set of the users' standing test on four deployments; ten minutes and more, 600 processes.
 standing: .venv/made
 	$(RUN) -m benchmarks.standing
 
@@ -49,5 +49,9 @@
 losses: .venv/made
 	$(RUN) tests/losses.py 20
 
+# An hour of random troubles under load, judged by what crossed the sockets.
+kills: .venv/made
+	$(RUN) tests/kill_loop.py 3600
+
 bench-members: .venv/made
 	$(RUN) -m benchmarks.members 24 100 200
--- a/tests/kill_loop.py
+++ b/tests/kill_loop.py
@@ -1,5 +1,5 @@
-"""`make kills`: a fleet under steady load whose members are killed, stopped, cut off and started again at random, and an
-auditor that knows only what crossed the sockets of workers and clients.
+"""`make kills`: a fleet under steady load whose members are killed, stopped, cut off and started again at random, and
+an auditor that knows only what crossed the sockets of workers and clients.
 
     python tests/kill_loop.py SECONDS [SEED]"""
 
@@ -45,7 +45,7 @@
 
 
 class Trouble(threading.Thread):
-    """What befalls the fleet. At most one member is dead or stopped at a time, so that a keeper or its origin is left."""
+    """What befalls the fleet. One member at most is dead or stopped at a time, so that keeper or origin is left."""
 
     def __init__(self, loop):
         super().__init__(daemon=True)
