--- a/anisefront/daemon/process.py
+++ b/anisefront/daemon/process.py
@@ -52,16 +52,12 @@
     log = structlog.get_logger().bind(gatekeeper=name)
     code = [0]
     life = Lifecycle()
-    waiting = signals.held()
+    waiting: list[int] = []
 
     def on_signal(number: int, frame: Any) -> None:
         waiting.append(number)
         reactor.callFromThread(look)
 
-    # Danger: from here on until the first turn of the loop, too, either signal must end nothing.
-    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, on_signal)
-
     def look() -> None:
         """Take the signals that have come. Danger: two alike in one turn, as from a process and its group, are one;
         taken for two, the second would cut short what the first began."""
@@ -96,6 +92,12 @@
         code[0] = 3
         reactor.callLater(0.2, take, Step.FAULT)  # the failures are being written
 
+    # Danger: from here on until the first turn of the loop, too, either signal must end nothing; so they are set where
+    # all that they call is there.
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, on_signal)
+    waiting += signals.held()  # after that, or one that comes between the two lines would be kept for nobody
+
     gatekeeper = make(reactor, module_fault)
 
     def step(call: Callable[[], None]) -> None:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -196,6 +196,8 @@
 @pytest.mark.parametrize("prelude", [
     "at('click', signal.SIGTERM)", "at('twisted.internet.reactor', signal.SIGTERM)",
     "at('click', signal.SIGHUP, signal.SIGTERM)",
+    "from anisefront.daemon import signals\ninner = signals.held\ndef held():\n    found = inner()\n"
+    "    os.kill(os.getpid(), signal.SIGTERM)\n    return found\nsignals.held = held",
     "from anisefront.node.gatekeeper import NodeGatekeeper\nbefore(NodeGatekeeper, 'prepare', signal.SIGTERM)",
     "from anisefront.node.gatekeeper import NodeGatekeeper\nbefore(NodeGatekeeper, '__init__', signal.SIGTERM)"])
 def test_a_signal_to_end_before_the_start_is_done_ends_it_well_and_it_never_listens(tmp_path, prelude):
