--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -306,7 +306,7 @@
         pass
     assert term is not None and asked - answered <= 1  # the last one crossed the end
     node.process.wait(5)
-    # 1.2 s by its own clock, which the exact test above holds it to; a busy machine's share beside it, and 3.5 s before.
+    # 1.2 s by its own clock, to which the exact test above holds it; it was 3.5 s. The rest is a busy machine's share.
     assert time.monotonic() - term <= 2.2
 
 
