--- a/tests/stage.py
+++ b/tests/stage.py
@@ -6,6 +6,7 @@
 import struct
 
 from test_node_front import Script
+from test_node_wire import ASK, SERVED
 from test_rules import settings
 from twisted.internet.epollreactor import EPollReactor
 
@@ -15,7 +16,7 @@
 from anisefront.node.carrier import NodeCarrier, RespAnswers
 from anisefront.node.front import Front, FrontLimits
 from anisefront.node.terms import Reader
-from anisefront.policy.interface import Fleet, Server, State
+from anisefront.policy.interface import Fleet, Send, Server, State
 
 
 class Stage:
@@ -69,6 +70,23 @@
         self.turns()
         return link
 
+    def decide(self, *actions):
+        """The module says this now, and the loop has read and written no socket since."""
+        self.module.next = list(actions)
+        self.ledger._turn_due = None
+        self.ledger._turn()
+
+    def served(self):
+        """A client, and a worker's connection that has carried its request and has not rested yet."""
+        client = self.client(ASK)
+        self.say(Send(1, "s1", 400.0))
+        worker = self.accept()
+        assert worker.recv(1000)
+        worker.sendall(SERVED)
+        self.turns()
+        assert client.recv(1000) == b"$5\r\nva\r\nl\r\n"
+        return client, worker
+
     def accept(self, worker="s1"):
         """The connection that was made to a worker."""
         self.turns()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -71,18 +71,11 @@
 
 
 def test_half_a_line_between_the_look_at_a_resting_connection_and_the_write_serves_nobody(stage):
-    client = stage.client(ASK)
-    stage.say(Send(1, "s1", 400.0))
-    worker = stage.accept()
-    assert worker.recv(1000) and worker.sendall(SERVED) is None
-    stage.turns()
-    assert client.recv(1000) == b"$5\r\nva\r\nl\r\n"
+    client, worker = stage.served()
     stage.time += 0.02
     client.sendall(resp.command(other(2)))
     stage.turns()
-    stage.module.next = [Send(2, "s1", 400.0)]
-    stage.ledger._turn_due = None
-    stage.ledger._turn()  # the connection is chosen and written to; the loop has not read its sockets since
+    stage.decide(Send(2, "s1", 400.0))  # the connection is chosen and written to
     worker.sendall(SERVED)  # a second copy
     stage.turns()
     assert results(stage.module) == [Result.OK, Result.CONNECT_FAILED]
@@ -92,19 +85,11 @@
 
 
 def test_a_connection_closed_by_its_worker_in_the_turn_in_which_we_write_never_ran(stage):
-    client = stage.client(ASK)
-    stage.say(Send(1, "s1", 400.0))
-    worker = stage.accept()
-    worker.recv(1000)
-    worker.sendall(SERVED)
-    stage.turns()
-    client.recv(1000)
+    client, worker = stage.served()
     stage.time += 0.02
     client.sendall(resp.command(other(2)))
     stage.turns()
-    stage.module.next = [Send(2, "s1", 400.0)]
-    stage.ledger._turn_due = None
-    stage.ledger._turn()
+    stage.decide(Send(2, "s1", 400.0))
     worker.close()
     stage.turns()
     assert results(stage.module) == [Result.OK, Result.CONNECT_FAILED]
@@ -178,8 +163,7 @@
 
 def test_a_connection_that_is_given_up_and_comes_up_after_all_is_not_written_to_and_counts_once(stage):
     stage.client(ASK)
-    stage.module.next = [Send(1, "s1", 400.0)]
-    stage.ledger._turn()
+    stage.decide(Send(1, "s1", 400.0))
     stage.reactor.runUntilCurrent()  # the system has made the connection, the loop has not seen it
     assert stage.pool.connections == 1
     stage.carrier.cancel(1, 0)
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -3,7 +3,7 @@
 import pytest
 from stage import Stage, reset
 from test_node_front import House, other, sent
-from test_node_wire import ASK, SERVED
+from test_node_wire import SERVED
 
 from anisefront.node import resp
 from anisefront.policy.interface import Outcome, Result, Send
@@ -16,33 +16,19 @@
     made.close()
 
 
-def served(stage):
-    """A worker's connection that has carried one exchange and has rested."""
-    client = stage.client(ASK)
-    stage.say(Send(1, "s1", 400.0))
-    worker = stage.accept()
-    worker.recv(1000)
-    worker.sendall(SERVED)
-    stage.turns()
-    assert client.recv(1000)
-    stage.time += 0.02
-    return client, worker
-
-
 @pytest.mark.parametrize("spoil", [lambda link: link.close(), reset, lambda link: link.sendall(b"*3\r\n$5"),
                                    lambda link: link.sendall(SERVED), lambda link: link.shutdown(1)])
 @pytest.mark.parametrize("seen", [False, True])
 def test_one_that_ended_or_spoke_while_it_was_idle_carries_nothing_more(stage, spoil, seen):
     """Whether the loop has seen it already or it lies in the socket when the next attempt looks for a connection."""
-    client, worker = served(stage)
+    client, worker = stage.served()
+    stage.time += 0.02
     spoil(worker)
     if seen:
         stage.turns()
     client.sendall(resp.command(other(2)))
     stage.reactor.iterate(0)
-    stage.module.next = [Send(2, "s1", 400.0)]
-    stage.ledger._turn_due = None
-    stage.ledger._turn()
+    stage.decide(Send(2, "s1", 400.0))
     fresh = stage.accept()
     assert b"%016x" % 2 in fresh.recv(1000)
     fresh.sendall(SERVED)
@@ -64,12 +50,7 @@
 
 
 def test_a_second_copy_while_it_rests_ends_it(stage):
-    client = stage.client(ASK)
-    stage.say(Send(1, "s1", 400.0))
-    worker = stage.accept()
-    worker.recv(1000)
-    worker.sendall(SERVED)
-    stage.turns()
+    _, worker = stage.served()
     worker.sendall(SERVED)
     stage.turns()
-    assert client.recv(1000) == b"$5\r\nva\r\nl\r\n" and not stage.pool.connections and not stage.pool._idle
+    assert not stage.pool.connections and not stage.pool._idle
