Front: each whole command has one answer, in order, before its connection ends

With 60 commands open on a connection and 10 more in one read, `_take_in` dropped the 10, failed the 60 and ended the connection: 61 answers for 70 commands. Reading on for its like found: `_keep_unread` dropped what waited at its caps; `fail_all` wrote nothing of what was read while the connection was ending; `overdue` ended a connection for half a command whose rest lay behind our own pause; what can't be read had all open requests called off; `put` cut off closing connections with unwritten answers, so that at the drain's end clients beyond `most_closing` saw a reset; a new connection was closed with no answer where all places were busy; values of PING behind an open request had no cap.

Beyond a cap a command is refused in its place, never sent on, and the connection goes on. What can't be read, and half a command, end it after the answers of all before them: open requests are served in their time, nothing more is read. The cap on closing connections is kept where connections are taken. Without room a new one is told -BUSY and ended by halves. Answers and pongs that wait count among the bodies; over 4,096 answers behind an open command fail what is open, so that all is written and the transport's own backpressure holds. A read of over 256 commands, and what passes the unread bytes, make the front look away for 0.1 s, so that a flood is heard no faster than others.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -116,3 +116,37 @@
         data = client.recv(65536)
         got, client_sees = got + data, bool(data)
     assert got.count(b"$60000\r\n") * len(resp.bulk(value)) == len(got) and len(got) > 60_000
+
+
+def test_at_the_drains_end_each_connection_gets_its_answer_however_many_there_are(stage):
+    clients = [stage.client(other(number)) for number in range(3)]
+    stage.front.limits.most_closing = 1
+    stage.front.fail_all()
+    stage.turns()
+    assert [rest(client) for client in clients] == [b"-ERR failed\r\n"] * 3
+
+
+def test_a_client_for_which_there_is_no_room_is_told_so_and_its_connection_ends_cleanly(stage):
+    clients = [stage.client(other(number)) for number in range(4)]
+    assert rest(clients[3]) == b"-BUSY 250\r\n" and len(stage.module.arrivals) == 3
+    clients[3].close()
+    stage.turns()
+    assert not stage.front.places["closing"] and stage.front.connections == 3
+
+
+def test_a_client_that_sends_without_end_and_reads_nothing_is_held_to_little_and_cut_off(stage):
+    client = stage.client(ASK)
+    client.setblocking(False)
+    flood, kept, ends = resp.command([b"Q.ASK", b"x"]) * 1000, 0, stage.module.ends
+    for _ in range(100):
+        try:
+            client.send(flood)
+        except OSError:  # its buffers are full, or it has been cut off
+            pass
+        stage.wait(0.1)
+        for protocol in (each for place in stage.front.places.values() for each in place):
+            transport = protocol.transport
+            kept = max(kept, len(protocol.slots) * 8 + len(protocol._unread) + len(transport.dataBuffer)
+                       + sum(map(len, transport._tempDataBuffer)))
+    assert 0 < kept < 500_000 and len(ends) == 1  # what was open is called off long before it is cut off
+    assert not stage.carrier.open and not stage.front.connections and stage.front.bodies == 0
