--- a/tests/test_node_front.py
+++ b/tests/test_node_front.py
@@ -240,6 +240,21 @@
     assert len(house.module.arrivals) == 1 and not client.disconnecting
 
 
+def test_half_a_command_is_not_overdue_while_nothing_is_read_of_its_sender():
+    house = House()
+    client = house.client()
+    whole = resp.command(other(5))
+    client.protocol.dataReceived(whole[:9])
+    client.protocol.pauseProducing()  # it does not read: the transport's buffer is full
+    for _ in range(12):
+        house.reactor.advance(0.1)
+    assert client.paused and not client.disconnecting
+    client.protocol.resumeProducing()
+    client.protocol.dataReceived(whole[9:])
+    house.turn()
+    assert len(house.module.arrivals) == 1
+
+
 def test_half_a_command_ends_the_connection_after_the_answers_before_it():
     house = House()
     client = house.client()
