Node: no attempt for a client whose close lies unread; all who had come are let in at the end

After a standstill the close lies unread in the socket while a turn already sends; a resting connection to a worker got the command at once. That look now takes in as many as the system may let in.

The connection model's transport has a handle that never tells early.

--- a/anisefront/carriers/pooled.py
+++ b/anisefront/carriers/pooled.py
@@ -37,6 +37,10 @@
         """This answer is the client's."""
         raise NotImplementedError
 
+    def left(self, entry: Any) -> bool:
+        """Whether the client has closed, though its front has not heard yet."""
+        return False
+
     def withdraw(self, number: int) -> None:
         """The client has left."""
         if self.close(number) is not None:
@@ -54,8 +58,11 @@
         def ended(result: Result | None, answer: Any) -> None:
             self._ended(request, attempt, worker, result, answer)
 
+        def may_begin() -> bool:
+            return self._ledger.may_begin(request, attempt) and not self.left(entry)
+
         self._exchanges[request, attempt] = self._pool.request(
-            worker, data, allow_ms / 1000, ended, head_only, lambda: self._ledger.may_begin(request, attempt))
+            worker, data, allow_ms / 1000, ended, head_only, may_begin)
 
     def _ended(self, request: int, attempt: int, worker: str, result: Result | None, answer: Any) -> None:
         load: tuple[float, ...] = ()
--- a/anisefront/node/carrier.py
+++ b/anisefront/node/carrier.py
@@ -64,6 +64,7 @@
     wanted: Wanted
     final: Final
     came_ms: float
+    left: Callable[[], bool]
     sent_ms: float = 0.0  # its first attempt
 
 
@@ -80,15 +81,20 @@
         """Whether a request with this id is open."""
         return wanted_id in self._ids
 
-    def ask(self, wanted: Wanted, due_ms: float, final: Final) -> int | None:
-        """Take a request in. `final` hears its one answer; the number is for `withdraw`, None where it was refused."""
+    def ask(self, wanted: Wanted, due_ms: float, final: Final, left: Callable[[], bool] = lambda: False) -> int | None:
+        """Take a request in. `final` hears its one answer, `left` is asked whether its client has closed; the number
+        is for `withdraw`, None where it was refused."""
         number = self._ledger.accept(self, wanted.customer, wanted.class_name, wanted.plan_name, due_ms, wanted.units,
                                      wanted.first_gateway, wanted.spread, wanted.is_repeat)
         if number is not None:
-            self.open[number] = _Open(wanted, final, self._ledger.now_ms())
+            self.open[number] = _Open(wanted, final, self._ledger.now_ms(), left)
             self._ids.add(wanted.id)
         return number
 
+    def left(self, entry: _Open) -> bool:
+        """Asked at the last moment before an attempt begins."""
+        return entry.left()
+
     def written(self, entry: _Open, name: str, worker: str, allow_ms: float) -> tuple[bytes, bool]:
         """The client's command with the time that is left."""
         entry.sent_ms = entry.sent_ms or self._ledger.now_ms()
--- a/anisefront/node/front.py
+++ b/anisefront/node/front.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import itertools
+import socket
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -160,12 +161,23 @@
             self._flush()
 
         front.bodies += slot.size
-        slot.number = front.carrier.ask(wanted, front.due_ms(wanted.wait_ms), final)
+        slot.number = front.carrier.ask(wanted, front.due_ms(wanted.wait_ms), final, self.left)
         if slot.number is None:
             front.bodies -= slot.size
             front.counts["full"] += 1
             slot.answer = refusal(BUSY_MS)
 
+    def left(self) -> bool:
+        """Whether the client has closed, though the loop has not told yet.
+
+        Danger: after a standstill its close lies unread in the socket, and an attempt would begin for nobody."""
+        try:
+            return not self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def _unfit(self, slot: _Slot, why: str) -> None:
         """A command that can't be used. Danger: the same again at once, without end, would take the time of all
         others; so nothing more of this connection is looked at for a moment."""
--- a/anisefront/node/gatekeeper.py
+++ b/anisefront/node/gatekeeper.py
@@ -32,6 +32,7 @@
 STALL_S = 0.4  # an answer that has begun goes on within this time
 IDLE_PART = 0.6  # of the time after which the machine closes an idle connection
 CLOSING_PART = 1 / 8  # of the clients' connections, beside the others: closing
+BACKLOG = 1024  # connections that the system lets in before we look
 LISTEN_ON_MS = 500.0  # after SIGTERM new connections still come for a while
 # After SIGTERM the platform kills no sooner than the longest deadline, counted so long at most, and so much more.
 MOST_DEADLINE_MS, KILL_MS = 3000.0, 700.0
@@ -91,7 +92,7 @@
             self.reactor.listenUDP(port, self.peer_port, interface=host, maxPacketSize=2048)
             where["peers"] = f"{host}:{port}"
         host, port = config.listen
-        self._port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
+        self._port = self.reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
         where["resp"] = f"{host}:{self._port.getHost().port}"
         self.log.info("started", **where, workers=len(self.book.entries), number=config.settings.number)
         self.reactor.callLater(REPORT_S, self._report)
@@ -189,7 +190,9 @@
         self._wait_for_close()
 
     def _stop_listening(self) -> None:
-        """Danger: who was let in by the system and not by us is reset with the listener; so they come in first."""
+        """Danger: who was let in by the system and not by us is reset with the listener; so they come in first, all:
+        of itself one look takes no more in than the look before."""
+        self._port.numberAccepts = BACKLOG
         self._port.doRead()
         self._port.stopListening()
         self._port = None
--- a/tests/connection_model.py
+++ b/tests/connection_model.py
@@ -58,6 +58,12 @@
     def setTcpNoDelay(self, on):
         pass
 
+    def getHandle(self):
+        return self
+
+    def recv(self, size, flags):
+        raise BlockingIOError  # here an end is heard as it comes
+
     def turn(self):
         if self.gone:
             return
