Watch: one that fell silent is replaced even where it is heard again

Need: a change counts as told 6 s after discovery had it and could be reached, whatever calls failed, were refused, stayed silent or were given up before. A search draws orders of such calls over an agent with an exact clock. Change: a whole line after such a silence keeps nobody from taking its place; what it tells is still taken in. A first object, however late, tells all since the watch was opened and is believed, as at discovery's return.

--- a/anisefront/node/watch.py
+++ b/anisefront/node/watch.py
@@ -6,7 +6,7 @@
         '---------------'----------------------'--> another is opened beside it
 
 What a silent watch misses counts as told 6 s after it fell silent, whatever becomes of the connection that replaces it;
-so times here leave room for three tries. A suspect watch stays open beside the new one until one of them speaks: while
+so times here leave room for three tries. A suspect watch stays open beside the new one until that speaks: while
 discovery is down all are silent, and what it tells at its return must find an open watch. It decides nothing.
 """
 
@@ -33,10 +33,13 @@
     def __init__(self, watch: Watch) -> None:
         self._watch, self._reader, self._timer = watch, WatchReader(), None
         self.since, self.suspect, self._heard = 0, False, False
+        self._last_s = 0.0  # when it told its last whole line, or was opened
+        self._broken = False  # it may have missed a change
 
     def connectionMade(self) -> None:
         host, port = self._watch.address
         self.since = self._watch.index()
+        self._last_s = self._watch.reactor.seconds()
         self.transport.write(watch_request(self.since, f"{host}:{port}"))
         self._timer = self._watch.reactor.callLater(FIRST_S, self._overdue)
 
@@ -52,8 +55,7 @@
             return
         # Danger: bytes that make no whole line are no sign of life: they may drip for good and tell nothing.
         if self._reader.lines > lines:
-            self._timer.reset(QUIET_S) if self._timer.active() else self._watch_time()
-            self._watch.speaks(self)
+            self._told_line(first_change=bool(changes) and not lines)
         for change in changes:
             first, self._heard = not self._heard, True
             if first and not change.snapshot and change.index < self.since:
@@ -65,6 +67,16 @@
         if self._reader.ended:
             self.abort()
 
+    def _told_line(self, first_change: bool) -> None:
+        """Danger: one that fell silent and is heard again, if only by its empty lines, may have missed a change for
+        good: what it tells is taken in, but another has to take its place. A first object tells all since `since`."""
+        now = self._watch.reactor.seconds()
+        self._broken = self._broken or (now - self._last_s >= QUIET_S and not first_change)
+        self._last_s = now
+        if not self._broken:
+            self._timer.reset(QUIET_S) if self._timer.active() else self._watch_time()
+            self._watch.speaks(self)
+
     def _watch_time(self) -> None:
         self.suspect = False
         self._timer = self._watch.reactor.callLater(QUIET_S, self._overdue)
--- a/tests/test_terms_renewed.py
+++ b/tests/test_terms_renewed.py
@@ -1,12 +1,21 @@
 """Terms of the standing test that hold from now on, one part a term: what each promises and where it is shown."""
 
+import json
+import random
 import socket
 
 import pytest
 from stage import Stage, reset
-from test_node_front import other
+from test_node_front import Transport, other
+from test_node_wire import change, row
+from test_watch import BOUND_S, HEAD
+from twisted.internet import error
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
 
 from anisefront.node import resp
+from anisefront.node import watch as watches
+from anisefront.node.discovery import Book
 from anisefront.node.gatekeeper import NodeGatekeeper
 from anisefront.policy.interface import Send
 
@@ -57,3 +66,135 @@
     stage.turns()
     assert resting.recv(1000) == b""  # it was taken for the attempt and ended unused
     assert not stage.carrier.open and not stage.ledger.entries
+
+
+# ---- a change counts as told 6 s after discovery had it and could be reached ---------------------------
+
+STEP_S, EMPTY = 0.05, b"1\r\n\n\r\n"
+
+
+def chunk(text):
+    return b"%x\r\n%b\r\n" % (len(text), text)
+
+
+class _Call:
+    """One watch as the agent sees it. `fate`: what becomes of it, `at` when; `told`: the version that was written."""
+
+    def __init__(self, agent, protocol):
+        self.agent, self.link, self.opened = agent, Transport(), agent.now
+        self.link.protocol = protocol
+        protocol.makeConnection(self.link)
+        self.told = int(self.link.take().split(b"from=")[1].split(b" ")[0])
+        self.fate = "well" if agent.reachable else agent.rng.choice(agent.FATES)
+        # Its trouble begins at the latest with the last one: what is missed after that has a bound of its own.
+        self.at = min(agent.well_s, agent.now + agent.rng.choice((0.0, 0.1, 0.7, 2.1, 4.0)))
+        self.lasts = agent.rng.choice((3.2, 5.0))
+        self.last, self.headed, self.done = agent.now, False, False
+
+    def say(self, data, head=HEAD):
+        if not self.link.aborted:
+            self.link.protocol.dataReceived((b"" if self.headed else head) + data)
+            self.headed, self.last = True, self.agent.now
+
+    def lost(self, reason):
+        if not self.link.aborted:
+            self.link.aborted = True
+            self.link.protocol.connectionLost(Failure(reason))
+
+    def step(self):
+        if self.link.aborted:
+            return
+        if self.fate == "well" or self.agent.now < self.at:
+            self.tell()
+        elif self.fate == "drips":
+            self.say(b"1\r\n" + (b" " if self.done else b"{") + b"\r\n")
+            self.done = True
+        elif self.fate == "deaf":  # it was silent and misses what there was; then only its empty lines come again
+            if self.agent.now >= self.at + self.lasts and self.agent.now - self.last >= 2.0:
+                self.say(EMPTY)
+        elif self.fate == "wakes":  # the agent was silent; at its return it tells all
+            if self.agent.reachable:
+                self.tell()
+        elif not self.done:
+            self.done = True
+            if self.fate == "half":
+                self.say(chunk(self.agent.line(self.told)[:20]))
+            elif self.fate == "garbage":
+                self.say(chunk(b"}\n"))
+            elif self.fate == "ends":
+                self.say(b"0\r\n\r\n")
+            elif self.fate == "refuses":
+                self.say(b"", b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+            elif self.fate == "closes":
+                self.lost(error.ConnectionDone())
+            elif self.fate == "resets":
+                self.lost(error.ConnectionLost())
+
+    def tell(self):
+        if self.told < self.agent.index:
+            self.say(chunk(self.agent.line(self.told)))
+            self.told = self.agent.index
+        elif self.agent.now - self.last >= 2.0:
+            self.say(EMPTY)
+
+
+class Agent:
+    """A discovery's agent that until `well_s` does to each call what chance says, and is well to all calls after."""
+
+    FATES = ("well", "silent", "silent", "drips", "deaf", "wakes", "half", "garbage", "ends", "refuses", "closes",
+             "resets")
+
+    def __init__(self, seed):
+        self.rng, self.reactor, self.book = random.Random(seed), MemoryReactorClock(), Book()
+        self.well_s, self.index, self.calls, self.at = self.rng.uniform(0, 9), 50, [], 0
+        self.watch = watches.Watch(self.reactor, ("127.0.0.1", 8500), lambda: self.book.index, self.book.apply,
+                                   lambda why: None, self.book.forget_version)
+
+    @property
+    def now(self):
+        return self.reactor.seconds()
+
+    @property
+    def reachable(self):
+        return self.now >= self.well_s
+
+    def line(self, known):
+        """A whole list now and then, else what changed."""
+        whole = known < 50 or self.rng.random() < 0.3
+        rows = [row(f"s{n}", f"127.0.0.1:{n}") for n in range(50 if whole else known + 1, self.index + 1)]
+        return json.dumps(change(self.index, *rows, snapshot=whole)).encode() + b"\n"
+
+    def take_calls(self):
+        while self.at < len(self.reactor.tcpClients):
+            factory, timeout = self.reactor.tcpClients[self.at][2:4]
+            self.at += 1
+            how = "up" if self.reachable else self.rng.choice(("up", "up", "refused", "never", "late"))
+            if how == "refused":
+                self.reactor.callLater(0, factory.clientConnectionFailed, None, Failure(error.ConnectionRefusedError()))
+            elif how == "never":
+                self.reactor.callLater(timeout, factory.clientConnectionFailed, None, Failure(error.TimeoutError()))
+            else:
+                self.reactor.callLater(0.0 if how == "up" else timeout * 0.9, self.up, factory)
+
+    def up(self, factory):
+        protocol = factory.buildProtocol(None)
+        if protocol is not None:
+            self.calls.append(_Call(self, protocol))
+
+    def play(self):
+        """The first moment from the bound on at which what there is, is not known; None where there is none."""
+        self.watch.start()
+        while self.now < self.well_s + BOUND_S + 6:
+            self.take_calls()
+            self.reactor.advance(STEP_S)
+            if self.rng.random() < 0.02:
+                self.index += 1
+            for call in self.calls:
+                call.step()
+            if self.now > self.well_s + BOUND_S and self.book.index != self.index:
+                return round(self.now - self.well_s, 2)
+        return None
+
+
+def test_no_order_of_failed_refused_silent_and_given_up_calls_keeps_a_change_back():
+    assert {seed: late for seed in range(250) if (late := Agent(seed).play()) is not None} == {}
