--- a/anisefront/node/front.py
+++ b/anisefront/node/front.py
@@ -41,6 +41,7 @@
 MOST_UNREAD = (64 << 10) + 1024  # bytes that may wait behind a command that can't be used: one whole command
 MOST_OPEN = 64  # commands of one connection without an answer; more at once is no client of ours
 PAUSE_S, MOST_PAUSE_S = 0.1, 1.6  # nothing is read after a command that can't be used; twice as long after each more
+MOST_CUT = 8  # beyond the caps: cut off, and still holding their descriptors until the next turn
 BUSY_MS = 250.0  # advice where this gatekeeper is full
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
 YOUNG, HALF, IDLE, BUSY, CLOSING = "young", "half", "idle", "busy", "closing"
@@ -83,6 +84,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.front.descriptors += 1
         self.watch_reader(self.front.reactor, STUCK_S, self.abort)
         self.front.put(self, YOUNG)
 
@@ -287,6 +289,7 @@
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         self._ending = self._shut = True
+        self.front.descriptors -= 1
         self.forget_reader()
         if self._pause is not None and self._pause.active():
             self._pause.cancel()
@@ -304,7 +307,7 @@
                  limits: FrontLimits) -> None:
         self.reactor, self.carrier, self.terms, self.now_ms, self.limits = reactor, carrier, terms, now_ms, limits
         self.counts: Counter[str] = Counter()
-        self.bodies = 0
+        self.bodies = self.descriptors = 0  # bytes; connections that hold one, also cut off in this turn
         self.draining = False
         self.latest_ms = float("inf")  # all is answered by then, whatever the clients would wait
         # Of each place the connections by the time since which they are in it, the longest first.
@@ -327,7 +330,13 @@
 
     def buildProtocol(self, address: object) -> Client | None:
         """Take a connection, in the place of one that is not used where there are as many as may be."""
-        if self.connections >= self.limits.most_connections:
+        limits = self.limits
+        if self.descriptors >= limits.most_connections + limits.most_closing + MOST_CUT:
+            # Danger: all that come in one look would each take the place of one whose descriptor is free only in the
+            # next turn; with none left the watch, a list or a new configuration could not be had.
+            self.counts["turned_away"] += 1
+            return None
+        if self.connections >= limits.most_connections:
             for place in (YOUNG, IDLE):
                 if self.places[place]:
                     client = next(iter(self.places[place]))
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -102,6 +102,11 @@
     """One gatekeeper as a process."""
 
     def __init__(self, folder, discovery, *known, **limits):
+        self.made(folder, discovery, *known, **limits)
+        self.until_up()
+
+    def made(self, folder, discovery, *known, **limits):
+        """It is started."""
         self.port, self.file = free_port(), folder / "config.json"
         settings = WIRE_SETTINGS | {"balancers": 1, "myNumber": 0}
         self.config = found(listen=f"127.0.0.1:{self.port}", discovery=discovery, settings=settings, peers=[],
@@ -110,6 +115,8 @@
         self.write()
         self.log = (folder / "log").open("w+")
         self.process = self.start()
+
+    def until_up(self):
         until = time.monotonic() + 20
         while time.monotonic() < until:
             try:
--- a/tests/test_terms_renewed.py
+++ b/tests/test_terms_renewed.py
@@ -1,6 +1,7 @@
 """Terms of the standing test that hold from now on, one part a term: what each promises and where it is shown."""
 
 import json
+import os
 import random
 import socket
 
@@ -13,6 +14,7 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
+from anisefront.node import front as fronts
 from anisefront.node import resp
 from anisefront.node import watch as watches
 from anisefront.node.discovery import Book
@@ -43,6 +45,29 @@
     assert [link.recv(100) for link in links] == [b"+PONG\r\n"] * 30
 
 
+# ---- idle clients may fill the descriptors -------------------------------------------------------------
+
+
+def test_however_many_come_in_one_look_they_hold_no_more_descriptors_than_the_caps_leave_them():
+    """What is cut off for others has its descriptor until the next turn, and the watch may need one in this."""
+    stage = Stage(most_connections=10, most_closing=4)
+    try:
+        def held():
+            return len(os.listdir("/proc/self/fd"))
+        stage.client([b"PING"])
+        port = stage.port.getHost().port
+        links = [stage._keep(socket.create_connection(("127.0.0.1", port))) for _ in range(45)]
+        stage.port.numberAccepts, before, most = 200, held() - 1, 0
+        for _ in range(6):
+            stage.reactor.iterate(0)
+            most = max(most, held() - before)
+        assert most <= 10 + 4 + fronts.MOST_CUT
+        new = stage.client([b"PING"])
+        assert new.recv(100) == b"+PONG\r\n" and len(links) == 45
+    finally:
+        stage.close()
+
+
 # ---- a client that closes has gone --------------------------------------------------------------------
 
 
