Tests: twenty to thirty modules side by side keep to a cold worker's budget and chance

Need: cold workers fall under the sum of what all processes send; over their budget of N calls in the settings' window only 2 x root of N + 2 are chance, also with twenty or thirty processes. Three cases under bursts of 1.5 to 2.5, N by the ordinary load of a warm worker, which is less than it bears.

--- a/tests/test_terms_renewed.py
+++ b/tests/test_terms_renewed.py
@@ -1,6 +1,8 @@
 """Terms of the standing test that hold from now on, one part a term: what each promises and where it is shown."""
 
+import heapq
 import json
+import math
 import os
 import random
 import socket
@@ -9,6 +11,7 @@
 from stage import Stage, reset
 from test_node_front import Transport, other
 from test_node_wire import change, row
+from test_rules import settings
 from test_watch import BOUND_S, HEAD
 from twisted.internet import error
 from twisted.internet.testing import MemoryReactorClock
@@ -19,7 +22,8 @@
 from anisefront.node import watch as watches
 from anisefront.node.discovery import Book
 from anisefront.node.gatekeeper import NodeGatekeeper
-from anisefront.policy.interface import Send
+from anisefront.policy.control import Controller, Servers
+from anisefront.policy.interface import Arrival, Fleet, Outcome, Result, Send, Server, State, Wake, Woken
 
 
 @pytest.fixture
@@ -223,3 +227,63 @@
 
 def test_no_order_of_failed_refused_silent_and_given_up_calls_keeps_a_change_back():
     assert {seed: late for seed in range(250) if (late := Agent(seed).play()) is not None} == {}
+
+
+# ---- cold workers fall under the sum of what all processes send -----------------------------------------
+
+
+def past_the_budget(seed, gatekeepers, warm, cold, rate_per_s, burst, **more):
+    """Many modules beside each other in front of `warm` workers that bear `rate_per_s` each, and of `cold` new ones,
+    whose start all are told of; a burst begins just after it. By how much calls in the settings' window passed what
+    the settings allow a cold one then, as a part of what may be chance: 2 x root of N + 2. Over 1 it falls."""
+    rng, told = random.Random(seed), settings(gateways=gatekeepers, may_tell=False, **more)
+    modules = [Controller(settings(gateways=gatekeepers, number=n, may_tell=False, **more), rng.randrange(1 << 30))
+               for n in range(gatekeepers)]
+    tick, now, start_ms, serial, sent = 10.0, 0.0, 52_000.0, 0, {f"c{n}": [] for n in range(cold)}
+    fleet = [Server(f"w{n}", "z0", 0, State.READY) for n in range(warm)]
+    later = []  # what each module hears when: ends of attempts and wake-ups
+    for n in range(gatekeepers):
+        at_ms = start_ms + rng.uniform(0, 100)
+        heapq.heappush(later, (50_000.0, n, 0, Fleet(tuple(fleet))))
+        heapq.heappush(later, (at_ms, n, 1, Fleet(tuple(Server(name, "z0", 0, State.READY, 1.0, start_ms)
+                                                        for name in sent), complete=False)))
+    for now in (50_000.0 + tick * step for step in range(int((start_ms - 50_000.0 + told.warm_up_ms / 2) / tick))):
+        events = {n: [] for n in range(gatekeepers)}
+        while later and later[0][0] <= now:
+            _, n, _, event = heapq.heappop(later)
+            events[n].append(event)
+        wanted = rate_per_s * warm * tick / 1000 * (burst if now >= start_ms + 200 else 1.0)
+        for _ in range(int(wanted) + (rng.random() < wanted % 1)):
+            serial += 1
+            n = rng.randrange(gatekeepers)
+            events[n].append(Arrival(serial, f"f{rng.randrange(5000)}", "look", "open", now + 1500, 1, n, 1))
+        for n, heard in events.items():
+            for action in modules[n].handle(now, heard) if heard else ():
+                serial += 1
+                if isinstance(action, Send):
+                    sent.get(action.server, []).append(now)
+                    end = Outcome(action.id, 0, action.server, 100.0, Result.OK, True)
+                    heapq.heappush(later, (now + rng.expovariate(1 / 100), n, serial, end))
+                elif isinstance(action, Wake):
+                    heapq.heappush(later, (now + action.after_ms, n, serial, Woken(action.name)))
+    assert all(sent.values())
+    worst = -math.inf
+    for calls in sent.values():
+        for at in calls:
+            share = told.cold_from + (1 - told.cold_from) * (at - start_ms) / told.warm_up_ms
+            allowed = told.fall_multiple * share * rate_per_s * told.fall_window_ms / 1000
+            count = sum(at - told.fall_window_ms < each <= at for each in calls)
+            worst = max(worst, (count - allowed) / (2 * math.sqrt(allowed) + 2))
+    return worst
+
+
+@pytest.mark.parametrize(("gatekeepers", "warm", "cold", "rate_per_s", "burst", "more"), [
+    (20, 6, 1, 20.0, 2.5, {}), (30, 10, 2, 8.0, 1.5, {"fall_multiple": 2.0}), (24, 4, 4, 15.0, 2.5, {})])
+def test_many_beside_each_other_send_a_cold_worker_no_more_than_its_budget_and_chance(
+        gatekeepers, warm, cold, rate_per_s, burst, more):
+    assert max(past_the_budget(seed, gatekeepers, warm, cold, rate_per_s, burst, **more) for seed in range(2)) <= 1
+
+
+def test_a_cold_worker_that_is_given_a_warm_ones_part_would_pass_it(monkeypatch):
+    monkeypatch.setattr(Servers, "warmth", lambda self, now, backend: 0.99 if backend.entry.started_ms else 1.0)
+    assert past_the_budget(0, 20, 6, 1, 20.0, 2.5) > 1
