--- a/anisefront/fronts/backpressure.py
+++ b/anisefront/fronts/backpressure.py
@@ -43,8 +43,8 @@
     def pauseProducing(self) -> None:
         """The transport's buffer is full.
 
-        Danger: it says so again at each write while it is full, and once only that it is free. A second timer would take
-        the first one's place, and the first, which nobody could stop any more, would cut off a client that reads."""
+        Danger: it says so again at each write while it is full, and once only that it is free. A second timer would
+        take the first one's place, and the first, which nobody could stop, would cut off a client that reads."""
         if self._full:
             return
         self._full = True
--- a/anisefront/node/front.py
+++ b/anisefront/node/front.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import itertools
+import socket
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -45,6 +46,7 @@
 MOST_AT_ONCE = 256  # commands of one read: none that asks is so short. Nothing more is looked at for PAUSE_S
 MOST_WAITING = 4_096  # answers behind an open one; at more what is open is failed, so that all can be written
 PAUSE_S, MOST_PAUSE_S = 0.1, 1.6  # nothing is read after a command that can't be used; twice as long after each more
+MOST_CUT = 8  # beyond the caps: cut off, and still holding their descriptors until the next turn
 BUSY_MS = 250.0  # advice where this gatekeeper is full
 PONG, OK = b"+PONG\r\n", b"+OK\r\n"
 YOUNG, HALF, IDLE, BUSY, CLOSING = "young", "half", "idle", "busy", "closing"
@@ -97,6 +99,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.front.descriptors += 1
         self.watch_reader(self.front.reactor, STUCK_S, self.abort)
         self._ending = self._turned_away
         self.front.put(self, CLOSING if self._turned_away else YOUNG)
@@ -215,11 +218,22 @@
 
         slot.size = len(wanted.tail)
         front.bodies += slot.size
-        slot.number = front.carrier.ask(wanted, front.due_ms(wanted.wait_ms), final)
+        slot.number = front.carrier.ask(wanted, front.due_ms(wanted.wait_ms), final, self.left)
         if slot.number is None:
             front.counts["full"] += 1
             slot.answer = REFUSED.answer
 
+    def left(self) -> bool:
+        """Whether the client has closed, though the loop has not told yet.
+
+        Danger: after a standstill its close lies unread in the socket, and an attempt would begin for nobody."""
+        try:
+            return not self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def _unfit(self, slot: _Slot, why: str) -> None:
         """A command that can't be used. Danger: the same again at once, without end, would take the time of all
         others; so nothing more of this connection is looked at for a moment."""
@@ -359,6 +373,7 @@
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         self._ending = self._shut = True
+        self.front.descriptors -= 1
         self.forget_reader()
         self._withdraw_all()
         self.front.gone(self)
@@ -373,7 +388,7 @@
                  limits: FrontLimits) -> None:
         self.reactor, self.carrier, self.terms, self.now_ms, self.limits = reactor, carrier, terms, now_ms, limits
         self.counts: Counter[str] = Counter()
-        self.bodies = 0
+        self.bodies = self.descriptors = 0  # bytes; connections that hold one, also cut off in this turn
         self.draining = False
         self.latest_ms = float("inf")  # all is answered by then, whatever the clients would wait
         # Of each place the connections by the time since which they are in it, the longest first.
@@ -398,10 +413,13 @@
         """Take a connection, in the place of one that is not used where there are as many as may be. Without such a one
         it is told that there is no room; only where nothing can be spared for that is it closed unread."""
         limits, turned_away = self.limits, False
-        if self.connections + len(self.places[CLOSING]) >= limits.most_connections + limits.most_closing:
-            if not self._cut_closing():
-                self.counts["closed_unread"] += 1
-                return None
+        most = limits.most_connections + limits.most_closing
+        # Danger: all that come in one look would each take the place of one whose descriptor is free only in the next
+        # turn; with none left the watch, a list or a new configuration could not be had.
+        if self.descriptors >= most + MOST_CUT \
+                or self.connections + len(self.places[CLOSING]) >= most and not self._cut_closing():
+            self.counts["closed_unread"] += 1
+            return None
         if self.connections >= limits.most_connections:
             for place in (YOUNG, IDLE):
                 if self.places[place]:
