Tests: no attempt begins in any wait of a client that left; whole lists; commands in pieces

Two gatekeepers with the module in memory: a request waits for its home's word, for a connection that comes up late, for its next attempt, or for a second copy; its client leaves, and all it waited for comes 0 to 1 s later: nothing is written to a worker. One that stays has its attempt. A first answer that is a whole list and leaves a worker out ends what is on its way there, though it still answers. Commands in two pieces, cut at every byte, are answered in order. The test of an attempt still connecting held only for 0.3 s after the leave; it now holds for 0, 0.05, 0.1 and 0.3 s.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -56,14 +56,15 @@
     assert client.recv(65536).endswith(b"-ERR Protocol error: too much at once\r\n") and stage.front.bodies == 0
 
 
-def test_an_attempt_still_connecting_for_a_client_that_left_is_not_begun():
+@pytest.mark.parametrize("after_s", [0.0, 0.05, 0.1, 0.3])
+def test_an_attempt_still_connecting_for_a_client_that_left_is_not_begun(after_s):
     house = House()
     client = house.client()
     house.say(client, ASK)
     house.turn(Send(1, "s1", 400.0))
     client.protocol.connectionLost(Failure(error.ConnectionDone()))
     house.turn()  # and the module calls nothing off, as where the settings forbid it
-    house.reactor.advance(0.3)
+    house.reactor.advance(after_s)
     worker = house.worker()
     house.turn()
     assert worker.take() == b"" and worker.disconnecting and not house.ledger.entries
--- a/tests/test_terms_renewed.py
+++ b/tests/test_terms_renewed.py
@@ -9,8 +9,8 @@
 
 import pytest
 from stage import Stage, reset
-from test_node_front import Transport, other
-from test_node_wire import change, row
+from test_node_front import House, Transport, other
+from test_node_wire import ASK, DO, WIRE_SETTINGS, change, found, row
 from test_rules import settings
 from test_watch import BOUND_S, HEAD
 from twisted.internet import error
@@ -20,10 +20,23 @@
 from anisefront.node import front as fronts
 from anisefront.node import resp
 from anisefront.node import watch as watches
-from anisefront.node.discovery import Book
+from anisefront.node.config import node_config
+from anisefront.node.discovery import Book, read_change
 from anisefront.node.gatekeeper import NodeGatekeeper
 from anisefront.policy.control import Controller, Servers
-from anisefront.policy.interface import Arrival, Fleet, Outcome, Result, Send, Server, State, Wake, Woken
+from anisefront.policy.interface import (
+    Arrival,
+    Fail,
+    Fleet,
+    Outcome,
+    Refuse,
+    Result,
+    Send,
+    Server,
+    State,
+    Wake,
+    Woken,
+)
 
 
 @pytest.fixture
@@ -287,3 +300,131 @@
 def test_a_cold_worker_that_is_given_a_warm_ones_part_would_pass_it(monkeypatch):
     monkeypatch.setattr(Servers, "warmth", lambda self, now, backend: 0.99 if backend.entry.started_ms else 1.0)
     assert past_the_budget(0, 20, 6, 1, 20.0, 2.5) > 1
+
+
+# ---- at each wait of a request --------------------------------------------------------------------------
+
+
+class Two:
+    """Two gatekeepers with the module in memory: a request comes to the first, the home of its quota is the second."""
+
+    def __init__(self):
+        self.reactor, self.mail, self.workers, self.up = MemoryReactorClock(), [], [], 0
+        rows = [row(f"s{n}", f"127.0.0.1:{7000 + n}") for n in range(4)]
+        self.made = []
+        for n in range(2):
+            made = NodeGatekeeper(node_config(found(settings=WIRE_SETTINGS | {"myNumber": n},
+                                                    known=change(41, *rows, snapshot=True)), {}),
+                                  self.reactor, lambda: self.reactor.seconds() * 1000 + 1e6)
+            made.ledger._tell = lambda receiver, data, n=n: self.mail.append((receiver, n, data))
+            made.prepare()
+            self.made.append(made)
+
+    def ask(self):
+        """Requests of several customers, until one waits for its home's word."""
+        for number in range(1, 50):
+            self.client = Transport()
+            self.client.protocol = self.made[0].front.buildProtocol(None)
+            self.client.protocol.makeConnection(self.client)
+            terms = b"c=look,t=rated,d=1400,units=4,spread=2,first=0"
+            self.client.protocol.dataReceived(resp.command([b"Q.ASK", b"%016x" % number, b"%016x" % number, terms]))
+            self.reactor.advance(0.001)
+            if self.mail:
+                return
+            self.client.protocol.connectionLost(Failure(error.ConnectionDone()))
+            self.reactor.tcpClients.clear()
+        raise AssertionError("no request waits")
+
+    def post(self):
+        mail, self.mail[:] = list(self.mail), []
+        for receiver, sender, data in mail:
+            self.made[receiver].ledger.hear(sender, data)
+        self.reactor.advance(0.001)
+
+    def connect(self):
+        """The connections that are being made come up."""
+        while self.up < len(self.reactor.tcpClients):
+            factory, self.up = self.reactor.tcpClients[self.up][2], self.up + 1
+            worker = Transport()
+            worker.protocol = factory.buildProtocol(None)
+            worker.protocol.makeConnection(worker)
+            self.workers.append(worker)
+
+    def until(self, wait):
+        """Go on until the request is in this wait; the loop has not turned since its last event."""
+        self.ask()
+        if wait == "home":
+            return
+        self.go_on()
+        if wait in ("next", "copy"):
+            self.connect()
+            assert self.begun() == 1
+            if wait == "next":
+                self.workers[0].protocol.dataReceived(b"-BUSY\r\n")
+
+    def go_on(self):
+        for _ in range(20):
+            if self.reactor.tcpClients:
+                return
+            self.post()
+        raise AssertionError("the home says nothing")
+
+    def begun(self):
+        return sum(bool(worker.value()) for worker in self.workers)
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.05, 0.1, 0.2, 1.0])
+@pytest.mark.parametrize("wait", ["home", "connection", "next", "copy"])
+def test_a_client_that_leaves_in_any_wait_has_no_attempt_begun_after_it(wait, after_s):
+    begun = {}
+    for leaves in (False, True):
+        two = Two()
+        two.until(wait)
+        before = two.begun()
+        if leaves:
+            two.client.protocol.connectionLost(Failure(error.ConnectionDone()))
+        if after_s:
+            two.reactor.advance(after_s)
+        for _ in range(40):
+            two.post()
+            two.connect()
+            two.reactor.advance(0.02)
+        begun[leaves] = two.begun() - before
+        assert not leaves or not two.made[0].ledger.open
+    assert begun[True] == 0
+    assert begun[False] > 0 or after_s >= 0.2 or wait == "copy"  # one that stays has its attempt
+
+
+# ---- what a whole list doesn't name is gone -------------------------------------------------------------
+
+
+def test_a_first_answer_that_leaves_out_who_drains_ends_what_is_resting_and_on_its_way_there():
+    two = Two()
+    two.ask()
+    two.go_on()
+    port = two.reactor.tcpClients[0][1]
+    rows = [row(f"s{n}", f"127.0.0.1:{7000 + n}") for n in range(4) if 7000 + n != port]
+    two.made[0].told(read_change(change(43, *rows, snapshot=True)))  # it still listens, and its connection comes up
+    for _ in range(40):
+        two.connect()
+        two.reactor.advance(0.02)
+    assert not two.workers[0].value() and f"s{port - 7000}" not in two.made[0].book.entries
+    assert two.begun() == 1 and port not in [each[1] for each in two.reactor.tcpClients[1:]]
+
+
+# ---- requests in pieces ----------------------------------------------------------------------------------
+
+
+def test_commands_in_pieces_are_taken_once_each_whole_and_in_order():
+    data = resp.command(ASK) + resp.command([b"PING"]) + resp.command(DO)
+    for cut in range(1, len(data)):
+        house = House()
+        client = house.client()
+        for piece in (data[:cut], data[cut:]):
+            client.protocol.dataReceived(piece)
+            house.turn()
+        assert [each.class_name for each in house.module.arrivals] == ["look", "book"], cut
+        first, second = (each.id for each in house.module.arrivals)
+        house.turn(Fail(second))
+        house.turn(Refuse(first, 0.0))
+        assert client.take() == b"-BUSY\r\n+PONG\r\n-ERR failed\r\n" and client.protocol.place == fronts.IDLE
