Scale: quotas of regions apart by the module itself, a worker that warms up, what would carry settings

What may be passed beyond a quota while regions are apart is stated by arithmetic from the module's own figures and held against the module in simulated time.

--- /dev/null
+++ b/benchmarks/scale/apart.py
@@ -0,0 +1,148 @@
+"""Quotas while regions don't hear each other: what may be passed beyond them, by arithmetic from the module's own
+figures and by the module itself in simulated time."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import Counter
+from dataclasses import dataclass
+
+from anisefront.policy.control import DEMAND_MEMORY_MS, OWN_PART, Controller
+from anisefront.policy.interface import (
+    Arrival,
+    Event,
+    Fleet,
+    Heard,
+    Outcome,
+    Plan,
+    Repeat,
+    RequestClass,
+    Result,
+    Send,
+    Server,
+    Settings,
+    State,
+    Tell,
+    Wake,
+    Woken,
+)
+from benchmarks.scale.plan import REGIONS
+
+SEED = 37
+STALE_S = 2 * DEMAND_MEMORY_MS / 1000  # so long a gatekeeper goes by the part of a customer's use that it heard last
+
+
+@dataclass(frozen=True, slots=True)
+class Beyond:
+    """Units of one customer that gatekeepers away from its home may pass while they are, beyond what the home lends."""
+
+    at_once: float  # own buckets, and one request on credit at each
+    each_s: float  # and so much a second from then on
+
+    def in_all(self, seconds: float) -> float:
+        """All of it, over so long."""
+        return self.at_once + self.each_s * seconds
+
+
+def beyond(spread: int, rate_per_s: float, burst: float, units: float = 1.0, regions: int = REGIONS) -> Beyond:
+    """The most, by what `policy/control.py` does.
+
+    The home goes on lending the whole quota to its own region. Every other gatekeeper of the set fills a bucket at its
+    part of the quota (`Quota.account`): the part that it heard last for `STALE_S`, one in `spread` from then on. It
+    holds a tenth of its part of the burst (`OWN_PART`), and sends one request on credit where the home is silent
+    (`Quota.unanswered`), the next when that is filled up again. At worst the home stands alone in its region, and all
+    traffic of the customer moves to those away from it in the moment of the cut: then each of them may take itself for
+    the whole set for `STALE_S`."""
+    away = spread - math.ceil(spread / regions)
+    jump = away * (OWN_PART * burst + STALE_S * rate_per_s)
+    return Beyond(away * units + jump, rate_per_s * away / spread)
+
+
+def steady(spread: int, rate_per_s: float, burst: float, units: float = 1.0, regions: int = REGIONS) -> Beyond:
+    """The same where the customer's traffic stays where it was: parts add up to the whole."""
+    away = spread - math.ceil(spread / regions)
+    return Beyond(away * (OWN_PART * burst / spread + units), rate_per_s * away / spread)
+
+
+class _Fleet:
+    """Controllers that hear each other by region, and workers that answer all."""
+
+    def __init__(self, spread: int, rate_per_s: float, burst: float, customers: int, demand: float,
+                 away_ms: float) -> None:
+        self.rng, self.now, self.spread, self.away_ms = random.Random(SEED), 1000.0, spread, away_ms
+        plan = Plan("small", rate_per_s, burst)
+        kind = RequestClass("view", 300.0, 600.0, 1.0, Repeat.SAFE)
+        self.each = [Controller(Settings(
+            gateways=spread, number=number, zone="a", classes=(kind,), plans=(plan,), warm_up_ms=1000.0, cold_from=0.2,
+            fall_multiple=3.0, fall_window_ms=1000.0, max_attempts=1, may_tell=True), number) for number in
+            range(spread)]
+        self.cut, self.serial, self.number = False, 0, 0
+        self.queue: list[tuple[float, int, int, Event]] = []
+        self.passed: Counter[int] = Counter()  # units sent on, by gatekeeper
+        self.per_ms = customers * rate_per_s * demand / 1000
+        self.customers = customers
+        servers = Fleet(tuple(Server(f"s{n}", "a", 0, State.READY) for n in range(20)))
+        for number in range(spread):
+            self._turn(number, servers)
+
+    def region(self, number: int) -> int:
+        """Gatekeepers stand in the regions in turn, so a set spans them all."""
+        return number % REGIONS
+
+    def _later(self, after_ms: float, number: int, event: Event) -> None:
+        self.serial += 1
+        heapq.heappush(self.queue, (self.now + after_ms, self.serial, number, event))
+
+    def _turn(self, number: int, event: Event) -> None:
+        for action in self.each[number].handle(self.now, [event]):
+            if isinstance(action, Send):
+                self.passed[number] += 1
+                self._later(20.0, number, Outcome(action.id, 0, action.server, 20.0, Result.OK, True))
+            elif isinstance(action, Wake):
+                self._later(max(1.0, action.after_ms), number, Woken(action.name))
+            elif isinstance(action, Tell):
+                away = self.region(action.receiver) != self.region(number)
+                if not (self.cut and away):
+                    self._later(self.away_ms if away else 1.0, action.receiver, Heard(number, action.data))
+
+    def run(self, seconds: float) -> float:
+        """Units passed by all meanwhile."""
+        end, before = self.now + seconds * 1000, sum(self.passed.values())
+        arrival = self.now
+        while True:
+            arrival += self.rng.expovariate(self.per_ms)
+            while self.queue and self.queue[0][0] <= min(arrival, end):
+                self.now, _, number, event = heapq.heappop(self.queue)
+                self._turn(number, event)
+            if arrival >= end:
+                self.now = end
+                return sum(self.passed.values()) - before
+            self.now, self.number = arrival, self.number + 1
+            self._turn(self.rng.randrange(self.spread), Arrival(
+                self.number, f"c{self.number % self.customers}", "view", "small", arrival + 600.0, 1.0, 0, self.spread))
+
+
+def played(away_ms: float = 10.0, spread: int = 9, rate_per_s: float = 2.0, burst: float = 4.0, customers: int = 18,
+           demand: float = 8.0, whole_s: float = 20.0, cut_s: float = 60.0) -> dict[str, float]:
+    """The module in three regions that lose each other, `away_ms` one way between them, customers asking for `demand`
+    times their quotas. Passed of the quotas before the cut, in it and after it; of a customer the units beyond its
+    quota in the cut, and their bound."""
+    fleet = _Fleet(spread, rate_per_s, burst, customers, demand, away_ms)
+    fleet.run(whole_s)
+    quota = customers * rate_per_s
+    before = fleet.run(whole_s) / whole_s / quota
+    fleet.cut = True
+    during = fleet.run(cut_s)
+    fleet.cut = False
+    after = fleet.run(whole_s) / whole_s / quota
+    return {"seed": SEED, "away_ms": away_ms, "spread": spread, "rate_per_s": rate_per_s, "burst": burst,
+            "demand": demand, "cut_s": cut_s, "before": before, "during": during / cut_s / quota, "after": after,
+            "beyond": during / customers - rate_per_s * cut_s,
+            "bound": burst + steady(spread, rate_per_s, burst).in_all(cut_s)}
+
+
+def measure() -> list[dict[str, float]]:
+    """Regions near each other, and as far apart as continents are."""
+    return [played(away_ms) for away_ms in (10.0, 40.0)]
--- /dev/null
+++ b/benchmarks/scale/micro.py
@@ -0,0 +1,37 @@
+"""The measures that need no fleet: the module alone, models with a seed, sizes of files. A minute of one core.
+
+What is measured goes into the results under "micro", each part by its name."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from benchmarks.scale import apart, results, subsets, warming
+from benchmarks.scale.plan import PLAN, SET, TODAY, Size
+
+
+def file_sizes(size: Size) -> dict[str, int]:
+    """Bytes of the files that a gatekeeper reads in a fleet of this size."""
+    from benchmarks.scale.files import Files, Sizes
+    with tempfile.TemporaryDirectory(prefix="scale-") as folder:
+        made = Files(Path(folder), Sizes(size.gatekeepers, size.workers, size.routes, size.tenants), 8000)
+        made.write_peers(dict.fromkeys(range(size.gatekeepers), 8001))
+        made.write_main(0, 8001)
+        return {"roster": made.roster.stat().st_size, "settings": made.settings_bytes(),
+                "one_file": (made.folder / "routes/s0000.conf").stat().st_size}
+
+
+def measure() -> dict[str, Any]:
+    """All of them, in plain values."""
+    return {"subsets": subsets.measure(), "warming": warming.measure(), "apart": apart.measure(),
+            "files": {"today": file_sizes(TODAY), "plan": file_sizes(PLAN), "set": SET}}
+
+
+def write(path: Path = results.FILE) -> None:
+    """Measure, and put it beside what stands in the results."""
+    found = measure()
+    kept = results.load(path)
+    kept.micro |= found
+    results.save(kept, path)
--- a/benchmarks/scale/plan.py
+++ b/benchmarks/scale/plan.py
@@ -63,6 +63,9 @@
 REGIONS, ZONES, CONTROL_MACHINES = 3, 8, 5
 RACK_MACHINES = 40  # taken: the plan names no size of a rack
 APART_S = 300.0  # taken: "minutes" for which regions lose each other
+WARM_UP_S = 30.0  # taken: for so long a worker that has started is not surely warm
+IN_HAND_S = 0.1  # taken: from a request's arrival to its answer
+SET = 8  # taken: gatekeepers through which a customer comes, as in the scale run
 
 
 @dataclass(frozen=True, slots=True)
