--- /dev/null
+++ b/benchmarks/scale/roles.py
@@ -0,0 +1,194 @@
+"""What each role of a fleet holds and says, which mechanism carries it, and what it does in ordinary trouble. Words,
+and arithmetic from the plan and from the constants of the code; what was measured comes in as arguments."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from anisefront.fleet import keeping, membership, origin
+from anisefront.fleet.members import ROW
+from benchmarks.scale import subsets
+from benchmarks.scale.plan import APART_S, CONTROL_MACHINES, IN_HAND_S, PLAN, RACK_MACHINES, REGIONS, SET, ZONES
+
+MISSING = "**missing**"
+TROUBLES = ("machines that fail in a day", "machines restarted in a day", "a rack", "a zone", "regions apart")
+
+
+def short(value: float) -> str:
+    """Three digits, thousands apart."""
+    if value == 0 or not math.isfinite(value):
+        return f"{value:g}"
+    digits = max(0, 2 - math.floor(math.log10(abs(value))))
+    text = f"{round(value, digits):,.{min(digits, 6)}f}"
+    return text.rstrip("0").rstrip(".") if "." in text else text
+
+
+@dataclass(frozen=True, slots=True)
+class Role:
+    """One role. `carried`: by module and file, or that it is missing."""
+
+    name: str
+    state: str
+    messages: str
+    carried: str
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """What one ordinary trouble takes away; figures of one time that it comes."""
+
+    name: str
+    gatekeepers: float
+    workers: float
+
+
+def troubles() -> list[Trouble]:
+    """In the order of `TROUBLES`; the last takes nothing away."""
+    part = PLAN.gatekeepers / PLAN.machines
+    lost = [PLAN.failures_a_day, PLAN.restarts_a_day, RACK_MACHINES, PLAN.machines / ZONES, 0.0]
+    return [Trouble(name, count * part, count * (1 - part)) for name, count in zip(TROUBLES, lost, strict=True)]
+
+
+def away() -> float:
+    """Gatekeepers that one cannot hear while regions are apart."""
+    return PLAN.gatekeepers * (1 - 1 / REGIONS)
+
+
+def stores() -> float:
+    """Tenants whose home a gatekeeper is."""
+    return PLAN.tenants / PLAN.gatekeepers
+
+
+def in_hand() -> float:
+    """Requests in hand at a gatekeeper at the peak."""
+    return PLAN.each_requests_per_s * IN_HAND_S
+
+
+def out_after_s(period_s: float = 1.0) -> float:
+    """Seconds for which a suspicion may be refuted where enough others share it."""
+    return membership.SUSPICION * math.log10(PLAN.gatekeepers) * period_s
+
+
+def asks_a_second() -> float:
+    """Questions that a gatekeeper sends to homes, and hears as one, where its own buckets hold less than a request."""
+    return PLAN.each_requests_per_s * (1 - 1 / SET)
+
+
+ROLES = (
+    Role("gatekeeper", "settings, list of workers, members, requests in hand",
+         "its clients' and workers' aside: those of the other roles", "`daemon/gatekeeper.py`, `core/ledger.py`"),
+    Role("home of quotas", f"a store for each of its {short(stores())} tenants",
+         f"at most {short(asks_a_second())} questions a second in, as many answers out, and as borrower the same again",
+         "`policy/control.py`, `Quota`; another home while one is away: " + MISSING),
+    Role("keeper", f"records of others' requests, at most {keeping.MOST_RECORD:,} bytes each, "
+         f"about {short(in_hand())} at a time", "of each request that may not simply run again: taken, sent, over, and "
+         "a word for each", "`fleet/origin.py`, `fleet/keeper.py`, `daemon/keepers.py`"),
+    Role("who tells the list", "all workers, as one file", "the whole file after each change, to each gatekeeper",
+         "reading: `fleet/roster.py`, ten looks a second; on the platform `node/watch.py`; bringing it to all: "
+         + MISSING),
+    Role("who tells settings", "all settings, as files", "each change to each gatekeeper, and its word that it is in "
+         "force", "reading: `config/loader.py`, `daemon/reload.py` at SIGHUP; bringing it to all, and knowing who has "
+         "which version: " + MISSING),
+    Role("the machines of control", f"settings and list for {short(PLAN.gatekeepers / CONTROL_MACHINES)} gatekeepers "
+         "each", "see what carries a change", MISSING + ": nothing in the program runs on them"),
+    Role("worker", "its connections", "requests, and the load that its answers tell",
+         "`carriers/pool.py`; which workers a gatekeeper knows: all of its pool; subsets: " + MISSING),
+    Role("client side", "a connection to a gatekeeper, its requests in hand", "its requests; a repeat where it is told "
+         "to come again", "`fronts/`, `carriers/returning.py`; which gatekeeper a client goes to is its proxy's matter"),
+)
+
+
+def _count(value: float) -> str:
+    return short(value) if value >= 0.95 else f"{value:.2f}".rstrip("0").rstrip(".")
+
+
+def in_trouble(start_s: float | None, settings_bytes: float | None) -> list[tuple[str, list[str]]]:
+    """Of each role a cell for each trouble. `start_s`: measured at the plan; None where it was not."""
+    fail, restart, rack, zone, _ = troubles()
+    starting = f"{short(start_s)} s" if start_s is not None else "a start (not measured)"
+    more = PLAN.requests_per_s / (PLAN.gatekeepers - zone.gatekeepers)
+    pair = (rack.gatekeepers - 1) / (PLAN.gatekeepers - 1)
+    zone_pair = (zone.gatekeepers - 1) / (PLAN.gatekeepers - 1)
+    back = f"{_count(zone.gatekeepers)} read all at once" + (
+        f": {short(zone.gatekeepers * settings_bytes / 1e6)} MB" if settings_bytes is not None else "")
+    per_worker = subsets.connections(subsets.SPLIT_KNOWN, subsets.IDLE_S[1])
+    open_each = per_worker.open_there / PLAN.gatekeepers
+    patience = origin.PATIENCE_MS
+    rows = f"{ROW.size} bytes a row, told {membership.SPREAD * math.ceil(math.log2(PLAN.gatekeepers + 1))} times by each"
+    return [
+        ("gatekeeper", [
+            f"{_count(fail.gatekeepers)} a day; {short(in_hand())} in hand at each; out for the others after about "
+            f"{short(out_after_s())} s",
+            f"{_count(restart.gatekeepers)} a day, each away for its drain and {starting}; {rows}",
+            f"{_count(rack.gatekeepers)} at once; each other carries "
+            f"{rack.gatekeepers / (PLAN.gatekeepers - rack.gatekeepers):.1%} more",
+            f"{_count(zone.gatekeepers)} at once; each other carries {short(more)} requests a second",
+            f"{_count(away())} unheard; serves from the workers that it can reach"]),
+        ("home of quotas", [
+            f"{_count(fail.gatekeepers * stores())} tenants a day without a home until it is back: their own buckets "
+            "hold less than a request, so they are refused",
+            f"{_count(restart.gatekeepers * stores())} tenants a day for {starting}; a new home begins with a full "
+            "burst, which is beyond the quota once",
+            f"{_count(rack.gatekeepers * stores())} tenants", f"{_count(zone.gatekeepers * stores())} tenants",
+            f"for {short(APART_S)} s: credit and own buckets, see the next table"]),
+        ("keeper", [
+            f"origin goes on with another after {short(patience)} ms; both lost: by chance only", "the same; it leaves "
+            "its feeds first", f"{pair:.2%} of what its gatekeepers had in hand loses origin and keeper",
+            f"{zone_pair:.1%} of what had a name: the room is not asked there",
+            f"keepers out of reach are left after {short(patience)} ms; with a witness out of reach work waits"]),
+        ("who tells the list", [
+            f"{_count(2 * fail.workers)} lines a day", f"{_count(2 * restart.workers)} lines a day, a whole list each",
+            f"{_count(rack.workers)} lines at once", f"{_count(zone.workers)} lines at once",
+            "each region goes by the list that it had: " + MISSING + " is who tells what it can't reach"]),
+        ("who tells settings", [
+            f"{_count(fail.gatekeepers)} a day come back with old files: {MISSING} is who sees it",
+            f"{_count(restart.gatekeepers)} a day, the same", f"{_count(rack.gatekeepers)} at once", back,
+            f"{short(APART_S / PLAN.change_every_s)} changes reach one region only: versions differ, and nobody says so"]),
+        ("the machines of control", [
+            f"{_count(PLAN.failures_a_day * CONTROL_MACHINES / PLAN.machines)} a day",
+            f"{_count(PLAN.restarts_a_day * CONTROL_MACHINES / PLAN.machines)} a day",
+            "at most one, if they stand apart",
+            f"at most one; the others tell {short(PLAN.gatekeepers / (CONTROL_MACHINES - 1))} each",
+            "those of a region tell theirs only"]),
+        ("worker", [
+            f"a lost gatekeeper's connections close: {short(open_each)} of its "
+            f"{short(per_worker.open_there)}; {_count(fail.workers)} a day are lost themselves",
+            f"{_count(restart.workers)} a day come back cold", f"{_count(rack.workers)} lost; each other carries "
+            f"{rack.workers / (PLAN.workers - rack.workers):.1%} more", f"{_count(zone.workers)} lost; each other "
+            f"carries {zone.workers / (PLAN.workers - zone.workers):.0%} more, and meets new gatekeepers",
+            "sees its own region's requests only"]),
+        ("client side", [
+            f"{_count(fail.gatekeepers * in_hand())} requests a day in hand at a loss: carried on where keepers are on, "
+            "else tried again or lost", "none: gatekeepers drain", f"{_count(rack.gatekeepers * in_hand())} requests",
+            f"{_count(zone.gatekeepers * in_hand())} requests", "reaches its own region's gatekeepers"]),
+    ]
+
+
+# Costs that grow with all members, workers or settings for each event, and are accepted: what, where, by what it
+# grows, and why. Rows may be added; the page takes them as they stand.
+ACCEPTED: tuple[tuple[str, str, str, str], ...] = (
+    ("a changed line of the list goes through all workers", "`policy/control.py`, `Servers.sort`",
+     "workers, each change", "some ms, once in a minute or so; the module is not changed now"),
+    ("all workers are sorted every 100 ms while one warms up", "`policy/control.py`, `Servers.step`",
+     "workers, ten times a second", "not accepted for good: see the order of work"),
+    ("the whole list is read and parsed", "`fleet/roster.py`", "workers, each change",
+     "not accepted for good: see the order of work"),
+    ("a further attempt looks through all workers", "`policy/control.py`, `Servers.choose`", "workers, each repeat",
+     "few requests have one"),
+    ("rows are compared in full with one other", "`fleet/membership.py`, `JOIN`", "members, every 30 periods",
+     "it heals whatever was lost; a row is small"),
+    ("a round of pings is shuffled anew", "`fleet/membership.py`, `_next`", "members, once a round",
+     "a round is as many periods"),
+    ("stores are filled to the moment of a change of settings", "`policy/control.py`, `Quota.change`",
+     "tenants at home here, each change of settings", "few tenants have their home at one gatekeeper"),
+    ("quiet tenants are looked at in turn", "`policy/control.py`, `Quota.forget`", "tenants known here, each 100 ms",
+     "a part of all, bounded"),
+    ("idle connections are swept", "`carriers/pool.py`, `_sweep`", "workers with open connections, each sweep",
+     "one timer for all costs less than one each"),
+    ("the longest idle connection is looked for", "`carriers/pool.py`, `make_room`",
+     "workers with open connections, each new one at the cap", "only where a cap is set"),
+)
+
+# Why a prediction was out by more than a quarter, by axis and measure.
+EXPLAINED: dict[tuple[str, str], str] = {}
--- a/benchmarks/scale/subsets.py
+++ b/benchmarks/scale/subsets.py
@@ -9,7 +9,8 @@
 import random
 import statistics
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
+from functools import partial
 
 from anisefront.policy.control import LATEST, LATEST_MS, REPORT_MEMORY_MS
 from benchmarks.scale.plan import PLAN, ZONES
@@ -19,6 +20,8 @@
 RATE_SPREAD = 0.5  # taken: sigma of the gatekeepers' shares of the traffic, log-normal; some see several times the mean
 IDLE_S = (2.0, 60.0)  # the pool's own (`carriers/pool.py`, `idle_s`), and one that most servers bear
 KNOWN = (2, 3, 4, 6, 8, 12, 24)
+KNOWLEDGE = ("chance", "reports", "true")
+SPLIT_KNOWN, GROUPS = 6, (1, 5, 17, 50)  # services split over so many groups of gatekeepers
 
 Subsets = list[tuple[int, ...]]  # of each gatekeeper the workers that it knows, by number
 
@@ -67,7 +70,7 @@
 
 def rendezvous(gatekeepers: int, workers: list[int], known: int) -> Subsets:
     """A gatekeeper takes the workers whose hash with its own number is greatest (Thaler, Ravishankar 1998)."""
-    return [tuple(heapq.nlargest(known, workers, key=lambda worker: _hash(number, worker)))  # noqa: B023
+    return [tuple(heapq.nlargest(known, workers, key=partial(_hash, number)))
             for number in range(gatekeepers)]
 
 
@@ -134,7 +137,7 @@
     """One play of the queue model."""
 
     spread: float  # relative deviation of the requests that each worker got
-    under_way: float  # of the requests under way at a moment, beside that of chance alone at one worker
+    under_way: float  # relative deviation of the requests under way at the workers, the mean over moments
     answer: float  # mean answer time, in service times
 
 
@@ -180,7 +183,7 @@
             if knowledge == "reports":
                 late = [(at, each) for each, (at, _) in told[number].items() if (now - at) * 1000 <= LATEST_MS]
                 drawn += [each for _, each in sorted(late, reverse=True)[:LATEST]]
-            worker = min(drawn, key=lambda each: cost(number, each))  # noqa: B023
+            worker = min(drawn, key=partial(cost, number))
         loads[worker] += 1
         got[worker] += 1
         out[number][worker] = out[number].get(worker, 0) + 1
@@ -193,22 +196,35 @@
     return Load(statistics.pstdev(got) / mean, statistics.fmean(moments), answers / len(senders) / service_s)
 
 
-def measure(seconds: float = 120.0, seed: int = SEED) -> dict[str, object]:
+def measure(seconds: float = 300.0, seed: int = SEED) -> dict[str, object]:
     """All that the page shows of one average service, in plain values; the same for the same seed."""
     workers, gatekeepers = PLAN.service_workers, PLAN.gatekeepers
+    whole = list(range(workers))
     rows = []
     for known in KNOWN:
-        subsets = deterministic(gatekeepers, list(range(workers)), known)
-        row: dict[str, object] = {"known": known}
-        for knowledge in ("chance", "reports", "true"):
-            each = play(subsets, workers, knowledge, seconds, seed)
-            row[knowledge] = {"spread": each.spread, "under_way": each.under_way, "answer": each.answer}
+        subsets = rendezvous(gatekeepers, whole, known)
+        row: dict[str, object] = {"known": known, "zone_lost": max(without(subsets, gone) for gone in range(ZONES))}
+        for knowledge in KNOWLEDGE:
+            row[knowledge] = asdict(play(subsets, workers, knowledge, seconds, seed))
         rows.append(row)
+    split = []
+    for groups in GROUPS:
+        subsets = rendezvous(gatekeepers // groups, whole, SPLIT_KNOWN)
+        split.append({"groups": groups, "known": SPLIT_KNOWN,
+                      **asdict(play(subsets, workers, "reports", seconds, seed))})
     ways = []
     for name, way in WAYS.items():
-        subsets = way(gatekeepers, list(range(workers)), 6)
+        subsets = way(gatekeepers, whole, SPLIT_KNOWN)
         deviation, most = evenness(subsets, workers)
         ways.append({"way": name, "known": len(subsets[0]), "deviation": deviation, "most": most,
-                     "moved": moved(way, gatekeepers, workers, 6),
+                     "moved": moved(way, gatekeepers, workers, SPLIT_KNOWN),
                      "zone_lost": max(without(subsets, gone) for gone in range(ZONES))})
-    return {"seed": seed, "seconds": seconds, "busy": BUSY, "rows": rows, "ways": ways}
+    return {"seed": seed, "seconds": seconds, "busy": BUSY, "rows": rows, "split": split, "ways": ways}
+
+
+def enough(measured: dict[str, object]) -> int | None:
+    """The least that is known where no gatekeeper is left with fewer than two workers by the loss of a zone, and an
+    answer takes at most a twentieth longer than where all are known."""
+    rows = measured["rows"]
+    most = 1.05 * rows[-1]["reports"]["answer"]
+    return next((row["known"] for row in rows if not row["zone_lost"] and row["reports"]["answer"] <= most), None)
