Scale run: hollow gatekeepers beside real ones, nine axes, the whole, make scale

Hollow gatekeepers hold and say what one without clients does, by the program's own code; a tap before the real ones counts datagrams by purpose; clients send a request by way of the gatekeeper and the same straight to its worker.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 RUN = .venv/bin/python
 
-.PHONY: test day lint bench bench-model bench-config fuzz steady standing search losses kills bench-members
+.PHONY: test day lint bench bench-model bench-config fuzz steady standing search losses kills bench-members scale
 .venv/made: pyproject.toml requirements.txt requirements-run.txt requirements-dev.txt
 	test -d .venv || $(PYTHON) -m venv .venv
 	$(RUN) -m pip -q --disable-pip-version-check install -r requirements.txt -r requirements-run.txt -r requirements-dev.txt
@@ -55,3 +55,8 @@
 
 bench-members: .venv/made
 	$(RUN) -m benchmarks.members 24 100 200
+
+# The planned size, one axis at a time and whole: benchmarks/results/scale.json. Under fifteen minutes, most of a machine
+# of eight cores, under half of its memory; a part by name: python -m benchmarks.scale routes.
+scale: .venv/made
+	$(RUN) -m benchmarks.scale
--- /dev/null
+++ b/benchmarks/scale/axes.py
@@ -0,0 +1,138 @@
+"""The axes of a scale run: their sizes, the others' base, and how one size of each is measured.
+
+Sizes double; the largest comes last, after what the others predict of it has been written down.
+"""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import asdict, dataclass, replace
+from pathlib import Path
+
+from benchmarks.scale.child import Child, end_all
+from benchmarks.scale.fleet import Fleet
+from benchmarks.scale.files import Sizes
+
+BASE = Sizes()
+QUIET_S, LOADED_S = 3.0, 5.0
+WINDOW_S = 10.0  # of axes whose size is changes a minute
+Measure = Callable[[float], dict[str, float]]
+
+
+@dataclass(frozen=True, slots=True)
+class Axis:
+    """One axis. `measuring` gives what measures a size, and ends what it started."""
+
+    unit: str
+    sizes: tuple[float, ...]
+    measuring: Callable[[], object]
+
+
+def _sized(name: str) -> Callable[[], object]:
+    """A fleet of its own for each size, since what one held would be counted for the next."""
+    @contextmanager
+    def measuring() -> Iterator[Measure]:
+        def measure(size: float) -> dict[str, float]:
+            with Fleet(replace(BASE, **{name: int(size)})) as fleet:
+                fleet.settle()
+                time.sleep(1.0)  # what they had to tell each other at the start
+                return fleet.row(QUIET_S, LOADED_S)
+        yield measure
+    return measuring
+
+
+def _in_one_fleet(measure: Callable[[Fleet, float], dict[str, float]]) -> Callable[[], object]:
+    """One fleet for all sizes."""
+    @contextmanager
+    def measuring() -> Iterator[Measure]:
+        with Fleet(BASE) as fleet:
+            fleet.settle()
+            time.sleep(1.0)
+            yield lambda size: measure(fleet, size)
+    return measuring
+
+
+def _requests(fleet: Fleet, size: float) -> dict[str, float]:
+    fleet.settle(size)  # the hollow ones' clients too: the whole fleet has so many
+    return fleet.row(QUIET_S, LOADED_S, size)
+
+
+def at_a_minute(size: float) -> list[float]:
+    """The seconds of a window at which something comes, so many a minute, evenly."""
+    count = max(1, round(size * WINDOW_S / 60))
+    return [WINDOW_S * place / count for place in range(count)]
+
+
+def _settings(fleet: Fleet, size: float) -> dict[str, float]:
+    times: list[float] = []
+    events = [(at, lambda: times.append(fleet.change_settings()[0])) for at in at_a_minute(size)]
+    values = _changing(fleet, events)
+    read = len(events) * fleet.files.settings_bytes() / WINDOW_S
+    return values | {"in_force_s": max(times), "settings_bytes_s": read}
+
+
+def _list(fleet: Fleet, size: float) -> dict[str, float]:
+    times: list[float] = []
+    events = [(at, lambda place=place: times.append(fleet.change_list(1 + place % 2)))
+              for place, at in enumerate(at_a_minute(size))]
+    values = _changing(fleet, events)
+    read = len(events) * fleet.files.roster.stat().st_size / WINDOW_S
+    fleet.change_list(0)
+    return values | {"in_force_s": max(times), "list_bytes_s": read}
+
+
+def _members(fleet: Fleet, size: float) -> dict[str, float]:
+    numbers = [each for each in range(fleet.sizes.reals, fleet.sizes.gatekeepers) if each not in fleet.sizes.busy]
+    events = [(at, lambda place=place: fleet.restart_hollow([numbers[7 * place % len(numbers)]]))
+              for place, at in enumerate(at_a_minute(size))]
+    values = _changing(fleet, events)
+    fleet.settle()
+    return values
+
+
+def _changing(fleet: Fleet, events: list[tuple[float, Callable[[], None]]]) -> dict[str, float]:
+    """The measures of a window with changes in it, with clients all the while; control is what a quiet one takes."""
+    before, after, _ = fleet.window(QUIET_S)
+    took, reals = after.at - before.at, len(fleet.reals)
+    quiet = sum(after.cpu_ms[each] - before.cpu_ms[each] for each in fleet.reals) / reals / took
+    before, after, seen = fleet.window(WINDOW_S, BASE.requests, events)
+    return fleet.rates(before, after) | fleet.seen(before, after, seen, quiet) | {"control_cpu_ms_s": quiet}
+
+
+@contextmanager
+def _services() -> Iterator[Measure]:
+    def measure(size: float) -> dict[str, float]:
+        return alone({"services": int(size)})
+    yield measure
+
+
+def alone(given: dict[str, object], seconds: float = 60.0) -> dict[str, float]:
+    """What a process of modules alone says."""
+    with tempfile.TemporaryDirectory(prefix="scale-") as folder, open(Path(folder) / "log", "w") as errors:
+        made = Child.of("services", "services", given, errors)
+        try:
+            return made.hear(seconds)
+        finally:
+            end_all([made])
+
+
+# In the order in which they are kept where time runs short.
+AXES = {
+    "gatekeepers": Axis("gatekeepers", (106, 212, 425, 850), _sized("gatekeepers")),
+    "workers": Axis("workers in the list", (1375, 2750, 5500, 11_000), _sized("workers")),
+    "routes": Axis("routes", (725, 1450, 2900, 5800), _sized("routes")),
+    "tenants": Axis("tenants with a key each", (2750, 5500, 11_000, 22_000), _sized("tenants")),
+    "requests": Axis("requests a second of each gatekeeper", (20.25, 40.5, 81, 162), _in_one_fleet(_requests)),
+    "settings": Axis("changes of settings a minute", (6, 12, 24, 48), _in_one_fleet(_settings)),
+    "list": Axis("changes of the list a minute", (6, 12, 24, 48), _in_one_fleet(_list)),
+    "members": Axis("members restarted a minute", (12, 24, 48, 96), _in_one_fleet(_members)),
+    "services": Axis("decision modules with 24 workers each, in one process", (56, 112, 225, 450), _services),
+}
+
+
+def base(name: str) -> dict[str, float]:
+    """The sizes of the other axes while one is measured."""
+    return {key: value for key, value in asdict(BASE).items() if key != name} | {"services": 1}
