--- /dev/null
+++ b/tests/test_capacity_figures.py
@@ -0,0 +1,211 @@
+"""What backs docs/CAPACITY.md: sums of slopes, crossings, subsets, quotas of regions apart, ways to carry settings."""
+
+import math
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from anisefront.policy.control import Quota
+from benchmarks.scale import apart, axes, carrying, estimates, fit, subsets, warming
+from benchmarks.scale.plan import PLAN, ZONES
+from benchmarks.scale.results import Axis, Fit, Results
+
+NAMES = list(estimates.AXES)
+GATEKEEPERS, WORKERS = 200, 24
+
+
+def results_of(fits):
+    return Results(axes={name: Axis("", axes.base(name), [], {"cost": each}) for name, each in fits.items()})
+
+
+@given(st.lists(st.floats(0, 5), min_size=len(NAMES), max_size=len(NAMES)), st.floats(0, 100), st.integers(0, 7))
+def test_what_adds_up_is_added_up_and_crossed_where_it_is(slopes, floor, grows):
+    base = {name: 0.0 if name in estimates.QUIET else axes.base("")[name] for name in NAMES}
+    at_base = floor + sum(slope * base[name] for name, slope in zip(NAMES, slopes, strict=True))
+    fits = {name: Fit("a+b*n", at_base - slope * base[name], slope, 0.0, 0.0, 1.0)
+            for name, slope in zip(NAMES, slopes, strict=True)}
+    found = results_of(fits)
+    wanted = floor + sum(slope * estimates.AXES[name](PLAN) for name, slope in zip(NAMES, slopes, strict=True))
+    assert estimates.estimate(found, ["cost"], PLAN).value == pytest.approx(wanted, abs=1e-6)
+    name = NAMES[grows]
+    most = at_base + slopes[grows] * estimates.AXES[name](PLAN) / 2
+    crossed = estimates.crossing(found, name, ["cost"], most)
+    if slopes[grows] > 1e-6:
+        assert fit.at(fits[name], crossed.size) == pytest.approx(most)
+        assert crossed.part == pytest.approx(crossed.size / estimates.AXES[name](PLAN))
+    step = estimates.together(found, ["cost"], wanted)
+    assert step.part == pytest.approx(1) or wanted - floor < 1e-3
+
+
+def test_slope_that_is_not_sure_adds_nothing_and_its_error_counts():
+    sure, unsure = (Fit("a+b*n", 0.0, 1.0, 0.0, err, 1.0) for err in (0.4, 0.6))
+    base = axes.base("")["routes"]
+    size, flat = estimates.AXES["routes"](PLAN) - base, Fit("a+b*n", base, 0.0, 0.0, 0.0, 1.0)
+    for each, gains in ((sure, size), (unsure, 0.0)):
+        said = estimates.estimate(results_of({"routes": each, "workers": flat}), ["cost"], PLAN)
+        assert said.value == pytest.approx(base + gains)
+        assert said.error == pytest.approx(each.err_b * size)
+        assert said.without == tuple(name for name in NAMES if name not in ("routes", "workers"))
+
+
+def test_crossing_is_the_first_and_says_where_there_is_none():
+    bent = estimates.solve("", lambda size: size if size < 30 else -size, 20.0, 10.0)
+    assert bent.size == pytest.approx(20) and bent.part == pytest.approx(2)
+    assert estimates.solve("", lambda size: 5.0, 4.0, 10.0).size == 0
+    assert math.isinf(estimates.solve("", lambda size: 5.0, 6.0, 10.0).size)
+    assert estimates.estimate(Results(), ["cost"], PLAN) is None
+    assert estimates.crossing(Results(), "routes", ["cost"], 1.0) is None
+
+
+def test_figures_of_two_sizes_are_read_between_them():
+    figures = {"parse_1000": 5.0, "parse_11000": 55.0, "parse_more": 1.0}
+    assert estimates.between(figures, "parse", 6000) == pytest.approx(30)
+    assert estimates.between({"parse_1000": 5.0}, "parse", 6000) is None
+
+
+# ---- subsets -------------------------------------------------------------------------------------
+
+
+def test_connections_are_those_of_requests_by_chance():
+    """The arithmetic against a play of one gatekeeper's requests."""
+    rng, known, idle_s, groups, seconds = random.Random(5), 6, 60.0, 50, 900.0
+    services = int(PLAN.services / groups)
+    last, found, count, now = {}, 0, 0, 0.0
+    while now < seconds:
+        now += rng.expovariate(PLAN.each_requests_per_s)
+        worker = rng.randrange(services * known)
+        count += 1
+        found += now - last.get(worker, -math.inf) <= idle_s
+        last[worker] = now
+    said = subsets.connections(known, idle_s, groups)
+    assert found / count == pytest.approx(said.found_open, abs=0.02)
+    assert sum(now - at <= idle_s for at in last.values()) == pytest.approx(said.open_here, rel=0.05)
+    assert said.met_every_s == pytest.approx(services * known / PLAN.each_requests_per_s)
+    pairs = [subsets.connections(known, idle_s) for known in subsets.KNOWN]
+    for each, known in zip(pairs, subsets.KNOWN, strict=True):
+        assert each.open_here * PLAN.gatekeepers == pytest.approx(
+            each.open_there * PLAN.services * PLAN.service_workers), known
+
+
+@pytest.mark.parametrize("name", subsets.WAYS)
+def test_each_gatekeeper_knows_as_many_and_none_twice(name):
+    made = subsets.WAYS[name](GATEKEEPERS, list(range(WORKERS)), 6)
+    assert made == subsets.WAYS[name](GATEKEEPERS, list(range(WORKERS)), 6)
+    wanted = {"all": WORKERS, "own zone": WORKERS // ZONES}.get(name, 6)
+    assert all(len(set(each)) == len(each) == wanted for each in made)
+    assert {worker for each in made for worker in each} == set(range(WORKERS))
+
+
+def test_ways_are_as_even_and_as_steady_as_they_are_known_for():
+    even = {name: subsets.evenness(way(GATEKEEPERS, list(range(WORKERS)), 6), WORKERS)
+            for name, way in subsets.WAYS.items()}
+    assert even["deterministic subsets"][0] < 0.02 < even["rendezvous hashing"][0] < even["ring"][0]
+    assert even["all"] == (0.0, 1.0)
+    moved = {name: subsets.moved(subsets.WAYS[name], GATEKEEPERS, WORKERS, 6)
+             for name in ("rendezvous hashing", "deterministic subsets", "all")}
+    assert moved["all"] == 0 and moved["rendezvous hashing"] == pytest.approx(1 / WORKERS, rel=0.25)
+    assert moved["deterministic subsets"] > 0.3
+
+
+def test_loss_of_a_zone_leaves_who_knows_few():
+    assert subsets.without([(0, 8), (1, 2), (1, 2)], 0) == 0  # the first is in the lost zone itself
+    assert subsets.without([(0, 8), (0, 2), (1, 2)], 0) == 0.5
+    rows = [{"known": known, "zone_lost": lost, "reports": {"answer": answer}}
+            for known, lost, answer in ((2, 0.1, 3.0), (4, 0.0, 3.3), (6, 0.0, 3.1), (24, 0.0, 3.0))]
+    assert subsets.enough({"rows": rows}) == 6
+    assert subsets.enough({"rows": [rows[0] | {"zone_lost": 1.0}]}) is None
+
+
+def test_queue_model_gives_what_is_known_of_it():
+    """One queue a worker by chance answers in 1 / (1 - busy) service times; true loads far sooner; seeds repeat."""
+    known = subsets.rendezvous(GATEKEEPERS, list(range(WORKERS)), 6)
+    plays = {each: subsets.play(known, WORKERS, each, 120.0, 3) for each in subsets.KNOWLEDGE}
+    assert plays["chance"].answer == pytest.approx(1 / (1 - subsets.BUSY), rel=0.2)
+    assert plays["true"].answer < 0.7 * plays["reports"].answer < 0.9 * plays["chance"].answer
+    assert plays["true"].under_way < plays["chance"].under_way
+    assert subsets.play(known, WORKERS, "reports", 20.0, 3) == subsets.play(known, WORKERS, "reports", 20.0, 3)
+
+
+# ---- quotas of regions apart ---------------------------------------------------------------------
+
+
+def test_module_passes_what_is_stated_of_regions_apart():
+    """Beyond the quota while regions are apart, near the stated bound and under it; none before and after."""
+    found = apart.played(customers=12, whole_s=12.0, cut_s=40.0)
+    assert found["before"] == pytest.approx(1, abs=0.03)
+    assert 0.6 * found["bound"] < found["beyond"] <= found["bound"]
+    assert found["after"] < 1.25  # the burst that filled up meanwhile, no more
+
+
+def test_bound_is_passed_where_credit_is_not_held_back(monkeypatch):
+    """The bound is one: with a request on credit at each ask it does not hold."""
+    real = Quota.unanswered
+
+    def freely(self, now, request):
+        request.account.own = max(request.account.own, 0.0)
+        return real(self, now, request)
+
+    monkeypatch.setattr(Quota, "unanswered", freely)
+    found = apart.played(customers=12, whole_s=6.0, cut_s=20.0)
+    assert found["beyond"] > found["bound"]
+
+
+@given(st.integers(1, 900), st.floats(0.1, 100), st.floats(0, 1000))
+def test_worst_is_worse_and_wide_sets_are(spread, rate, burst):
+    calm, worst = apart.steady(spread, rate, burst), apart.beyond(spread, rate, burst)
+    assert calm.in_all(60) <= worst.in_all(60) + 1e-9
+    assert apart.steady(spread + 3, rate, burst).at_once >= calm.at_once
+    assert calm.each_s < rate  # both sides stay under twice the rate
+    assert apart.steady(1, rate, burst).in_all(60) == 0
+
+
+def test_home_that_is_away_serves_none_of_its_tenants():
+    found = apart.without_home(customers=45, seconds=8.0)
+    assert found["customers"] >= 3
+    assert found["lost"] == 0 and found["others"] > 0.9
+    assert apart.without_home(burst=400.0, customers=45, seconds=8.0)["lost"] > 0.5  # own buckets hold requests
+
+
+# ---- settings, and a worker that warms up --------------------------------------------------------
+
+
+@settings(max_examples=20)
+@given(st.integers(0, 200_000))
+def test_bytes_on_the_wire_are_those_of_whole_datagrams(data):
+    parts = max(1, math.ceil(data / 1200))
+    assert carrying.on_wire(data) == data + parts * (45 + 28)
+
+
+def test_resending_ends_when_hardly_any_lacks_it():
+    sends = carrying.tries(850)
+    heard = (1 - carrying.LOSS) ** 2
+    assert 850 * (1 - heard) ** sends <= 0.001 < 850 * (1 - heard) ** (sends - 1)
+
+
+def test_rounds_until_all_know_grow_as_a_logarithm():
+    counts = [carrying.rounds(members, 0.0) for members in (50, 850, 5000)]
+    assert counts == sorted(counts) and counts[2] < 2.5 * counts[0]
+    assert carrying.rounds(850, 0.5) > counts[1]
+    assert carrying.rounds(850, 1.0, most=5) == 5
+
+
+def test_ways_that_carry_files_need_their_sizes():
+    names = [each.name for each in carrying.ways(None, None)]
+    assert len(names) == 3
+    all_ways = {each.name: each for each in carrying.ways(1e6, 1000.0)}
+    assert len(all_ways) == 5
+    whole = all_ways["whole settings to each, at each change"]
+    straight = all_ways["a change set to each, straight from the five"]
+    assert whole.each_bytes_s > 13_000 > straight.each_bytes_s
+    assert straight.sent_bytes == 170 * carrying.on_wire(carrying.CHANGE_BYTES)
+    assert straight.calm_s < straight.lossy_s < straight.dead_s < 16
+
+
+def test_warming_is_measured_by_size():
+    rows = warming.measure((50, 100), 0.5)
+    assert [row["workers"] for row in rows] == [50, 100]
+    assert rows[0]["bytes"] < rows[1]["bytes"]
+    one = warming.made(50)
+    assert len(one.servers.warm) == 50 and not one.servers.cold
--- /dev/null
+++ b/tests/test_capacity_page.py
@@ -0,0 +1,237 @@
+"""docs/CAPACITY.md says what the committed results and the plan say, and nothing else."""
+
+import copy
+import pathlib
+import re
+
+import pytest
+
+from benchmarks.scale import axes, estimates, page, results, roles, subsets
+from benchmarks.scale.plan import PLAN, TODAY
+from benchmarks.scale.results import Axis, Fit, Results, Row
+
+ROOT = pathlib.Path(__file__).parent.parent
+ADDITIVE = {name: axes.AXES[name].sizes for name in estimates.AXES}
+MEASURES = sorted({measure for _, _, _, (_, measures, _), _ in page.COSTS for measure in measures}
+                  - {"change_cpu_ms"} | {"cpu_ms_s"})
+
+
+def slope(name, measure):
+    """A made-up cost of one more of an axis: a part of the base for all that the axis has."""
+    place = list(ADDITIVE).index(name)
+    return (1 + place + len(measure) % 3) / 100 / ADDITIVE[name][-1]
+
+
+def base(name):
+    return 0.0 if name in estimates.QUIET else axes.base("")[name]
+
+
+def truth(measure, sizes):
+    return 1 + sum(slope(name, measure) * (size - base(name)) for name, size in sizes.items())
+
+
+def sample():
+    """Results as a run would leave them, of costs that add up exactly."""
+    out = Results(date="2026-01-01T00:00:00+0000", revision="0000000", machine={"cores": 8, "cpu": "sample"})
+    for name, sizes in ADDITIVE.items():
+        axis = out.axes[name] = Axis("sample", axes.base(name))
+        for size in sizes:
+            if size == sizes[-1]:
+                results.predict(axis, size)
+            here = {each: base(each) for each in ADDITIVE} | {name: size}
+            axis.rows.append(Row(size, {measure: truth(measure, here) for measure in MEASURES}))
+        results.compare(axis)
+    out.axes["services"] = Axis("modules", {}, [Row(size, {
+        "held_mb": size / 50, "idle_cpu_ms_s": size / 10, "request_p99_us": 100.0}) for size in (112, 225, 450)],
+        {"idle_cpu_ms_s": Fit("a+b*n", 0.0, 0.1, 0.0, 0.0, 1.0, measured=45.0, predicted=45.0)})
+    files = {"roster": 1000, "settings": 1000, "one_file": 100}
+    rows = [{"known": known, "zone_lost": 0.0} | {each: {"spread": 0.1, "under_way": 1.0, "answer": 2.0}
+            for each in subsets.KNOWLEDGE} for known in subsets.KNOWN]
+    out.micro = {
+        "parse_list_ms_1000": 5.0, "parse_list_ms_11000": 55.0, "one_changed_ms_at_850_1000": 1.0,
+        "one_changed_ms_at_850_11000": 11.0, "files": {"today": files, "base": files, "plan": {
+            "roster": 2_000_000, "settings": 10_000, "one_file": 500}},
+        "warming": [{"workers": size, "warming_cpu": size / 400_000} for size in (1375, 11_000)],
+        "subsets": {"rows": rows, "split": [{"groups": each, "answer": 2.0} for each in subsets.GROUPS],
+                    "ways": [{"way": "ring", "known": 6, "deviation": 0.1, "most": 1.1, "moved": 0.1,
+                              "zone_lost": 0.0}]},
+        "apart": {"cuts": [{"away_ms": 10.0, "demand": 8.0, "before": 1.0, "during": 1.5, "after": 1.0, "beyond": 70.0,
+                            "bound": 90.0}], "without_home": {"lost": 0.0, "others": 1.0}}}
+    whole = {measure: truth(measure, {name: of(PLAN) for name, of in estimates.AXES.items()}) for measure in MEASURES}
+    out.whole = {"values": whole | {"changes": 13, "requests_s": 81.0, "seconds": 300.0}}
+    out.parts = {"routes": {"date": "2026-01-01T00:00", "revision": "0000000", "load_beside": [[1.0], [2.0]]}}
+    return out
+
+
+def tables(found):
+    return {name: make(found) for name, make in page.TABLES.items()}
+
+
+def test_page_says_what_the_committed_results_say():
+    text = page.PAGE.read_text()
+    assert text == page.fill(text, results.load()), "run python -m benchmarks.scale page"
+
+
+@pytest.mark.parametrize("table, change", [
+    ("costs", lambda found: found.axes["routes"].fits.__setitem__(
+        "rss_mb", Fit("a+b*n", 1.0, 0.01, 0.0, 0.0, 1.0))),
+    ("costs", lambda found: found.whole["values"].__setitem__("rss_mb", 50.0)),
+    ("costs", lambda found: found.micro.__setitem__("parse_list_ms_11000", 900.0)),
+    ("order", lambda found: found.micro["warming"][1].__setitem__("warming_cpu", 0.2)),
+    ("later", lambda found: found.axes["tenants"].fits.__setitem__(
+        "rss_mb", Fit("a+b*n", 1.0, 0.001, 0.0, 0.0, 1.0))),
+    ("off", lambda found: found.axes["routes"].fits.__setitem__(
+        "rss_mb", Fit("a+b*n", 1.0, 0.01, 0.0, 0.0, 1.0, predicted=100.0, measured=130.0))),
+    ("known", lambda found: found.micro["subsets"]["rows"][2]["reports"].__setitem__("answer", 9.0)),
+    ("ways", lambda found: found.micro["subsets"]["ways"][0].__setitem__("moved", 0.5)),
+    ("services", lambda found: found.axes["services"].rows[2].values.__setitem__("idle_cpu_ms_s", 5.0)),
+    ("carrying", lambda found: found.micro["files"]["plan"].__setitem__("settings", 9_000_000)),
+    ("troubles", lambda found: found.axes["routes"].fits.__setitem__(
+        "start_s", Fit("a+b*n", 1.0, 0.01, 0.0, 0.0, 1.0))),
+    ("played", lambda found: found.micro["apart"]["cuts"][0].__setitem__("during", 1.9)),
+    ("missing", lambda found: found.axes.pop("routes")),
+    ("taken", lambda found: found.parts["routes"].__setitem__("load_beside", [[7.0], [8.0]]))])
+def test_page_differs_where_a_result_does(table, change, tmp_path):
+    results.save(sample(), tmp_path / "scale.json")
+    found = results.load(tmp_path / "scale.json")
+    text = page.fill(page.PAGE.read_text(), found)
+    changed = copy.deepcopy(found)
+    change(changed)
+    assert page.fill(text, found) == text
+    assert page.fill(text, changed) != text
+    assert tables(changed)[table] != tables(found)[table]
+
+
+def test_page_is_written_whole_and_again_the_same(tmp_path):
+    copied = tmp_path / "page.md"
+    copied.write_text(re.sub(r"(<!-- table \w+ -->\n).*?(<!-- end -->)", r"\1| old |\n\2", page.PAGE.read_text(),
+                             flags=re.DOTALL))
+    assert page.write(copied, sample())
+    assert not page.write(copied, sample())
+    assert "old" not in [line.strip("| ") for line in copied.read_text().splitlines()]
+
+
+def test_what_is_not_there_is_said_in_its_cell():
+    nothing = tables(Results())
+    for name in ("costs", "order", "known", "ways", "services", "played", "off", "taken"):
+        assert page.NOTHING in nothing[name], name
+    for name in (*estimates.AXES, "services"):
+        assert f"axis `{name}` | {page.NOTHING}" in nothing["missing"]
+    whole = sample()
+    for name in [*whole.axes]:
+        part = copy.deepcopy(whole)
+        del part.axes[name]
+        assert f"axis `{name}` | {page.NOTHING}" in tables(part)["missing"]
+        part = copy.deepcopy(whole)
+        part.axes[name].fits.clear()
+        assert f"axis `{name}`, the largest size | {page.NOTHING}" in tables(part)["missing"]
+    for measure in MEASURES:
+        part = copy.deepcopy(whole)
+        for axis in part.axes.values():
+            axis.fits.pop(measure, None)
+        part.whole["values"].pop(measure, None)
+        assert page.costs_table(part).count(page.NOTHING) > page.costs_table(whole).count(page.NOTHING), measure
+    for part in whole.micro:
+        less = copy.deepcopy(whole)
+        del less.micro[part]
+        tables(less)
+
+
+def test_a_part_that_failed_is_said():
+    found = sample()
+    found.parts["whole"] = {"date": "2026-01-01T00:00", "fault": "no room for the list\nmore"}
+    assert "part `whole` | failed: no room for the list |" in page.missing_table(found)
+
+
+@pytest.mark.parametrize("times, said", [(1.2, False), (1.3, True), (0.8, False), (0.7, True)])
+def test_whole_run_further_off_than_a_quarter_is_said(times, said):
+    found = sample()
+    found.whole["values"]["rss_mb"] *= times
+    row = next(line for line in page.costs_table(found).splitlines() if "| memory, MB |" in line)
+    assert ("off by more than a quarter" in row) is said
+
+
+def test_prediction_off_by_more_than_a_quarter_is_listed_with_why(monkeypatch):
+    found = sample()
+    assert "rss_mb" not in page.off_table(found)
+    found.axes["routes"].fits["rss_mb"] = Fit("a+b*n", 1.0, 0.01, 0.0, 0.0, 1.0, predicted=100.0, measured=126.0)
+    assert "| routes | rss_mb | 100 | 126 | 1.26 | not explained |" in page.off_table(found)
+    monkeypatch.setitem(roles.EXPLAINED, ("routes", "rss_mb"), "the index doubles")
+    assert "| 1.26 | the index doubles |" in page.off_table(found)
+
+
+def test_costs_add_up_along_the_axes():
+    found = sample()
+    for size in (TODAY, PLAN):
+        wanted = truth("rss_mb", {name: of(size) for name, of in estimates.AXES.items()})
+        assert estimates.estimate(found, ["rss_mb"], size).value == pytest.approx(wanted)
+    row = next(line for line in page.costs_table(found).splitlines() if "| memory, MB |" in line)
+    assert f"| {roles.short(wanted)} " in row
+
+
+def test_order_of_work_has_the_least_part_of_the_plan_first():
+    found = sample()
+    parts = [at.part for _, _, at in page.crossings(found)]
+    assert parts == sorted(parts) and len(parts) > 10
+    by_name = {(name, axis): at for name, axis, at in page.crossings(found)}
+    assert by_name["CPU for control: modules at rest", "services"].size == pytest.approx(370)
+    assert by_name["CPU for control while a worker warms up", "workers"].size == pytest.approx(14_800)
+    assert by_name["the list's file is taken", "workers"].size == pytest.approx(4 * 2**20 / 2_000_000 * 11_000)
+    lines = page.order_table(found).splitlines()[2:]
+    shown = [float(line.split("|")[-2].strip(" *")) for line in lines]
+    assert shown == sorted(shown)
+    assert all(("**" in line) is (part <= 1) for line, part in zip(lines, shown, strict=True))
+
+
+def test_prose_names_no_figure_of_its_own():
+    text = page.PAGE.read_text()
+    known = page.prose_figures() | page.figures("\n".join(page.TABLES[name](results.load()) for name in page.TABLES))
+    assert page.figures("of 850, 12.5 and `4 KB`, see [x](a1.md).") == {"850", "12.5"}
+    assert not page.figures(page.prose(text)) - known
+
+
+def test_mechanisms_are_where_the_page_says():
+    names = [each.carried for each in roles.ROLES] + [where for _, where, _, _ in roles.ACCEPTED]
+    text = page.PAGE.read_text() + " ".join(names)
+    files = set(re.findall(r"`([\w/]+\.(?:py|json|md))`", text))
+    assert len(files) > 10
+    for name in files:
+        assert any((ROOT / part / name).exists() for part in ("", "anisefront", "docs")), name
+    for name in re.findall(r"`(?:\w+/)*control\.py`, `([\w.]+)`", text):
+        last = name.rpartition(".")[2]
+        assert re.search(rf"(class|def) {last}\b", (ROOT / "anisefront/policy/control.py").read_text()), name
+
+
+def test_each_role_has_a_cell_for_each_trouble():
+    rows = roles.in_trouble(3.0, 1e6)
+    assert [name for name, _ in rows] == [each.name for each in roles.ROLES]
+    assert all(len(cells) == len(roles.TROUBLES) and all(cells) for _, cells in rows)
+
+
+@pytest.mark.parametrize("spoilt, says", [
+    (lambda text: text.replace("<!-- table plan -->", "<!-- table plans -->"), "table plans"),
+    (lambda text: text.replace("<!-- end -->\n", "", 1), "pair"),
+    (lambda text: text + "<!-- table plan -->\n<!-- end -->\n", "due once"),
+    (lambda text: text.replace("<!-- table plan -->\n", "", 1), "pair")])
+def test_marks_that_do_not_fit_are_one_clear_fault(spoilt, says):
+    with pytest.raises(page.PageFault, match=says):
+        page.fill(spoilt(page.PAGE.read_text()), Results())
+
+
+def test_conclusions_follow_from_the_results():
+    """What the page says of connections in words, held against the committed figures."""
+    measured = results.load().micro.get("subsets")
+    if measured is None:
+        assert "| not measured |" in page.ways_table(results.load())
+        return
+    rows = {row["known"]: row for row in measured["rows"]}
+    told, true = ([rows[known][each]["answer"] for known in subsets.KNOWN] for each in ("reports", "true"))
+    assert subsets.enough(measured) == 6
+    assert max(told) < 1.1 * min(told)  # fewer known cost next to nothing
+    assert max(true) < 0.62 * min(told)  # true loads would nearly halve the answer time
+    assert min(rows[known]["chance"]["answer"] for known in subsets.KNOWN) < 1.25 * max(told)
+    ways = {row["way"]: row for row in measured["ways"]}
+    assert ways["ring"]["deviation"] == max(row["deviation"] for row in measured["ways"])
+    assert ways["deterministic subsets"]["moved"] == max(row["moved"] for row in measured["ways"])
+    split = [row["answer"] for row in measured["split"]]
+    assert split == sorted(split, reverse=True)  # split services answer sooner
