--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -290,8 +290,9 @@
         rows.append((role, what + (f", {unit}" if unit else ""), cell(today), cell(plan) + doubt,
                      beside(plan, None if seen is None else seen * times) if measures else "",
                      "" if budget is None else short(budget),
-                     "" if budget is None else over(plan, budget)))
-    head = ("role", "cost", "today", "plan, by the slopes", "plan, all axes at once", "budget", "part of it")
+                     "" if budget is None else over(plan if seen is None else seen * times, budget)))
+    head = ("role", "cost", "today", "plan, by the slopes", "plan, all axes at once", "budget",
+            "part of it, all axes or else the slopes")
     return table(head, rows)
 
 
