--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -177,6 +177,15 @@
     assert by_name["CPU for control: modules at rest", "services"].size == pytest.approx(370)
     assert by_name["CPU for control while a worker warms up", "workers"].size == pytest.approx(14_800)
     assert by_name["the list's file is taken", "workers"].size == pytest.approx(4 * 2**20 / 2_000_000 * 11_000)
+    each, lines = 2_000_000 / 11_000, PLAN.worker_changes_a_day / 11_000 / 86_400
+    whole = by_name["traffic: the list whole at each change", "workers"].size
+    assert each * whole * lines * whole == pytest.approx(13_000)
+    stops = by_name["p99: a stop at each change of the list", "workers"].size
+    late_s = (0.006 * stops - 1.7) / 1000 * lines * stops  # of each second, in which who comes waits longer than 1.7 ms
+    assert late_s == pytest.approx(0.01)
+    stop = 10 * truth("wait_max_ms", {name: base(name) for name in ADDITIVE} | {"settings": 3900 / 1440})
+    at = by_name["p99: a stop at each change of settings", "all settings, in step"]
+    assert at.size * stop == pytest.approx(1.7 + 0.01 * 86_400_000 / 3900)
     lines = page.order_table(found).splitlines()[2:]
     shown = [float(line.split("|")[-2].strip(" *")) for line in lines]
     assert shown == sorted(shown)
