--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -1,4 +1,4 @@
-"""`make scale`, or one part: python -m benchmarks.scale gatekeepers|workers|routes|..|micro|whole [--seconds S]
+"""`make scale`, or some parts: python -m benchmarks.scale [gatekeepers routes .. micro change whole] [--before REV]
 
 Results go to benchmarks/results/scale.json, each part in its place; exit 1 where a part failed.
 """
@@ -10,9 +10,9 @@
 import sys
 import time
 
-from benchmarks.scale import axes, results, whole
+from benchmarks.scale import axes, change, results, whole
 
-PARTS = (*axes.AXES, "micro", "whole")
+PARTS = (*axes.AXES, "micro", "change", "whole")
 
 
 def measure_axis(name: str) -> None:
@@ -22,7 +22,7 @@
     with wanted.measuring() as measure:
         for size in wanted.sizes:
             if size == wanted.sizes[-1]:
-                results.predict(kept, size)
+                results.predict(kept, size, wanted.models)
                 _keep(name, kept)
             began = time.monotonic()
             kept.rows.append(results.Row(size, measure(size)))
@@ -47,7 +47,7 @@
     return "  ".join(f"{name} {values[name]:.4g}" for name in names if name in values)
 
 
-def run(part: str, seconds: float) -> None:
+def run(part: str, seconds: float, earlier: str = "") -> None:
     """One part, kept with when it ran and what beside it."""
     began, beside = time.monotonic(), list(os.getloadavg())
     if part in axes.AXES:
@@ -55,6 +55,10 @@
     found = results.load()
     if part == "micro":
         found.micro = axes.alone({"micro": True})
+    elif part == "change":
+        found.change = change.run(earlier)
+        print("\n".join(f"  {name} {each}: {value:.4g}" for name in ("before", "after")
+                        for each, value in found.change.get(name, {}).items()))
     elif part == "whole":
         found.whole = whole.run(seconds)
         print("\n".join(f"  {name}: {value}" for name, value in found.whole["values"].items()))
@@ -67,10 +71,11 @@
     asked = argparse.ArgumentParser(prog="benchmarks.scale")
     asked.add_argument("parts", nargs="*", choices=(*PARTS, []), default=[])
     asked.add_argument("--seconds", type=float, default=whole.SECONDS, help="of the whole run; shorter ones are trials")
+    asked.add_argument("--before", default="", help="a revision whose text the part `change` measures too")
     given, began, failed = asked.parse_args(), time.monotonic(), []
     for part in given.parts or PARTS:
         try:
-            run(part, given.seconds)
+            run(part, given.seconds, given.before)
         except Exception as problem:  # the other parts still tell something; what failed is said and kept
             failed.append(part)
             print(f"{part} FAILED: {problem}", file=sys.stderr, flush=True)
--- a/benchmarks/scale/fit.py
+++ b/benchmarks/scale/fit.py
@@ -2,6 +2,7 @@
 
     linear     value = a + b * n
     quadratic  value = a + b * n + c * n * n
+    inverse    value = a + b / n
 """
 
 from __future__ import annotations
@@ -13,14 +14,16 @@
 
 from benchmarks.scale.results import Fit
 
-MODELS = {"linear": "a+b*n", "quadratic": "a+b*n+c*n^2"}
+MODELS = {"linear": "a+b*n", "quadratic": "a+b*n+c*n^2", "inverse": "a+b/n"}
 
 
 def fit(sizes: Sequence[float], values: Sequence[float], model: str = "linear") -> Fit:
     """The fit through some sizes, of the same lengths; errors are standard errors, 0 where no degree is left.
 
     `ValueError` where there are fewer sizes than coefficients."""
-    degree = {"linear": 1, "quadratic": 2}[model]
+    degree = 2 if model == "quadratic" else 1
+    if model == "inverse":
+        sizes = [1 / size for size in sizes]
     if len(set(sizes)) <= degree:
         raise ValueError(f"{len(set(sizes))} sizes, a {model} fit needs {degree + 1}")
     # Danger: with sizes as they are, the squares of thousands would drown the rest; all is fitted in parts of the most.
@@ -42,6 +45,8 @@
 
 def at(found: Fit, size: float) -> float:
     """What a fit says of a size."""
+    if found.model == MODELS["inverse"]:
+        size = 1 / size
     return found.a + found.b * size + found.c * size * size
 
 
