--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -37,6 +37,7 @@
 
 PAGE = results.ROOT / "docs/CAPACITY.md"
 NOTHING = "not measured"
+WHOLE_S = 300.0  # the run of all axes; a shorter one is a trial
 NEAR = 2.0  # plans: budgets that are crossed later are told more shortly
 _TABLE = re.compile(r"<!-- table (\w+) -->\n(.*?)<!-- end -->\n", re.DOTALL)
 _MEMBERS = tuple(f"members_{way}_bytes_s" for way in ("in", "out"))
@@ -567,7 +568,9 @@
     machine, parts = found.machine, []
     for name, part in found.parts.items():
         loads = " to ".join(short(each[0]) for each in part.get("load_beside", []))
-        parts.append(f"{name} {part.get('date', '')[:16].replace('T', ' ')}" + f" ({loads})" * bool(loads))
+        seconds = found.whole.get("values", {}).get("seconds", WHOLE_S) if name == "whole" else WHOLE_S
+        parts.append(f"{name} {part.get('date', '')[:16].replace('T', ' ')}" + f" ({loads})" * bool(loads)
+                     + f", a trial of {short(seconds)} s" * (seconds < WHOLE_S))
     rows = [] if not found.date else [(
         found.date[:16].replace("T", " "), found.revision, f"{machine.get('cores')} cores, {machine.get('cpu')}, "
         f"{machine.get('memory_gib')} GiB, CPython {machine.get('python')}", "; ".join(parts) or NOTHING)]
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -151,6 +151,14 @@
     assert "part `whole` | failed: no room for the list |" in page.missing_table(found)
 
 
+def test_a_short_run_of_all_axes_is_called_a_trial():
+    found = sample()
+    found.parts["whole"] = {"date": "2026-01-01T00:00"}
+    assert "trial" not in page.taken_table(found)
+    found.whole["values"]["seconds"] = 60.0
+    assert "a trial of 60 s" in page.taken_table(found)
+
+
 @pytest.mark.parametrize("times, said", [(1.2, False), (1.3, True), (0.8, False), (0.7, True)])
 def test_whole_run_further_off_than_a_quarter_is_said(times, said):
     found = sample()
