--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -225,11 +225,19 @@
     return size.requests_per_s / size.workers * math.exp(-each * subsets.IDLE_S[0])
 
 
+def zone_restart_ms(found: Results, size: Size) -> float | None:
+    """CPU at one gatekeeper when a zone's members die and come again at once: measured in a fleet of today's size."""
+    axis = found.axes.get("members")
+    last = axis.rows[-1].values if axis is not None and axis.rows else {}
+    return last.get("zone_change_cpu_ms") if size is TODAY else None
+
+
 # Role, what, unit, (figure, measures in the whole run, times), budget in that unit.
 COSTS: tuple[tuple[str, str, str, tuple[Figure, tuple[str, ...], float], float | None], ...] = (
     ("gatekeeper", "memory", "MB", _fits("rss_mb"), MEMORY.most / 1e6),
     ("", "CPU for control at rest: members, and as home", "ms/s", _fits("control_cpu_ms_s"), CPU.most * 1000),
     ("", "and for all changes", "ms/s", _plain(control_cpu_ms_s), CPU.most * 1000),
+    ("", "once, when a zone restarts at once", "ms", _plain(zone_restart_ms), None),
     ("", "datagrams of members and quotas", "bytes/s", _fits(*_MEMBERS, *_QUOTAS), TRAFFIC.most),
     ("", "and list and settings whole at each change", "bytes/s", _plain(traffic_bytes_s), TRAFFIC.most),
     ("", "CPU of a request", "us", _fits("request_cpu_us"), None),
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -42,6 +42,7 @@
             here = {each: base(each) for each in MEASURED} | {name: size}
             axis.rows.append(Row(size, {measure: truth(measure, here) for measure in MEASURES}))
         results.compare(axis)
+    out.axes["members"].rows[-1].values["zone_change_cpu_ms"] = 7.0
     out.axes["services"] = Axis("modules", {}, [Row(size, {
         "held_mb": size / 50, "idle_cpu_ms_s": size / 10, "request_p99_us": 100.0}) for size in (112, 225, 450)],
         {"idle_cpu_ms_s": Fit("a+b*n", 0.0, 0.1, 0.0, 0.0, 1.0, measured=45.0, predicted=45.0)})
@@ -81,6 +82,7 @@
     ("costs", lambda found: found.axes["routes"].fits.__setitem__(
         "rss_mb", Fit("a+b*n", 1.0, 0.01, 0.0, 0.0, 1.0))),
     ("costs", lambda found: found.whole["values"].__setitem__("rss_mb", 50.0)),
+    ("costs", lambda found: found.axes["members"].rows[-1].values.__setitem__("zone_change_cpu_ms", 8.0)),
     ("costs", lambda found: found.micro.__setitem__("parse_list_ms_11000", 900.0)),
     ("order", lambda found: found.micro["warming"][1].__setitem__("warming_cpu", 0.2)),
     ("later", lambda found: found.axes["tenants"].fits.__setitem__(
