--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -37,6 +37,9 @@
 
 PAGE = results.ROOT / "docs/CAPACITY.md"
 NOTHING = "not measured"
+STRAINED = " (strained)"
+STRAINS = "strained: the machine could not carry it, its times say nothing of a gatekeeper"
+TIMES = ("added_", "wait_max_ms", "in_force_s", "start_s")
 WHOLE_S = 300.0  # the run of all axes; a shorter one is a trial
 NEAR = 2.0  # plans: budgets that are crossed later are told more shortly
 _TABLE = re.compile(r"<!-- table (\w+) -->\n(.*?)<!-- end -->\n", re.DOTALL)
@@ -299,6 +302,23 @@
     return estimates.whole(found, measures) if measures else None
 
 
+def strained_at(axis: results.Axis) -> list[float]:
+    """The sizes at which the machine could not carry the load."""
+    return sorted({*axis.strained, *(row.size for row in axis.rows if results.strained(row.values))})
+
+
+def whole_strained(found: Results) -> bool:
+    return bool(found.whole.get("strained")) or results.strained(found.whole.get("values", {}))
+
+
+def strained(found: Results, measures: Sequence[str]) -> tuple[bool, bool]:
+    """Whether these are times that were taken where the machine could not carry the load: along the axes, and in the
+    run of all axes."""
+    times = any(measure.startswith(TIMES) for measure in measures)
+    axes = [axis for axis in found.axes.values() if all(measure in axis.fits for measure in measures)]
+    return times and any(map(strained_at, axes)), times and whole_strained(found)
+
+
 def costs_table(found: Results) -> str:
     """Each role's costs at both sizes, and the whole run beside."""
     rows = []
@@ -307,8 +327,9 @@
         said = estimates.estimate(found, measures, PLAN) if figure in _BY_SLOPES else None
         seen = whole(found, measures)
         doubt = f" ± {short(said.error * times)}" if said is not None and said.error else ""
-        rows.append((role, what + (f", {unit}" if unit else ""), cell(today), cell(plan) + doubt,
-                     beside(plan, None if seen is None else seen * times) if measures else "",
+        axes, all_axes = strained(found, measures)
+        rows.append((role, what + (f", {unit}" if unit else ""), cell(today), cell(plan) + doubt + STRAINED * axes,
+                     beside(plan, None if seen is None else seen * times) + STRAINED * all_axes if measures else "",
                      "" if budget is None else short(budget),
                      "" if budget is None else over(plan if seen is None else seen * times, budget)))
     head = ("role", "cost", "today", "plan, by the slopes", "plan, all axes at once", "budget",
@@ -334,6 +355,7 @@
             ("memory", ["rss_mb"], MEMORY.most / 1e6),
             ("datagrams of control", [*_MEMBERS, *_QUOTAS], TRAFFIC.most), ("added p99", ["added_p99_ms"], ADDED.most),
             ("ready after a start", ["start_s"], START_S.most)):
+        name += STRAINED * strained(found, measures)[0]
         base = estimates.value_at_base(found, measures)
         if base is not None and base > most:
             out.append((name, "nothing: the base is over it", Crossing("", 0.0, 0.0)))
@@ -348,6 +370,7 @@
             ("p99: a stop at each change of settings", "wait_max_ms", "changing_wait_max_ms", longest_stop_ms()),
             ("a change in force everywhere", "in_force_s", "in_force_s", IN_FORCE.most)):
         if (line := estimates.by_settings(found, measure, changed)) is not None and held is not None:
+            name += STRAINED * ("settings" in found.axes and bool(strained_at(found.axes["settings"])))
             out.append((name, "all settings, in step", estimates.solve(
                 "all in step", partial(_of_bytes, line, held), most, 1.0)))
     if estimates.list_change_ms(found, PLAN.workers) is not None:
@@ -406,22 +429,25 @@
 
 
 def off_table(found: Results) -> str:
-    """Predictions that were out by more than a quarter, with why, where that is known; of measures that the page does
-    not use their number."""
+    """Predictions that were out by more than a quarter, measured by predicted, with why, where that is known; of
+    measures that the page does not use their number."""
     used = {measure for _, _, _, (_, measures, _), _ in COSTS for measure in measures}
     used |= {"held_mb", "idle_cpu_ms_s", "request_p99_us", "cpu_ms_s"}
-    rows, rest = [], 0
+    said: dict[tuple[str, str], list[str]] = {}
+    rest = 0
     for name, axis in found.axes.items():
+        late = bool(strained_at(axis))
         for measure, each in estimates.first_off(axis):
             rest += measure not in used
             if measure in used:
-                ratio = f"{each.measured / each.predicted:.2f}" if each.predicted else ""
-                why = roles.EXPLAINED.get((name, measure), "not explained")
-                rows.append((name, measure, cell(each.predicted), cell(each.measured), ratio, why))
+                ratio = f"{each.measured / each.predicted:.2f}" if each.predicted > 0 else "less than nothing predicted"
+                why = roles.EXPLAINED.get((name, measure), "the machine was strained" if late else "not explained")
+                said.setdefault((name, why), []).append(f"{measure} {ratio}")
+    rows = [(name, ", ".join(measures), why) for (name, why), measures in said.items()]
     made = sum(each.measured is not None for axis in found.axes.values() for each in axis.fits.values())
     if made:
-        rows.append((f"of {made} predictions", f"{rest} more, of measures that this page does not use", "", "", "", ""))
-    return table(("axis", "measure", "predicted", "measured", "ratio", "why"), rows)
+        rows.append((f"of {made} predictions", f"{rest} more, of measures that this page does not use", ""))
+    return table(("axis", "measures, with measured by predicted", "why"), rows)
 
 
 # ---- connections, services, settings -------------------------------------------------------------
@@ -561,6 +587,9 @@
             if name not in found.axes]
     rows += [(f"axis `{name}`, the largest size", NOTHING) for name, axis in found.axes.items()
              if not any(each.measured is not None for each in axis.fits.values())]
+    rows += [(f"axis `{name}` at {', '.join(map(short, sizes))}", STRAINS)
+             for name, axis in found.axes.items() if (sizes := strained_at(axis))]
+    rows += [("the run of all axes", STRAINS)] * whole_strained(found)
     rows += [(f"`{name}` of the module alone and the models", NOTHING)
              for name in ("subsets", "warming", "apart", "files") if name not in found.micro]
     rows += [("a change of one line with all routes and keys", NOTHING)] * ("after" not in found.change)
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -153,6 +153,22 @@
     assert "part `whole` | failed: no room for the list |" in page.missing_table(found)
 
 
+def test_times_of_a_strained_machine_are_called_so():
+    found = sample()
+    assert "strained" not in page.costs_table(found) + page.missing_table(found)
+    found.axes["routes"].strained = [5800]
+    for table in (page.costs_table(found), page.missing_table(found)):
+        assert "strained" in table
+    assert "axis `routes` at 5,800 | strained" in page.missing_table(found)
+    by_slopes = [line.split("|")[2].strip() for line in page.costs_table(found).splitlines() if "strained" in line]
+    assert "added, p99, ms" in by_slopes and "memory, MB" not in by_slopes
+    assert any(name == "added p99 (strained)" for name, _, _ in page.crossings(found))
+    found.axes["routes"].strained, found.whole["strained"] = [], True
+    assert "the run of all axes | strained" in page.missing_table(found)
+    assert [line.split("|")[5] for line in page.costs_table(found).splitlines() if "| added, p99, ms" in line
+            ][0].endswith("(strained) ")
+
+
 def test_a_short_run_of_all_axes_is_called_a_trial():
     found = sample()
     found.parts["whole"] = {"date": "2026-01-01T00:00"}
@@ -173,9 +189,11 @@
     found = sample()
     assert "rss_mb" not in page.off_table(found)
     found.axes["routes"].fits["rss_mb"] = Fit("a+b*n", 1.0, 0.01, 0.0, 0.0, 1.0, predicted=100.0, measured=126.0)
-    assert "| routes | rss_mb | 100 | 126 | 1.26 | not explained |" in page.off_table(found)
+    assert "| routes | rss_mb 1.26 | not explained |" in page.off_table(found)
+    found.axes["routes"].rows[-1].values["sent_late_p99_ms"] = 100.0
+    assert "| routes | rss_mb 1.26 | the machine was strained |" in page.off_table(found)
     monkeypatch.setitem(roles.EXPLAINED, ("routes", "rss_mb"), "the index doubles")
-    assert "| 1.26 | the index doubles |" in page.off_table(found)
+    assert "| routes | rss_mb 1.26 | the index doubles |" in page.off_table(found)
 
 
 def test_costs_add_up_along_the_axes():
