--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -229,18 +229,23 @@
 
 
 def test_processes_end_with_the_one_that_began_them(tmp_path):
+    """Those that read their commands, and those that read nothing, as a real gatekeeper does."""
     text = f"""
-import sys, time
+import os, time
 from benchmarks.scale.child import Child
-made = Child.of("workers", "workers", {{"workers": 3}}, open({str(tmp_path / "log")!r}, "w"))
-made.hear(20)
-print(made.pid, flush=True)
+log = open({str(tmp_path / "log")!r}, "w")
+stay = "import time; print(1, flush=True); time.sleep(90)"
+deaf = ["-m", "benchmarks.scale.child", str(os.getpid()), ".", "-c", stay]
+made = [Child.of("workers", "workers", {{"workers": 3}}, log), Child("deaf", deaf, log)]
+for each in made:
+    each.hear(20)
+print(*[each.pid for each in made], flush=True)
 time.sleep(60)
 """
     parent = subprocess.Popen([sys.executable, "-c", text], stdout=subprocess.PIPE, text=True)
-    pid = int(parent.stdout.readline())
-    assert not gone(pid)
+    pids = [int(pid) for pid in parent.stdout.readline().split()]
+    assert len(pids) == 2 and not any(map(gone, pids))
     parent.send_signal(signal.SIGKILL)
     parent.wait()
     parent.stdout.close()
-    until(lambda: gone(pid))
+    until(lambda: all(map(gone, pids)))
