Quota: a home's second grant of one try has no units to hand back

A home's answer takes longer than the asker waits, at most 0.15 of the aim; so each try asks twice, and a home that has granted it grants it again, since the first answer may be lost. The second grant finds the try ended, and what was spent was handed back. Change: the repeated grant carries no units; who lives by it has what its request asks, who hands it back hands back nothing.

--- a/anisefront/policy/control.py
+++ b/anisefront/policy/control.py
@@ -341,13 +341,13 @@
             if item.kind in (Kind.ASK, Kind.AGAIN):
                 self.say(now, key[0], item._replace(kind=Kind.WAIT, asked_per_s=0.0))
             return
-        if store is None:
-            store = self.stores[item.tag] = Store(plan, plan.burst, now, waiting=Waiting())
+        store = self.stores[item.tag] = store or Store(plan, plan.burst, now, waiting=Waiting())
         store.waiting.let_go(store.at_ms)
         queued = key in store.waiting
         asked = item.kind in (Kind.ASK, Kind.AGAIN)
         if asked and key in store.done:
-            self.reply(now, Kind.GRANT, key, item, store)  # the first answer was lost
+            # The first was lost. Danger: or it is late, and this one, handed back, would undo what was spent.
+            self.reply(now, Kind.GRANT, key, item._replace(units=0.0), store)
         elif asked and not queued:
             store.asked += item.units
             worth = kind.worth if item.kind is Kind.ASK else 0.0
