--- /dev/null
+++ b/anisefront/core/versions.py
@@ -0,0 +1,117 @@
+"""Settings in force as immutable versions: what changed from one to the next, and the look-ups of the next one.
+
+A version is made in slices and put in force by one assignment, so that no request is judged under a mix. It shares with
+the version before all that did not change. Pure: nothing is read here, and settings are handed in.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Generator, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol, TypeVar
+
+from anisefront.core.routing import Key, Route, Router
+
+Value = TypeVar("Value")
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Of one kind of settings: what came, what is another now, what went. Of routes `METHODS host/path`; of keys the
+    customers whose they are, one for each key, since a key's text is a secret."""
+
+    added: tuple[str, ...] = ()
+    changed: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+
+    def __bool__(self) -> bool:
+        return bool(self.added or self.changed or self.removed)
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeSet:
+    """What differs between two versions. `others`: names of fields of other settings that differ."""
+
+    routes: Changed = Changed()
+    keys: Changed = Changed()
+    plans: Changed = Changed()
+    classes: Changed = Changed()
+    others: tuple[str, ...] = ()
+
+
+class Read(Protocol):
+    """What a version is made of, as a reading hands it out: settings without an error."""
+
+    config: Any  # a Config
+    digest: str
+    parts: tuple[tuple[Route, ...], ...]  # config.routes in pieces; a piece that did not change is the same object
+
+
+@dataclass(frozen=True, slots=True)
+class Version:
+    """One version of the settings. `number` counts the versions of one life, from 1."""
+
+    number: int
+    digest: str
+    config: Any
+    router: Router
+    changes: ChangeSet
+    parts: tuple[tuple[Route, ...], ...]
+
+
+def at_once(steps: Generator[None, None, Value]) -> Value:
+    """Run steps to their end, for a start and for a check: what they return."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as ended:
+            return ended.value
+
+
+def next_steps(before: Version | None, read: Read) -> Generator[None, None, Version]:
+    """The version after `before` (None: the first of a life), in steps."""
+    config = read.config
+    yield
+    settings = config.settings
+    router = Router(config.routes, {kind.name: kind.deadline_ms for kind in settings.classes}, config.customer_header,
+                    config.keys, config.default_plan, settings.max_units, config.repeat_header)
+    yield
+    changes = ChangeSet() if before is None else changes_between(before.config, config)
+    return Version(1 if before is None else before.number + 1, read.digest, config, router, changes, read.parts)
+
+
+def changes_between(before: Any, after: Any) -> ChangeSet:
+    """What differs between two settings."""
+    old, new = before.settings, after.settings
+    return ChangeSet(
+        _changed(_by_place(before.routes), _by_place(after.routes)),
+        _customers(before.keys, after.keys),
+        _changed(_by_name(old.plans), _by_name(new.plans)), _changed(_by_name(old.classes), _by_name(new.classes)),
+        (*_fields(old, new, ("classes", "plans")), *_fields(before, after, ("settings", "routes", "keys"))))
+
+
+def _by_name(values: Iterable[Any]) -> dict[str, Any]:
+    return {each.name: each for each in values}
+
+
+def _by_place(routes: Iterable[Route]) -> dict[str, Route]:
+    return {f"{' '.join(each.pattern.methods)} {each.pattern.host}{each.pattern.path}": each for each in routes}
+
+
+def _customers(before: Mapping[str, Key], after: Mapping[str, Key]) -> Changed:
+    found = _changed(before, after)
+    return Changed(tuple(after[key].customer for key in found.added),
+                   tuple(after[key].customer for key in found.changed),
+                   tuple(before[key].customer for key in found.removed))
+
+
+def _changed(before: Mapping[str, Any], after: Mapping[str, Any]) -> Changed:
+    return Changed(tuple(name for name in after if name not in before),
+                   tuple(name for name in after if name in before and before[name] != after[name]),
+                   tuple(name for name in before if name not in after))
+
+
+def _fields(before: Any, after: Any, left_out: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(each.name for each in dataclasses.fields(before) if each.name not in left_out
+                 and getattr(before, each.name) != getattr(after, each.name))
