serve: a change of settings runs in slices between turns, in force by one assignment

A SIGHUP stopped all requests while the whole file was read and checked. Of two SIGHUPs the second is one more reading behind the first; a drain drops a reading and ignores SIGHUPs; what nobody foresaw leaves the version in force. Files are looked at again after a reading: half of two changes is never taken. A folder that can't be listed refuses the change, where before it was as one without files. A named pipe holds up nothing.

The module is told of settings only where its own have changed. What became of a request that is kept is told by the class it came with: after a change from unsafe to safe, one that ran was said never to have run.

A step of the reading is still a whole load, so a slice is as long as that. test_fleet makes its gatekeeper from a version; nothing that it asserts has changed. 30 tests of reloader; each of 8 rows and 3 guards taken out is found.

--- a/anisefront/cli/main.py
+++ b/anisefront/cli/main.py
@@ -46,14 +46,22 @@
 def serve(file: str, log_level: str) -> None:
     """Run one gatekeeper by a settings FILE in the foreground.
 
-    SIGHUP reads the file again, SIGTERM drains, a second one stops at once."""
-    from anisefront.cli.config import checked, load
+    SIGHUP reads the file and what it includes again, SIGTERM drains, a second one stops at once."""
+    import os
+
+    from anisefront.core.versions import at_once
     from anisefront.daemon import process
-    config, workers = load(file), None
-    if config.embedded is not None:
+    from anisefront.daemon.source import Source
+    source, workers = Source(file, os.environ), None
+    read = [at_once(source.steps())]  # handed on below: what is named here is held for life
+    for text in read[0].texts:
+        click.echo(text, err=True)
+    if read[0].config is None:
+        sys.exit(2)
+    if read[0].config.embedded is not None:
         from anisefront.lab.workers import embedded
-        workers = embedded(config.embedded, config.settings.zone)
-    sys.exit(process.serve(config, log_level, workers, lambda: checked(file)))
+        workers = embedded(read[0].config.embedded, read[0].config.settings.zone)
+    sys.exit(process.serve(source, read, log_level, workers))
 
 
 def _ask(address: str, method: str, params: dict, timeout: float) -> dict:
--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -8,7 +8,9 @@
 import os
 import secrets
 import socket
-from collections.abc import Callable
+import traceback
+from collections import Counter
+from collections.abc import Callable, Generator
 from typing import Any
 
 import structlog
@@ -17,11 +19,10 @@
 from anisefront.carriers import proxied
 from anisefront.carriers.own import Own
 from anisefront.carriers.pool import Pool
-from anisefront.config import messages
-from anisefront.config.checker import Checked
 from anisefront.config.types import Config
 from anisefront.core.ledger import Ledger
-from anisefront.core.routing import first_gateway
+from anisefront.core.routing import Router, first_gateway
+from anisefront.core.versions import Version, next_steps
 from anisefront.daemon import memory, reload
 from anisefront.daemon.clock import Clock
 from anisefront.daemon.collector import Collector
@@ -30,6 +31,8 @@
 from anisefront.daemon.peers import PeerPort
 from anisefront.daemon.pulse import Pulse
 from anisefront.daemon.recorder import Recorder
+from anisefront.daemon.reloader import Phase, Reloader
+from anisefront.daemon.source import Source
 from anisefront.fleet import keeping, membership, roster
 from anisefront.fleet.datagrams import Seal
 from anisefront.fronts import accesslog, authorization
@@ -50,12 +53,26 @@
 SERVICES = ("envoy.service.auth.v3.Authorization", "envoy.service.accesslog.v3.AccessLogService")
 
 
+MOST_NAMED = 5  # of what a change added, changed or removed, in its line of the log
+
+
+def _few(names: tuple[str, ...]) -> list[str]:
+    """The first of some names, and how many more there are."""
+    more = len(names) - MOST_NAMED
+    return [*names[:MOST_NAMED], *([f"and {more} more"] if more > 0 else [])]
+
+
 class Gatekeeper:
-    """Made, started, drained and stopped once. `clock` gives Unix milliseconds that only move forward."""
+    """Made, started, drained and stopped once. `clock` gives Unix milliseconds that only move forward.
 
-    def __init__(self, config: Config, reactor: Any, clock: Callable[[], float] | None = None,
-                 on_fault: Callable[[Exception], None] | None = None) -> None:
-        self.config, self.reactor, self.clock = config, reactor, clock or Clock()
+    `version` is in force from the start, `source` is where others come from; without it they never change."""
+
+    def __init__(self, version: Version, reactor: Any, clock: Callable[[], float] | None = None,
+                 on_fault: Callable[[Exception], None] | None = None, source: Source | None = None) -> None:
+        # Danger: settings that were read from two places could be of two versions within one request. All that judges
+        # requests reads them from here, and here they change by one assignment.
+        self.version, self.reactor, self.clock = version, reactor, clock or Clock()
+        config = version.config
         self.log = structlog.get_logger().bind(gatekeeper=config.settings.number)
         self.life = secrets.token_hex(6)
         self.started_ms = self.clock()
@@ -76,9 +93,8 @@
         self.proxied = proxied.Proxied(self.ledger, reactor, self.life, limits)
         self.pool = Pool(reactor)
         self.own = Own(self.ledger, self.pool, self.life, settings.report_fields)
-        router = reload.router(config)
-        self.gate = authorization.Gate(router, self.proxied, self.clock, self.gateways_of)
-        self.desk = Desk(router, self.own, self.clock, self.gateways_of, self.state)
+        self.gate = authorization.Gate(self.router, self.proxied, self.clock, self.gateways_of)
+        self.desk = Desk(self.router, self.own, self.clock, self.gateways_of, self.state)
         self.health = Health(SERVICES)
         self.grpc = GrpcFactory(reactor, {
             authorization.PATH: self.gate.method(),
@@ -118,10 +134,21 @@
         self._roster_mark: tuple[int, ...] | None = None
         self._roster_loop = task.LoopingCall(self.look_at_roster)
         self._roster_loop.clock = reactor
-        self.roster_fault = self.reload_fault = ""
-        self.version, self.reloaded_ms = 1, self.started_ms  # of the settings in force
+        self.roster_fault = self.settings_fault = ""
+        self.settings_ms, self.settings_counts = self.started_ms, Counter[str]()  # in force since; what became of each
+        self._source = source
+        self.reloader = Reloader(reactor, self._change, lambda: self.ledger.waiting > 0, self.log, self._change_raised)
         self._drained: defer.Deferred[None] | None = None
 
+    @property
+    def config(self) -> Config:
+        """The settings in force."""
+        return self.version.config
+
+    def router(self) -> Router:
+        """The look-ups in force."""
+        return self.version.router
+
     def gateways_of(self, customer: str) -> tuple[int, int]:
         """The first gateway of a customer's set and how many there are; the same at every gatekeeper."""
         settings = self.config.settings
@@ -169,28 +196,63 @@
 
     # ---- settings ------------------------------------------------------------------------------
 
-    def reload(self, checked: Checked) -> bool:
-        """Take other settings, all at once between two events, or none of them: true where they are in force.
+    def reload(self) -> None:
+        """Read the settings anew, in slices, and take them all at once between two turns, or none of them."""
+        if self._source is not None:
+            self.reloader.hang_up()
 
-        What arrived before is judged to its end by the settings that it arrived under."""
-        faults = [messages.text(checked.load, each) for each in checked.problems if each.severity == 2]
-        if checked.config is not None:
-            faults = reload.fixed(self.config, checked.config)
+    def _change(self) -> Generator[None, None, None]:
+        """One change from the files to its end: in force, or refused whole."""
+        outcome = yield from self._source.steps()
+        faults = list(outcome.errors) or reload.fixed(self.config, outcome.config)
         if faults:
-            self.reload_fault = faults[0]
+            self._settings_told("refused", faults[0])
             self.log.error("settings_not_taken", faults=faults[:20], more=max(0, len(faults) - 20),
-                           version=self.version)
-            return False
-        self.config, self.reload_fault, self.version = checked.config, "", self.version + 1
-        self.reloaded_ms = self.clock()
-        self.gate.router = self.desk.router = reload.router(self.config)
-        self.ledger.most_open = self.config.most_open
-        self.proxied.limits = proxied.Limits(self.config.log_ms, self.config.ask_again_ms, park_ms=self.config.park_ms)
-        self.ledger.change(self.config.settings)
+                           version=self.version.number, digest=self.version.digest)
+        elif outcome.digest == self.version.digest:
+            self._settings_told("same", "")
+            self.log.info("settings_same", version=self.version.number, digest=self.version.digest)
+        else:
+            version = yield from next_steps(self.version, outcome)
+            self._put_in_force(version)
+
+    def _put_in_force(self, version: Version) -> None:
+        """Between two turns. A request that was taken in before ends by what it was given then:
+
+        class and plan    the module keeps its own of each request, and the ledger the order: what arrived before the
+                          change is handed to the module before it
+        deadline          is a moment, worked out when it arrived
+        pool              can't change while running
+        keeping           what became of it is told by the class that it came with
+        times of the path those that begin after the change are by the new version, since proxies are in step with none
+        """
+        before, config = self.config, version.config
+        limits = proxied.Limits(config.log_ms, config.ask_again_ms, park_ms=config.park_ms)
+        self.version = version
+        self.ledger.most_open, self.proxied.limits = config.most_open, limits
+        # The module looks at each customer that it is the home of; routes and keys are not its matter.
+        if config.settings != before.settings:
+            self.ledger.change(config.settings)
         if self.keepers is not None:
-            self.keepers.change(self.config)
-        self.log.info("settings", version=self.version, routes=len(self.config.routes), keys=len(self.config.keys))
-        return True
+            self.keepers.change(config)
+        self.settings_ms = self.clock()
+        self._settings_told("taken", "")
+        changes = version.changes
+        self.log.info("settings", version=version.number, digest=version.digest, routes=len(config.routes),
+                      keys=len(config.keys), others=changes.others, **{
+                          f"{what}_{how}": _few(getattr(getattr(changes, what), how))
+                          for what in ("routes", "keys", "plans", "classes") for how in ("added", "changed", "removed")
+                          if getattr(getattr(changes, what), how)})
+
+    def _change_raised(self, problem: Exception) -> None:
+        self._settings_told("raised", f"unforeseen, please report it: {type(problem).__name__}: {problem}"[:500])
+        # Danger: the values of a traceback's variables are settings, and among them secrets; so only its lines.
+        self.log.error("reload_raised", fault=self.settings_fault,
+                       trace="".join(traceback.format_exception(problem))[-2000:])
+
+    def _settings_told(self, what: str, fault: str) -> None:
+        self.settings_counts[what] += 1
+        self.settings_fault = fault
 
     # ---- roster --------------------------------------------------------------------------------
 
@@ -238,8 +300,11 @@
             "servers": {state.value: sum(each is state for each in ledger.servers.values())
                         for state in set(ledger.servers.values())},
             "roster_fault": self.roster_fault,
-            "settings": {"version": self.version, "since_ms": round(self.clock() - self.reloaded_ms),
-                         "fault": self.reload_fault},
+            "settings": {"version": self.version.number, "digest": self.version.digest,
+                         "since_ms": round(self.clock() - self.settings_ms), "fault": self.settings_fault,
+                         "reading": self.reloader.phase in (Phase.READING, Phase.DUE),
+                         "readings": dict(self.settings_counts), "slices": self.reloader.slices.report()["late"],
+                         "longest_slice_ms": round(self.reloader.slices.worst_ms, 2)},
             "recording": {} if self.recorder is None else {
                 "written": self.recorder.written, "dropped": self.recorder.dropped, "fault": self.recorder.fault},
             "connections": {"grpc": len(self.grpc.connections), "jsonrpc": len(self.jsonrpc.connections)},
@@ -263,6 +328,7 @@
             self._drained = defer.Deferred()
             self.gate.closing = self.desk.closing = True
             self.health.set_all(Serving.NOT_SERVING)
+            self.reloader.stop()
             self._drain_end = self.clock() + self.config.drain_ms
             self.log.info("draining", open=self.ledger.open)
             self._wait_for_end()
--- a/anisefront/daemon/keepers.py
+++ b/anisefront/daemon/keepers.py
@@ -45,7 +45,8 @@
         self.change(config)
         self.returning = Returning(clock, reactor)
         self.counts: Counter[str] = Counter()
-        self._names: dict[int, bytes] = {}  # of our bound requests in hand, by number
+        # Of our bound requests in hand, by number: the name, and what a repeat does by the settings they came under.
+        self._names: dict[int, tuple[bytes, Repeat]] = {}
         self._numbers: dict[bytes, int] = {}
         self._inherited: dict[bytes, Inherited] = {}  # proxies' requests taken over, that nobody came back for yet
         self._turned: dict[bytes, set[int]] = {}  # whom to tell what becomes of a name
@@ -99,7 +100,7 @@
         if entry.work.identity:
             name = name_of(arrival.customer, entry.work.identity, self._settings.tag_key)
         if name != NO_NAME and bound:
-            self._names[arrival.id] = name
+            self._names[arrival.id] = name, kind.repeat
             self._numbers.setdefault(name, arrival.id)
         why = "too_large" if len(record) > MOST_RECORD else ""
         now = self._clock()
@@ -130,17 +131,17 @@
     def over(self, request: int) -> None:
         """A request has ended."""
         self.origin.over(self._clock(), request)
-        name, entry = self._forget_name(request), self._ledger.entries.get(request)
+        (name, repeat), entry = self._forget_name(request), self._ledger.entries.get(request)
         if name is not None and name not in self.returning:
-            unsafe = self._kinds[entry.arrival.class_name].repeat is Repeat.UNSAFE
-            self._settled(name, Word.MAY_HAVE_RUN if unsafe and entry.attempts else Word.NEVER_RAN)
+            # Danger: by its class's new settings an unsafe request that ran would be said never to have run.
+            self._settled(name, Word.MAY_HAVE_RUN if repeat is Repeat.UNSAFE and entry.attempts else Word.NEVER_RAN)
 
-    def _forget_name(self, request: int) -> bytes | None:
-        name = self._names.pop(request, None)
+    def _forget_name(self, request: int) -> tuple[bytes, Repeat] | tuple[None, None]:
+        name, repeat = self._names.pop(request, (None, None))
         if name is not None and self._numbers.get(name) == request:
             del self._numbers[name]
-            return name
-        return None
+            return name, repeat
+        return None, None
 
     def _settled(self, name: bytes, word: Word, answer: Answer | None = None) -> None:
         """Tell those that were turned away what became of the request that stood in their way."""
--- a/anisefront/daemon/process.py
+++ b/anisefront/daemon/process.py
@@ -16,26 +16,29 @@
 from anisefront.daemon.lifecycle import Do, Lifecycle, Phase, Step
 
 if TYPE_CHECKING:  # a gatekeeper of another front must not pay for these
-    from anisefront.config.checker import Checked
-    from anisefront.config.types import Config
+    from anisefront.config.reading import Outcome
+    from anisefront.daemon.source import Source
     from anisefront.policy.interface import Fleet
 
 
 SETTLE_S = 0.002  # one wait of the loop between the work of starting and listening
 
 
-def serve(config: Config, log_level: str, workers: Callable[[Any], Fleet] | None = None,
-          again: Callable[[], Checked] | None = None) -> int:
-    """Run the gatekeeper of the settings language; the exit code. `workers` starts an embedded fleet on the reactor,
-    `again` reads and checks the settings anew when SIGHUP asks for it."""
+def serve(source: Source, read: list[Outcome], log_level: str,
+          workers: Callable[[Any], Fleet] | None = None) -> int:
+    """Run the gatekeeper of the settings language; the exit code. `read` has what `source` came to at the start, with
+    no error, and is emptied: what a caller names would be held for life, however often the settings change.
+    `workers` starts an embedded fleet on the reactor."""
+    from anisefront.core.versions import at_once, next_steps
     from anisefront.daemon.gatekeeper import Gatekeeper
+    first = [at_once(next_steps(None, read.pop()))]
 
     def before(gatekeeper: Any) -> None:
         if workers is not None:
             gatekeeper.ledger.roster(workers(gatekeeper.reactor))
 
-    return run(lambda reactor, on_fault: Gatekeeper(config, reactor, on_fault=on_fault), log_level,
-               str(config.settings.number), before, None if again is None else lambda each: each.reload(again()))
+    return run(lambda reactor, on_fault: Gatekeeper(first.pop(), reactor, on_fault=on_fault, source=source), log_level,
+               str(first[0].config.settings.number), before, lambda gatekeeper: gatekeeper.reload())
 
 
 def run(make: Callable[[Any, Callable[[Exception], None]], Any], log_level: str, name: str,
--- a/anisefront/daemon/reload.py
+++ b/anisefront/daemon/reload.py
@@ -8,7 +8,6 @@
 
 if TYPE_CHECKING:  # a gatekeeper of another front must not pay for these
     from anisefront.config.types import Config
-    from anisefront.core.routing import Router
 
 # Of Config and of Settings: what is bound to sockets, to the fleet's view of us, or to what a worker can bear.
 _FIXED = {"grpc": "listen grpc", "jsonrpc": "listen jsonrpc", "peers_listen": "listen peers", "peers": "peer",
@@ -21,14 +20,6 @@
                    "report_fields": "report"}
 
 
-def router(config: Config) -> Router:
-    """The look-ups of a settings file."""
-    from anisefront.core.routing import Router
-    settings = config.settings
-    return Router(config.routes, {kind.name: kind.deadline_ms for kind in settings.classes}, config.customer_header,
-                  config.keys, config.default_plan, settings.max_units, config.repeat_header)
-
-
 def fixed(before: Config, after: Config) -> list[str]:
     """What differs that can't change while running, each with the mend; empty where all may."""
     names = [word for name, word in _FIXED.items() if getattr(before, name) != getattr(after, name)]
--- a/anisefront/fronts/authorization.py
+++ b/anisefront/fronts/authorization.py
@@ -11,6 +11,7 @@
 
 import json
 import math
+from collections.abc import Callable
 
 from envoy.config.core.v3 import base_pb2
 from envoy.service.auth.v3 import external_auth_pb2
@@ -31,7 +32,7 @@
 class Gate:
     """What a check needs besides its message."""
 
-    def __init__(self, router: Router, proxied: Proxied, now_ms: object, gateways_of: object) -> None:
+    def __init__(self, router: Callable[[], Router], proxied: Proxied, now_ms: object, gateways_of: object) -> None:
         self.router, self.proxied, self.now_ms, self.gateways_of = router, proxied, now_ms, gateways_of
         self.closing = False  # while draining: what is new is refused, what was begun goes on
 
@@ -64,7 +65,7 @@
         try:
             if not http.method:
                 raise Unmapped(400, "no-http-request")
-            mapped = gate.router.map(http.method, http.host, http.path, headers)
+            mapped = gate.router().map(http.method, http.host, http.path, headers)
         except Unmapped as problem:
             self._call.finish(denied(problem.status, str(problem), {}))
             return
--- a/anisefront/fronts/jsonrpc.py
+++ b/anisefront/fronts/jsonrpc.py
@@ -67,7 +67,7 @@
 class Desk:
     """What calls need besides their parameters."""
 
-    def __init__(self, router: Router, own: Own, now_ms: Callable[[], float],
+    def __init__(self, router: Callable[[], Router], own: Own, now_ms: Callable[[], float],
                  gateways_of: Callable[[str], tuple[int, int]], state: Callable[[], dict[str, Any]]) -> None:
         self.router, self.own, self.now_ms, self.gateways_of, self.state = router, own, now_ms, gateways_of, state
         self.closing = False
@@ -75,7 +75,7 @@
     def ask(self, params: Any, done: Callable[[Answer], None]) -> int | None:
         """Take a request in; raises `BadParams` or `Unmapped`."""
         job, host = job_from(params)
-        mapped = self.router.map(job.method, host, job.target, job.headers)
+        mapped = self.router().map(job.method, host, job.target, job.headers)
         job = replace(job, target=mapped.target)
         if self.closing:
             done(Answer(refused=True, retry_in_ms=1000.0, reason="draining"))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -112,12 +112,15 @@
     from test_config_corpus import GOOD, found
     from twisted.internet.testing import MemoryReactorClock
 
+    from anisefront.config.reading import Outcome
+    from anisefront.core.versions import at_once, next_steps
     from anisefront.daemon.gatekeeper import Gatekeeper
     path = tmp_path / "roster.json"
     path.write_text(roster.write("c", SERVERS[:1], {}))
     reactor = MemoryReactorClock()
     text = GOOD.replace("/etc/stalls.json", str(path)).replace("0 of 2", "0 of 1").replace("peer 1", "# peer 1")
-    gatekeeper = Gatekeeper(found(text.replace("listen peers", "listen jsonrpc")).config, reactor,
+    config = found(text.replace("listen peers", "listen jsonrpc")).config
+    gatekeeper = Gatekeeper(at_once(next_steps(None, Outcome(config, (), (), "", (config.routes,)))), reactor,
                             lambda: 1e6 + reactor.seconds() * 1000)
     real = roster.parse
     monkeypatch.setattr(roster, "parse", lambda text: 1 / 0)
--- /dev/null
+++ b/tests/test_reloader.py
@@ -0,0 +1,450 @@
+"""Changes of settings beside service: every order of signals and steps, and each outcome on a simulated loop."""
+
+import gc
+import os
+import random
+import weakref
+
+import pytest
+from test_config_corpus import GOOD
+from twisted.internet.testing import MemoryReactorClock
+
+from anisefront.config import reading
+from anisefront.config.reading import Outcome
+from anisefront.core.ledger import Entry, Work
+from anisefront.core.routing import Unmapped
+from anisefront.core.versions import at_once, next_steps
+from anisefront.daemon import reloader, source
+from anisefront.daemon.gatekeeper import Gatekeeper
+from anisefront.daemon.reloader import Phase, Reloader
+from anisefront.daemon.source import TRIES, Files, Source
+from anisefront.fleet.keeping import Word
+from anisefront.policy.interface import Arrival
+
+# ---- every order, on files in memory ------------------------------------------------------------------
+
+
+class Loop(MemoryReactorClock):
+    """A loop on a simulated clock, one turn at a time: what a call plans at once comes in the next turn."""
+
+    def turn(self):
+        for each in [each for each in self.calls if each.getTime() <= self.seconds()]:
+            if each in self.calls:
+                self.calls.remove(each)
+                each.called = 1
+                each.func(*each.args, **each.kw)
+
+
+class Log:
+    def __init__(self):
+        self.lines = []
+
+    def __getattr__(self, level):
+        return lambda event, **more: self.lines.append((event, more))
+
+
+class Disk(Files):
+    """Two files that are one setting together. `history` has all that ever stood there at one moment."""
+
+    def __init__(self):
+        super().__init__()
+        self.content, self.marks, self.history = {"a": 0, "b": 0}, {"a": 0, "b": 0}, [(0, 0)]
+
+    def write(self, name, content):
+        self.content[name] = content
+        self.marks[name] += 1
+        self.history.append((self.content["a"], self.content["b"]))
+
+    def read(self, path):
+        self._marks[path] = self.marks[path]
+        return self.content[path]
+
+    def mark(self, path):
+        return self.marks[path]
+
+
+BAD = -1
+
+
+class Play:
+    """One drawn order of writes, hang-ups, turns of the loop and perhaps a stop; the first broken promise, or None."""
+
+    def __init__(self, seed):
+        self.rng, self.disk, self.reactor, self.log = random.Random(seed), Disk(), Loop(), Log()
+        self.force, self.readings = (0, 0), 0
+        play = self
+
+        class Read:
+            def __init__(self, path, environment, read, find):
+                self._read = read
+
+            def steps(self):
+                play.readings += 1
+                first = self._read("a")
+                yield
+                second = self._read("b")
+                if BAD in (first, second):
+                    raise ValueError("nobody foresaw this")
+                yield
+                return Outcome((first, second), (), (), "")
+
+        self.source = Source("", {}, Read, self.disk)
+        self.reloader = Reloader(self.reactor, self.change, lambda: False, self.log, self.raised,
+                                 iter(range(10_000)).__next__)  # one step a turn
+
+    def raised(self, problem):
+        assert isinstance(problem, ValueError)
+
+    def change(self):
+        outcome = yield from self.source.steps()
+        if outcome.config is not None:
+            self.force = outcome.config
+
+    def run(self):
+        rng, disk, content, hang_ups, stopped, told = self.rng, self.disk, 0, 0, None, 0
+        for _ in range(rng.randrange(4, 30)):
+            what = rng.choice(["write", "write", "hang up", "turn", "turn", "turn", "turn", "stop"])
+            if what == "write":
+                content += 1
+                good = rng.random() < 0.85
+                for name in rng.sample(["a", "b"], rng.choice([1, 2])):
+                    disk.write(name, content if good else BAD)
+                    if rng.random() < 0.5:
+                        self.reactor.turn()
+                told = None
+            elif what == "hang up":
+                self.reloader.hang_up()
+                hang_ups += 1
+                told = len(disk.history)
+            elif what == "turn":
+                self.reactor.turn()
+            elif rng.random() < 0.2:
+                self.reloader.stop()
+                stopped = stopped or (self.force, self.readings)
+            if self.force not in disk.history:
+                return "a mix that never stood in the files"
+            if BAD in self.force:
+                return "a bad change is in force"
+        for _ in range(200):
+            self.reactor.turn()
+        if self.force not in disk.history:
+            return "a mix that never stood in the files"
+        if stopped:
+            if (self.force, self.readings) != stopped or self.reactor.getDelayedCalls():
+                return "something after the stop"
+            return None
+        if self.readings > TRIES * hang_ups:
+            return "readings that nobody asked for"
+        if told and BAD not in (last := disk.history[-1]) and self.force != last:
+            return "the last change is not in force"
+        return "it does not rest" if self.reloader.phase is not Phase.IDLE else None
+
+
+def broken(rounds=1500):
+    for seed in range(rounds):
+        try:
+            fault = Play(seed).run()
+        except ValueError:
+            fault = "what nobody foresaw ends the loop's call"
+        if fault:
+            return fault
+    return None
+
+
+def test_no_order_of_writes_hang_ups_turns_and_stops_breaks_a_promise():
+    assert broken() is None
+
+
+@pytest.mark.parametrize("key", list(reloader.TABLE), ids=lambda key: f"{key[0].name}-{key[1].name}")
+def test_each_row_taken_out_is_found_out(key, monkeypatch):
+    monkeypatch.delitem(reloader.TABLE, key)
+    if key == (Phase.OVER, reloader.Step.HANG_UP):  # it only says why nothing is done
+        play = Play(0)
+        play.reloader.stop()
+        play.reloader.hang_up()
+        assert play.log.lines == []
+    else:
+        assert broken() is not None
+
+
+@pytest.mark.parametrize("guard", ["moved", "raised", "dropped"])
+def test_each_guard_taken_out_is_found_out(guard, monkeypatch):
+    if guard == "moved":
+        monkeypatch.setattr(Disk, "mark", lambda self, path: self._marks[path])
+    elif guard == "raised":
+        def raised(self, problem):
+            raise problem  # as without the except clause: the change never ends
+        monkeypatch.setattr(Play, "raised", raised)
+    else:
+        def take(self, step, inner=Reloader._take):
+            steps = self._steps
+            inner(self, step)
+            if step is reloader.Step.STOP and steps is not None:
+                self._steps = self._change()  # what was dropped goes on
+        monkeypatch.setattr(Reloader, "_take", take)
+    assert broken() is not None
+
+
+def test_requests_go_first_and_settings_get_their_turn_all_the_same():
+    reactor, busy, done = Loop(), [True], []
+
+    def change():
+        for number in range(3):
+            done.append(number)
+            yield
+    one = Reloader(reactor, change, lambda: busy[0], Log(), done.append, iter(range(100)).__next__)
+    one.hang_up()
+    for _ in range(reloader.PUT_OFF):
+        reactor.turn()
+    assert done == []
+    reactor.turn()
+    assert done == [0]
+    busy[0] = False
+    reactor.turn()
+    assert done == [0, 1]
+
+
+# ---- a gatekeeper on a simulated loop -----------------------------------------------------------------
+
+TEXT = GOOD.replace("0 of 2", "0 of 1").replace("peer 1", "# peer 1").replace("listen peers", "listen jsonrpc")
+
+
+class Staged:
+    """A gatekeeper with a file of settings and a folder of services that it includes; one step of settings a turn."""
+
+    def __init__(self, folder, make=reading.Reading, text=TEXT):
+        self.folder, self.reactor = folder, Loop()
+        (folder / "services").mkdir()
+        self.path = folder / "gatekeeper.conf"
+        self.path.write_text(text + 'include "services/*.conf"\n')
+        self.service("one")
+        self.files = Files()
+        self.source = Source(str(self.path), {}, make, self.files)
+        self.made = Gatekeeper(at_once(next_steps(None, at_once(self.source.steps()))), self.reactor,
+                               lambda: 1e6 + self.reactor.seconds() * 1000, source=self.source)
+        self.made.reloader._seconds = iter(range(1_000_000)).__next__
+        self.made.log = self.made.reloader._log = self.log = Log()
+
+    def service(self, name, more="class view pool stalls"):
+        new = self.folder / "new"
+        new.write_text(f"route GET /{name} {more}\n")
+        new.replace(self.folder / f"services/{name}.conf")
+
+    def takes(self, path):
+        try:
+            return self.made.gate.router().map("GET", "h", path, {"x-api-key": "k-1"}).class_name
+        except Unmapped:
+            return None
+
+    def turns(self, most=10_000):
+        for _ in range(most):
+            if self.made.reloader.phase in (Phase.IDLE, Phase.OVER):
+                return self.settings()
+            self.reactor.turn()
+        raise AssertionError("it does not rest")
+
+    def change(self):
+        self.made.reload()
+        return self.turns()
+
+    def settings(self):
+        return self.made.state()["settings"]
+
+    def said(self, event):
+        return [more for name, more in self.log.lines if name == event]
+
+
+@pytest.fixture
+def stage(tmp_path):
+    return Staged(tmp_path)
+
+
+def test_a_change_is_in_force_whole_with_its_version_and_digest(stage):
+    before = stage.settings()
+    stage.service("two")
+    after = stage.change()
+    assert stage.takes("/two") == "view" and (before["version"], after["version"]) == (1, 2)
+    assert after["digest"] == stage.made.version.digest != before["digest"] and after["fault"] == ""
+    assert stage.said("settings")[0]["routes_added"] == ["GET */two"]
+    assert stage.change() | {"slices": 0, "longest_slice_ms": 0} == after | {
+        "readings": {"taken": 1, "same": 1}, "slices": 0, "longest_slice_ms": 0}  # nothing in the files is another
+
+
+@pytest.mark.parametrize(("break_it", "said"), [
+    (lambda stage: stage.service("two", "class vieww pool stalls"), "two.conf:1:22: error"),
+    (lambda stage: stage.path.write_text(stage.path.read_text().replace("warm-up 10s", "warm-up 11s")),
+     "'pool' can't change while running"),
+    (lambda stage: stage.path.unlink(), "gatekeeper.conf"),
+    (lambda stage: stage.path.write_text(stage.path.read_text() + 'include "gone.conf"\n'), "gone.conf"),
+    (lambda stage: os.mkfifo(stage.folder / "services/pipe.conf"), "not a regular file")])
+def test_a_bad_change_is_refused_whole_and_the_next_good_one_is_taken(stage, break_it, said):
+    text = stage.path.read_text()
+    stage.service("three")
+    break_it(stage)
+    after = stage.change()
+    assert said in after["fault"] and after["version"] == 1 and stage.takes("/three") is None
+    assert said in stage.said("settings_not_taken")[0]["faults"][0]
+    stage.path.write_text(text)
+    stage.service("two")
+    (stage.folder / "services/pipe.conf").unlink(missing_ok=True)
+    after = stage.change()
+    assert after["fault"] == "" and after["version"] == 2 and stage.takes("/three") and stage.takes("/two")
+
+
+def test_the_file_of_a_service_that_is_taken_away_takes_its_routes_with_it(stage):
+    stage.service("two")
+    stage.change()
+    (stage.folder / "services/one.conf").unlink()
+    assert stage.change()["version"] == 3 and stage.takes("/one") is None and stage.takes("/two")
+
+
+def test_a_folder_that_can_not_be_listed_takes_no_routes_away(stage, monkeypatch):
+    inner = os.listdir
+    monkeypatch.setattr(source.glob, "glob", lambda pattern: [])  # as of a folder without rights
+
+    def listed(path):
+        if str(path).endswith("services"):
+            raise PermissionError(13, "Permission denied", str(path))
+        return inner(path)
+    monkeypatch.setattr(os, "listdir", listed)
+    after = stage.change()
+    assert "Permission denied" in after["fault"] and "services" in after["fault"] and stage.takes("/one")
+    monkeypatch.undo()
+    stage.service("two")
+    assert stage.change()["fault"] == "" and stage.takes("/two")
+
+
+def test_a_file_that_changes_while_it_is_read_is_read_again(stage):
+    inner, writes = stage.files.read, []
+
+    def read(path):
+        data = inner(path)
+        if path.endswith("one.conf") and not writes:
+            writes.append(stage.service("one", "class order pool stalls"))
+            stage.service("two")
+        return data
+    stage.files.read = read
+    stage.source._reading._read = read
+    stage.service("one", "class view pool stalls # touched")
+    after = stage.change()
+    assert after["version"] == 2 and stage.takes("/one") == "order" and stage.takes("/two")
+
+
+def test_files_that_are_written_all_the_time_are_told_so(stage):
+    inner = stage.files.read
+
+    def read(path):
+        data = inner(path)
+        if path.endswith("one.conf"):
+            stage.service("one", f"class view pool stalls # {os.urandom(4).hex()}")
+        return data
+    stage.files.read = stage.source._reading._read = read
+    stage.service("one", "class order pool stalls")
+    after = stage.change()
+    assert "changed while it was read" in after["fault"] and "rename" in after["fault"]
+    assert after["version"] == 1 and stage.takes("/one") == "view"
+    stage.files.read = stage.source._reading._read = inner
+    assert stage.change()["fault"] == ""
+
+
+def test_a_file_that_vanishes_between_its_finding_and_its_reading_costs_one_reading_more(stage):
+    stage.service("two")
+    inner = stage.files.find
+
+    def find(pattern):
+        found = inner(pattern)
+        (stage.folder / "services/two.conf").unlink(missing_ok=True)
+        return found
+    stage.files.find = stage.source._reading._find = find
+    stage.service("three")
+    assert stage.change()["fault"] == "" and stage.takes("/three") and stage.takes("/two") is None
+
+
+def test_hang_ups_during_a_reading_are_one_more(stage):
+    stage.service("two")
+    stage.made.reload()
+    stage.reactor.turn()
+    stage.service("two", "class order pool stalls")
+    for _ in range(5):
+        stage.made.reload()
+    after = stage.turns()
+    assert stage.takes("/two") == "order" and sum(after["readings"].values()) == 2
+
+
+def test_a_hang_up_while_it_drains_and_a_drain_while_it_reads_change_nothing(stage):
+    stage.service("two")
+    stage.made.reload()
+    stage.reactor.turn()
+    stage.made.drain()
+    assert stage.said("reading_dropped") and not stage.settings()["reading"]
+    stage.made.reload()
+    assert stage.said("hang_up_ignored")
+    stage.reactor.pump([0.01] * 100)
+    assert stage.settings()["version"] == 1 and stage.takes("/two") is None and stage.made._drained.called
+
+
+def test_what_nobody_foresaw_leaves_the_old_version_and_the_next_hang_up_works(tmp_path):
+    class Raising(reading.Reading):
+        raises = False
+
+        def steps(self):
+            yield
+            if Raising.raises:
+                raise ZeroDivisionError("by nothing")
+            return (yield from super().steps())
+    stage = Staged(tmp_path, Raising)
+    stage.service("two")
+    Raising.raises = True
+    after = stage.change()
+    assert "ZeroDivisionError: by nothing" in after["fault"] and after["version"] == 1 and stage.takes("/one")
+    assert "steps" in stage.said("reload_raised")[0]["trace"]
+    Raising.raises = False
+    after = stage.change()
+    assert after["fault"] == "" and after["version"] == 2 and stage.takes("/two")
+
+
+def test_a_version_that_is_no_longer_in_force_is_let_go_by_reference_counts(stage):
+    gc.collect()
+    gc.disable()
+    try:
+        gone = []
+        for number in range(3):
+            gone.append(weakref.ref(stage.made.version.router))
+            stage.service("two", f"class view pool stalls units {number + 1}")
+            stage.change()
+            stage.service("bad", "class vieww pool stalls")
+            stage.change()
+            (stage.folder / "services/bad.conf").unlink()
+        assert [each() for each in gone] == [None] * 3 and stage.settings()["version"] == 4
+    finally:
+        gc.enable()
+
+
+def test_the_module_hears_of_its_own_settings_only_and_before_what_arrives_after_them(stage):
+    stage.made.ledger.settle()
+    stage.service("two")
+    stage.change()
+    assert stage.made.ledger.waiting == 0  # routes are no matter of the module's
+    stage.path.write_text(stage.path.read_text().replace("rate 40/s", "rate 41/s"))
+    stage.made.reload()
+    while stage.settings()["version"] == 2:
+        stage.reactor.turn()
+    assert [type(each).__name__ for each in stage.made.ledger._requests] == ["Settings"]
+    assert stage.made.ledger.controller.settings.plans[1].rate_per_s == 40
+    stage.reactor.turn()
+    assert stage.made.ledger.controller.settings.plans[1].rate_per_s == 41
+
+
+def test_what_became_of_a_request_is_told_by_the_class_that_it_came_with(tmp_path):
+    text = GOOD.replace("repeat keyed\n    scope cell\n    window 5s", "repeat unsafe")
+    made = Staged(tmp_path, text=text + "members\nkeepers lease 1s\n")
+    keepers, ledger = made.made.keepers, made.made.ledger
+    entry = Entry(Arrival(1, "customer", "order", "stall", 2e6), None, 0.0, attempts=1, work=Work("own", "try-1", {}))
+    ledger.entries[1] = entry
+    assert keepers.taken(entry)
+    made.path.write_text(made.path.read_text().replace("repeat unsafe", "repeat safe"))
+    assert made.change()["version"] == 2
+    name = next(iter(keepers._numbers))
+    keepers._turned[name] = {1}
+    keepers.over(1)
+    assert keepers._words[name] is Word.MAY_HAVE_RUN
