Config: lines read each by themselves; what crosses files apart; a folder without rights is named

To check only what a change can touch, what a line says by itself must be apart from what lines say of each other. Parser and lexer take lines as they come; Globals and Expansion stand for definitions; LineReader for one line; Names, references, owners, neighbours and Uses for what crosses lines. The walk through includes is one, in steps, for any reader of files.

An unused definition (a note) no longer hides a line that is missing. At most 200 overlaps of one shape are said for each neighbourhood, not in all. A folder of a pattern that can't be read was taken for empty, and its routes went out of service: it is an error now. 'env [NAME]' raised, where the name was not set.

--- a/anisefront/config/checker.py
+++ b/anisefront/config/checker.py
@@ -6,14 +6,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Container, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 from anisefront.config import meaning
 from anisefront.config.lexer import Place, Problem, Severity, Word, fault
 from anisefront.config.loader import Load, substitute
-from anisefront.config.model import Entry, Model, build
+from anisefront.config.model import (
+    Entry,
+    Model,
+    Uses,
+    build,
+    check_route,
+    key,
+    pools_fault,
+    route,
+    second_pool,
+)
 from anisefront.config.parser import Directive, List
 from anisefront.config.schema import LANGUAGE, SCHEMA, VERSION, Argument, Option, Spec
 from anisefront.config.types import Config
@@ -38,74 +48,164 @@
         return max((problem.severity for problem in self.problems), default=None)
 
 
-def check(load: Load, environment: Mapping[str, str] | None = None) -> Checked:
-    """Check a load. `environment` holds the variables that `env` may name."""
+def check(load: Load, environment: Mapping[str, str] | None = None, notes: bool = True) -> Checked:
+    """Check a load. `environment` holds the variables that `env` may name. Without notes less is looked for."""
     problems = list(load.problems)
-    directives = _version(load.directives, problems)
     model, names = Model(), dict[str, dict[str, Word]]()
-    if directives is not None:
-        lines = substitute(directives, problems, environment or {})
-        checker = _Checker(problems, bool(problems))
+    if version(load.directives[0] if load.directives else None, problems):
+        lines = substitute(load.directives[1:], problems, environment or {})
+        checker = _Checker(problems)
         model, names = checker.run(lines), checker.names
     config = None
-    if not any(problem.severity is Severity.ERROR for problem in problems):
-        config = build(model, problems)
-    if config is not None:
-        problems += meaning.examine(model, config)
-        if any(problem.severity is Severity.ERROR for problem in problems):
-            config = None
-    problems = sorted(set(problems), key=lambda problem: (problem.place, -problem.severity, problem.what))
-    if len(problems) > MOST_PROBLEMS:
-        more = len(problems) - MOST_PROBLEMS
-        problems = problems[:MOST_PROBLEMS]
-        problems.append(Problem(problems[-1].place, f"{more} more problems are not shown", "mend these first"))
-    return Checked(load, model, config, problems, names)
-
-
-def _version(directives: list[Directive], problems: list[Problem]) -> list[Directive] | None:
-    """The directives after the language line; None where they are of another version."""
-    if not directives:
+    if not faulty(problems):
+        config = _meant(model, problems, notes)
+    return Checked(load, model, config, arranged(problems, notes), names)
+
+
+def faulty(problems: Iterable[Problem]) -> bool:
+    """Whether one of them is an error."""
+    return any(problem.severity is Severity.ERROR for problem in problems)
+
+
+def arranged(problems: Iterable[Problem], notes: bool = True) -> list[Problem]:
+    """Problems in the order of their places, each once, at most so many."""
+    out = sorted({problem for problem in problems if notes or problem.severity is not Severity.NOTE},
+                 key=lambda problem: (problem.place, -problem.severity, problem.what))
+    if len(out) > MOST_PROBLEMS:
+        more = len(out) - MOST_PROBLEMS
+        out = out[:MOST_PROBLEMS]
+        out.append(Problem(out[-1].place, f"{more} more problems are not shown", "mend these first"))
+    return out
+
+
+def _meant(model: Model, problems: list[Problem], notes: bool) -> Config | None:
+    """The settings that entries without a fault of their own come to; None where they contradict each other."""
+    routes = tuple(route(entry) for entry in model.of("route"))
+    keys = {entry.arguments["key"]: key(entry) for entry in model.of("key")}
+    uses = Uses.of(routes, keys.values())
+    other = second_pool(uses)
+    if other:
+        at = next(entry for entry in model.of("route") if entry.options["pool"] == other)
+        problems.append(pools_fault(at.place("pool"), uses))
+    config = build(model, uses, routes, keys, problems)
+    if config is None or other:
+        return None
+    problems += meaning.examine(model, config, uses)
+    problems += meaning.owners(model.of("key"))
+    words = [entry.word for entry in model.of("route")]
+    problems += meaning.routes(list(zip(words, routes, strict=True)), notes)
+    return None if faulty(problems) else config
+
+
+def version(first: Directive | None, problems: list[Problem]) -> bool:
+    """Whether the first line says that what follows is of the version that is read here."""
+    if first is None:
         if not problems:
             problems.append(Problem(Place(0, 1, 1), "there is nothing in it", f"begin with language {VERSION}",
                                     code="version"))
-        return None
-    first = directives[0]
+        return False
     words = [value.text for value in first.values]
     if first.name.text != "language":
         problems[:] = [each for each in problems if each.code in ("include", "encoding")]  # the rest follows from it
         problems.append(fault(first.name, "this is no version of the language that is read here",
                               f"begin with language {VERSION}; anisefront config migrate turns version 1 into it",
                               code="version"))
-        return None
+        return False
     if words != [str(VERSION)]:
         problems.append(fault(first.values[0] if first.values and isinstance(first.values[0], Word) else first.name,
                               f"language {' '.join(words)[:20]} is not known here", f"language {VERSION} is",
                               code="version"))
-        return None
-    return directives[1:]
+        return False
+    return True
 
 
-class _Checker:
-    def __init__(self, problems: list[Problem], faulty: bool) -> None:
-        self._problems, self._faulty = problems, faulty
-        self.names: dict[str, dict[str, Word]] = {name: {} for name in SCHEMA}
+@dataclass(frozen=True, slots=True)
+class Named:
+    """A line that names something, also where it is faulty: references to it are then no fault of theirs."""
+
+    directive: str
+    word: Word
+    first: Word | None  # its first value
+
+
+class Names:
+    """What is named by all lines, and what stands twice."""
+
+    def __init__(self) -> None:
+        self.of: dict[str, dict[str, Word]] = {name: {} for name in SCHEMA}
         self._stood: dict[str, Word] = {}
 
+    def add(self, named: Named) -> Problem | None:
+        """Take a line's names in; a problem where they stand already."""
+        name, spec = named.directive, SCHEMA[named.directive]
+        stood = self._stood.get(name)
+        if stood is None:
+            self._stood[name] = named.word
+        elif not spec.many:
+            return fault(named.word, f"{name!r} stands twice, first in line {stood.place.line}", "keep one",
+                         code="twice")
+        if not spec.many or named.first is None:
+            return None
+        known = self.of[name].get(named.first.text)
+        if known is None:
+            self.of[name][named.first.text] = named.first
+            return None
+        return twice(name, named.first, known) if spec.unique else None
+
+    def missing(self, stood: Container[str] = ()) -> list[Problem]:
+        """The lines that must stand and do not."""
+        return [Problem(Place(0, 1, 1), f"there is no {name!r} line", f"such as {spec.example}", code="missing")
+                for name, spec in SCHEMA.items() if spec.needed and name not in self._stood and name not in stood]
+
+
+def twice(name: str, word: Word, first: Word) -> Problem:
+    """What is said of a name that stands already."""
+    return fault(word, f"{name} {word.text!r} stands twice, first in line {first.place.line}",
+                 "give it another name, or remove one", code="twice")
+
+
+def references(entry: Entry, names: Mapping[str, Iterable[str]]) -> Iterator[Problem]:
+    """The names that an entry refers to and that are not there."""
+    for name, option in SCHEMA[entry.name].options.items():
+        value = entry.options.get(name)
+        if option.refers and value is not None and value not in names[option.refers]:
+            known = list(names[option.refers])
+            yield fault(entry.places[name], f"there is no {option.refers} {value!r}",
+                        near(value, known) or (f"known are {', '.join(known[:8])}" if known else ""),
+                        code="reference")
+
+
+class _Checker:
+    def __init__(self, problems: list[Problem]) -> None:
+        self._problems, self._names = problems, Names()
+        self.names = self._names.of
+
     def run(self, lines: list[Directive]) -> Model:
         """All entries that can be read; what is wrong goes to the problems."""
-        model = Model()
+        model, reader = Model(), LineReader(self._problems)
+        lost = any(problem.severity is not Severity.NOTE for problem in self._problems)
         for line in lines:
-            entry = self._line(line)
+            entry, named = reader.read(line)
             if entry is not None:
                 model.add(entry)
-        self._references(model)
-        for name, spec in SCHEMA.items():
-            if spec.needed and name not in self._stood and not self._faulty:
-                self._problems.append(Problem(Place(0, 1, 1), f"there is no {name!r} line", f"such as {spec.example}",
-                                              code="missing"))
+            if named is not None and (problem := self._names.add(named)) is not None:
+                self._problems.append(problem)
+        for entry in model.all():
+            self._problems += references(entry, self.names)
+        if not lost and not reader.lost:
+            self._problems += self._names.missing()
         return model
 
-    def _line(self, line: Directive) -> Entry | None:
+
+class LineReader:
+    """Reads lines, each by itself; what is wrong goes to `problems`."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        self._problems = problems
+        self.lost = False  # a line is no directive, so that what it was meant to be may be missed
+
+    def read(self, line: Directive) -> tuple[Entry | None, Named | None]:
+        """A line's entry where all of it can be read, and what it names."""
         name = line.name.text
         spec = SCHEMA.get(name)
         if spec is None:
@@ -115,45 +215,26 @@
             else:
                 self._problems.append(fault(line.name, f"{name[:60]!r} is no directive",
                                             near(name, [*SCHEMA, *LANGUAGE]), code="directive"))
-                self._faulty = True  # what it was meant to be may be missed below
-            return None
-        before = len(self._problems)
+                self.lost = True
+            return None, None
+        first = line.values[0] if line.values and isinstance(line.values[0], Word) else None
+        return None if line.broken else self._entry(line, spec), Named(name, line.name, first)
+
+    def _entry(self, line: Directive, spec: Spec) -> Entry | None:
+        name, before = line.name.text, len(self._problems)
         entry = Entry(name, line.name)
-        if line.broken:
-            self._known(line, entry, spec)
-            return None
         rest = self._arguments(line, spec, entry)
         if rest is None:
-            self._known(line, entry, spec)
             return None
         self._options(line, rest, spec, entry)
         for option, wanted in spec.options.items():
             if wanted.needed and option not in entry.options and option not in entry.unread:
                 self._problems.append(fault(line.name, f"{name}: {option!r} is missing",
                                             f"such as {option} {wanted.type.example}", code="missing"))
-        self._known(line, entry, spec)
+        if name == "route" and (problem := check_route(entry)) is not None:
+            self._problems.append(problem)
         return entry if len(self._problems) == before else None
 
-    def _known(self, line: Directive, entry: Entry, spec: Spec) -> None:
-        """Remember what the line names, also where it is faulty: references to it are then no fault of theirs."""
-        name = entry.name
-        first = self._stood.get(name)
-        if not spec.many:
-            if first is not None:
-                self._problems.append(fault(line.name, f"{name!r} stands twice, first in line {first.place.line}",
-                                            "keep one", code="twice"))
-            self._stood.setdefault(name, line.name)
-            return
-        self._stood.setdefault(name, line.name)
-        if line.values and isinstance(line.values[0], Word):
-            word = line.values[0]
-            known = self.names[name].get(word.text)
-            if known is not None and spec.unique:
-                self._problems.append(fault(word, f"{name} {word.text!r} stands twice, first in line "
-                                            f"{known.place.line}", "give it another name, or remove one",
-                                            code="twice"))
-            self.names[name].setdefault(word.text, word)
-
     def _arguments(self, line: Directive, spec: Spec, entry: Entry) -> list[Word | List] | None:
         rest = list(line.values)
         for argument in spec.arguments:
@@ -254,13 +335,3 @@
             return
         entry.options.setdefault(name.text, read)
         entry.places.setdefault(name.text, value if isinstance(value, Word) else Word(value.text, value.place))
-
-    def _references(self, model: Model) -> None:
-        for entry in model.all():
-            for name, option in SCHEMA[entry.name].options.items():
-                value = entry.options.get(name)
-                if option.refers and value is not None and value not in self.names[option.refers]:
-                    known = list(self.names[option.refers])
-                    self._problems.append(fault(entry.places[name], f"there is no {option.refers} {value!r}",
-                                                near(value, known) or (f"known are {', '.join(known[:8])}" if known
-                                                                       else ""), code="reference"))
--- a/anisefront/config/lexer.py
+++ b/anisefront/config/lexer.py
@@ -91,17 +91,24 @@
     out: list[Token] = []
     problems: list[Problem] = []
     for number, line in enumerate(text.split("\n"), 1):
-        line = line.removesuffix("\r")
-        if len(line) > MOST_LINE:
-            problems.append(Problem(Place(file, number, MOST_LINE + 1),
-                                    f"a line of {len(line)} characters, at most {MOST_LINE}", "break it up"))
-            out.append(Token("end", Word("", Place(file, number, 1))))
-            continue
-        if _line(line, number, file, out, problems):
-            out.append(Token("end", Word("", Place(file, number, len(line) + 1))))
+        take_line(line, number, file, out, problems)
     return out, problems
 
 
+def take_line(line: str, number: int, file: int, out: list[Token], problems: list[Problem]) -> bool:
+    """The tokens of one line are added; false where it is joined to the next, which must then be added to the same."""
+    line = line.removesuffix("\r")
+    if len(line) > MOST_LINE:
+        problems.append(Problem(Place(file, number, MOST_LINE + 1),
+                                f"a line of {len(line)} characters, at most {MOST_LINE}", "break it up"))
+        out.append(Token("end", Word("", Place(file, number, 1))))
+        return True
+    ended = _line(line, number, file, out, problems)
+    if ended:
+        out.append(Token("end", Word("", Place(file, number, len(line) + 1))))
+    return ended
+
+
 def _line(line: str, number: int, file: int, out: list[Token], problems: list[Problem]) -> bool:
     """The tokens of one line; false where it is joined to the next."""
     at, end, match, add = 0, len(line), _TOKEN.match, out.append
--- a/anisefront/config/loader.py
+++ b/anisefront/config/loader.py
@@ -6,15 +6,21 @@
 
 from __future__ import annotations
 
+import fnmatch
 import glob
 import os
-from collections.abc import Callable, Mapping
+import stat
+from collections.abc import Callable, Generator, Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 from anisefront.config.lexer import Place, Problem, Severity, Word, decode, fault
-from anisefront.config.parser import Directive, Document, parse
+from anisefront.config.parser import Directive, Document, List, parse
+from anisefront.config.values import near
+from anisefront.core.versions import at_once
 
 MOST_FILES, MOST_DEPTH, MOST_BYTES = 1000, 16, 64 << 20
+PIECE = 1 << 18  # bytes that are read at once
 
 
 @dataclass(slots=True)
@@ -55,6 +61,101 @@
 
 
 Read = Callable[[str], bytes]
+Find = Callable[[str], list[str]]
+
+
+class Files:
+    """Files by a function that reads one and another that finds those of a pattern."""
+
+    def __init__(self, read: Read, find: Find | None = None) -> None:
+        self._read, self._find = read, find or find_files
+
+    def read(self, path: str) -> Generator[None, None, bytes]:
+        """The bytes of a file, in steps; raises OSError."""
+        yield
+        return self._read(path)
+
+    def find(self, pattern: str) -> list[str]:
+        """The files that a pattern names; raises OSError where a folder can't be read."""
+        return self._find(pattern)
+
+    def real(self, path: str) -> str:
+        """The path without links."""
+        return os.path.realpath(path)
+
+    def is_folder(self, path: str) -> bool:
+        """Whether a path names a folder."""
+        return os.path.isdir(path)
+
+
+class Disk(Files):
+    """Files on disk, for one reading: each is read once, and it can be told afterwards whether one has changed."""
+
+    def __init__(self) -> None:
+        super().__init__(_read_file)
+        self._marks: dict[str, tuple[int, ...]] = {}  # of each file, from before its first byte was read
+        self._found: dict[str, list[str]] = {}
+        self._folders: dict[str, str] = {}
+
+    def read(self, path: str) -> Generator[None, None, bytes]:
+        """The bytes of a file, in pieces; raises OSError. One byte more than may be read shows that there are more."""
+        file = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+        try:
+            known = os.fstat(file)
+            if stat.S_ISREG(known.st_mode):
+                self._marks[path] = _mark(known)
+            data = os.read(file, PIECE)
+            if len(data) < PIECE and len(data) == known.st_size:
+                return data
+            pieces, size = [data], len(data)
+            while data and size <= MOST_BYTES:
+                yield
+                data = os.read(file, PIECE)
+                pieces.append(data)
+                size += len(data)
+            return b"".join(pieces)
+        finally:
+            os.close(file)
+
+    def find(self, pattern: str) -> list[str]:
+        """The files that a pattern names; raises OSError where a folder can't be read."""
+        found = self._found[pattern] = find_files(pattern)
+        return found
+
+    def real(self, path: str) -> str:
+        """The path without links; each folder is looked up once."""
+        folder, name = os.path.split(path)
+        try:
+            if name in ("", ".", "..") or stat.S_ISLNK(os.lstat(path).st_mode):
+                return os.path.realpath(path)
+        except OSError:
+            return os.path.realpath(path)
+        if folder not in self._folders:
+            self._folders[folder] = os.path.realpath(folder)
+        return os.path.join(self._folders[folder], name)
+
+    def changed(self) -> Generator[None, None, str]:
+        """The path of a file or the pattern of an include that is not as it was when it was read; "" for none."""
+        for number, (path, mark) in enumerate(self._marks.items()):
+            if number % 64 == 63:
+                yield
+            try:
+                if _mark(os.stat(path)) != mark:
+                    return path
+            except OSError:
+                return path
+        for pattern, found in self._found.items():
+            yield
+            try:
+                if find_files(pattern) != found:
+                    return pattern
+            except OSError:
+                return pattern
+        return ""
+
+
+def _mark(found: os.stat_result) -> tuple[int, ...]:
+    return found.st_ino, found.st_dev, found.st_size, found.st_mtime_ns, found.st_ctime_ns
 
 
 def _read_file(path: str) -> bytes:
@@ -62,11 +163,44 @@
         return file.read(MOST_BYTES + 1)
 
 
-def load(path: str, read: Read = _read_file, find: Callable[[str], list[str]] | None = None) -> Load:
+def find_files(pattern: str) -> list[str]:
+    """The paths that a pattern names, sorted, as glob has it, but that a folder that can't be read raises OSError.
+
+    Danger: taken for empty, a folder whose rights were lost would silently take all its routes out of service."""
+    if not glob.has_magic(pattern):
+        return [pattern] if os.path.lexists(pattern) else []
+    folder, base = os.path.split(pattern)
+    out = []
+    for each in find_files(folder) if glob.has_magic(folder) else [folder]:
+        try:
+            names = os.listdir(each or os.curdir)
+        except (FileNotFoundError, NotADirectoryError):
+            continue
+        if not glob.has_magic(base):
+            names = [base] if os.path.lexists(os.path.join(each, base)) else []
+        out += [os.path.join(each, name) for name in fnmatch.filter(names, base)
+                if base.startswith(".") or not name.startswith(".")]
+    return sorted(out)
+
+
+def load(path: str, read: Read = _read_file, find: Find | None = None) -> Load:
     """The load of a file. `read` and `find` (a glob) may be others, for texts that are in no file."""
-    loader = _Loader(read, find or (lambda pattern: sorted(glob.glob(pattern))))
-    loader.file(path, None, ())
-    return loader.out
+    out = Load()
+
+    def take(path: str, real: str, data: bytes, asked: Word | None) -> Generator[None, None, list[Directive]]:
+        yield
+        number = len(out.sources)
+        text, problems = decode(data, number)
+        document, more = parse(text, number)
+        out.sources.append(Source(path, text, document, None if asked is None else asked.place))
+        out.problems += problems + more
+        return document.directives
+    walk = Walk(Files(read, find), take, out.where, out.problems)
+    at_once(walk.file(path, None, ()))
+    out.directives = walk.out
+    if not out.sources:
+        out.sources.append(Source("settings", "", Document([], [])))
+    return out
 
 
 def load_text(text: str, path: str = "settings") -> Load:
@@ -75,27 +209,34 @@
     return load(path, lambda asked: own if asked == path else _read_file(asked))
 
 
-class _Loader:
-    def __init__(self, read: Read, find: Callable[[str], list[str]]) -> None:
-        self._read, self._find, self.out, self._bytes = read, find, Load(), 0
+class Walk:
+    """Goes through a file and what it includes. `take(path, real, data, asked)`, in steps, is handed each file and
+    gives what stands in it; `out` has what stands in all of them, in the order in which it counts, but the includes."""
+
+    def __init__(self, files: Files, take: Callable[..., Generator[None, None, list[Any]]],
+                 where: Callable[[Place], str], problems: list[Problem]) -> None:
+        self._files, self._take, self._where, self._problems = files, take, where, problems
+        self.out: list[Any] = []
+        self._bytes = 0
         self._seen: dict[str, Place | None] = {}
 
-    def file(self, path: str, asked: Word | None, above: tuple[str, ...]) -> None:
-        real = os.path.realpath(path)
+    def file(self, path: str, asked: Word | None, above: tuple[str, ...]) -> Generator[None, None, None]:
+        """Take a file in, which an include asked for."""
+        real = self._files.real(path)
         if real in above:
             loop = " -> ".join(os.path.basename(each) for each in (*above[above.index(real):], real))
             self._fault(asked, f"an include loop: {loop}", "remove one of these includes")
             return
         if real in self._seen:
             first = self._seen[real]
-            where = "" if first is None else f", first by {self.out.where(first)}"
+            where = "" if first is None else f", first by {self._where(first)}"
             self._fault(asked, f"{path!r} is included twice{where}", "include it once")
             return
-        if len(self.out.sources) >= MOST_FILES or len(above) >= MOST_DEPTH:
+        if len(self._seen) >= MOST_FILES or len(above) >= MOST_DEPTH:
             self._fault(asked, f"more than {MOST_FILES} files, or includes nested more than {MOST_DEPTH} deep")
             return
         try:
-            data = self._read(path)
+            data = yield from self._files.read(path)
         except OSError as problem:
             self._fault(asked, f"{path!r} can't be read: {problem.strerror or problem}",
                         "" if asked is None else "mend the path, or the file's rights")
@@ -105,173 +246,196 @@
             self._fault(asked, f"more than {MOST_BYTES >> 20} MiB of settings")
             return
         self._seen[real] = None if asked is None else asked.place
-        number = len(self.out.sources)
-        text, problems = decode(data, number)
-        document, more = parse(text, number)
-        self.out.sources.append(Source(path, text, document, None if asked is None else asked.place))
-        self.out.problems += problems + more
-        for directive in document.directives:
-            if directive.name.text == "include":
-                self._include(directive, path, (*above, real))
+        for each in (yield from self._take(path, real, data, asked)):
+            if isinstance(each, Directive) and each.name.text == "include":
+                yield from self._include(each, path, (*above, real))
             else:
-                self.out.directives.append(directive)
+                self.out.append(each)
 
-    def _include(self, directive: Directive, path: str, above: tuple[str, ...]) -> None:
+    def _include(self, directive: Directive, path: str, above: tuple[str, ...]) -> Generator[None, None, None]:
         words = [value for value in directive.values if isinstance(value, Word)]
         if len(directive.values) != 1 or not words or directive.block is not None or not words[0].text:
-            self.out.problems.append(fault(directive.name, "include: one path or pattern is due",
-                                           'such as include "routes/*.conf"', code="include"))
+            self._problems.append(fault(directive.name, "include: one path or pattern is due",
+                                        'such as include "routes/*.conf"', code="include"))
             return
         pattern = os.path.join(os.path.dirname(path), words[0].text)
-        found = self._find(pattern)
+        try:
+            found = self._files.find(pattern)
+        except OSError as problem:
+            self._fault(words[0], f"folder {str(problem.filename or pattern)!r} can't be read: "
+                        f"{problem.strerror or problem}", "mend the folder's rights")
+            return
         if not found and glob.has_magic(pattern):
-            self.out.problems.append(fault(words[0], f"no file matches {words[0].text!r}", "", Severity.WARNING,
-                                           "include"))
+            self._problems.append(fault(words[0], f"no file matches {words[0].text!r}", "", Severity.WARNING,
+                                        "include"))
             return
-        for each in found or [pattern]:
-            if not os.path.isdir(each):
-                self.file(each, words[0], above)
+        for number, each in enumerate(found or [pattern]):
+            if number % 16 == 15:
+                yield
+            if not self._files.is_folder(each):
+                yield from self.file(each, words[0], above)
 
     def _fault(self, asked: Word | None, what: str, mend: str = "") -> None:
-        if asked is None:
-            self.out.sources.append(Source("settings", "", Document([], [])))
-            self.out.problems.append(Problem(Place(0, 1, 1), what, mend, code="include"))
-        else:
-            self.out.problems.append(fault(asked, what, mend, code="include"))
-
+        self._problems.append(Problem(Place(0, 1, 1), what, mend, code="include") if asked is None else
+                              fault(asked, what, mend, code="include"))
 
-def substitute(directives: list[Directive], problems: list[Problem],
-               environment: Mapping[str, str]) -> list[Directive]:
-    """The directives with definitions put in and declared environment variables replaced. Free of I/O."""
-    return _Expansion(directives, problems, environment).run()
 
+# ---- definitions and environment ------------------------------------------------------------------------------
 
 MOST_LINES = 200_000
 
 
-class _Expansion:
-    def __init__(self, directives: list[Directive], problems: list[Problem], environment: Mapping[str, str]) -> None:
-        self._directives, self._problems = directives, problems
-        self._environment, self._values = environment, dict[str, str]()
-        self._definitions: dict[str, Directive] = {}
-        self._used: set[str] = set()
-        self._lines = 0
-        self._undeclared: set[str] = set()
-
-    def run(self) -> list[Directive]:
-        for directive in self._directives:
-            if directive.name.text == "env":
-                self._env(directive)
-            elif directive.name.text == "define":
-                self._define(directive)
-        out: list[Directive] = []
-        rest = [each for each in self._directives if each.name.text not in ("env", "define")]
-        for directive in rest:
-            self._put(directive, {}, out, ())
-        for name, definition in self._definitions.items():
-            if name not in self._used:
-                self._problems.append(fault(definition.values[0], f"definition {name!r} is not used", "",
-                                            Severity.NOTE, "unused"))
-        return out
+class Globals:
+    """What `env` and `define` lines anywhere in a load come to. Free of I/O; the environment is handed in."""
 
-    def _env(self, directive: Directive) -> None:
+    def __init__(self, lines: list[Directive], environment: Mapping[str, str]) -> None:
+        self.values: dict[str, str] = {}
+        self.definitions: dict[str, Directive] = {}
+        self.unset: set[str] = set()
+        self.problems: list[Problem] = []
+        for line in lines:
+            if line.name.text == "env":
+                self._env(line, environment)
+            else:
+                self._define(line)
+
+    def _env(self, directive: Directive, environment: Mapping[str, str]) -> None:
         words = [value.text for value in directive.values]
         if len(words) not in (1, 3) or len(words) == 3 and words[1] != "default" or directive.block is not None:
-            self._problems.append(fault(directive.name, "env: a name is due, and perhaps its default",
-                                        'such as env SECRET default "..."', code="arguments"))
+            self.problems.append(fault(directive.name, "env: a name is due, and perhaps its default",
+                                       'such as env SECRET default "..."', code="arguments"))
             return
-        value = self._environment.get(words[0], words[2] if len(words) == 3 else None)
+        value = environment.get(words[0], words[2] if len(words) == 3 else None)
         if value is None:
-            self._problems.append(fault(directive.values[0], f"environment variable {words[0]} is not set",
-                                        "set it, or give a default", code="environment"))
+            first = directive.values[0]
+            at = first if isinstance(first, Word) else Word("[", first.place)
+            self.problems.append(fault(at, f"environment variable {words[0]} is not set",
+                                       "set it, or give a default", code="environment"))
             value = ""
-            self._undeclared.add(words[0])
-        self._values[words[0]] = value
+            self.unset.add(words[0])
+        self.values[words[0]] = value
 
     def _define(self, directive: Directive) -> None:
         values = directive.values
         if not values or len(values) > 2 or not isinstance(values[0], Word) or directive.block is None \
                 or len(values) == 2 and isinstance(values[1], Word):
-            self._problems.append(fault(directive.name, "define: a name, [parameters] and a block are due",
-                                        "such as define view [path] { ... }", code="arguments"))
+            self.problems.append(fault(directive.name, "define: a name, [parameters] and a block are due",
+                                       "such as define view [path] { ... }", code="arguments"))
             return
         name = values[0].text
-        if name in self._definitions:
-            self._problems.append(fault(values[0], f"definition {name!r} stands twice", "", code="twice"))
+        if name in self.definitions:
+            self.problems.append(fault(values[0], f"definition {name!r} stands twice", "", code="twice"))
             return
-        self._definitions[name] = directive
-
-    def _put(self, directive: Directive, given: dict[str, str], out: list[Directive], above: tuple[str, ...]) -> None:
-        self._lines += 1
-        if self._lines == MOST_LINES:
-            self._problems.append(fault(directive.name, f"definitions come to more than {MOST_LINES} lines", "",
-                                        code="definition"))
-        if self._lines >= MOST_LINES:
+        self.definitions[name] = directive
+
+
+class Expansion:
+    """Puts definitions and values into lines. What it looked up is told, so that it can be known whether other
+    definitions and values would have given something else."""
+
+    def __init__(self, known: Globals) -> None:
+        self._known = known
+        self.problems: list[Problem] = []
+        self.undeclared: dict[str, Problem] = {}  # the first of each name; the others follow from it
+        self.used: dict[str, Directive | None] = {}
+        self.looked_up: dict[str, str | None] = {}
+        self.lines = 0
+
+    def put(self, directive: Directive, out: list[Directive], given: Mapping[str, str] | None = None,
+            above: tuple[str, ...] = ()) -> None:
+        """Add what a line comes to."""
+        self.lines += 1
+        if self.lines == MOST_LINES:
+            self.problems.append(fault(directive.name, f"definitions come to more than {MOST_LINES} lines", "",
+                                       code="definition"))
+        if self.lines >= MOST_LINES:
             return
         if directive.name.text != "use":
-            out.append(self._replaced(directive, given))
+            out.append(self._replaced(directive, given or {}))
             return
-        self._use(directive, given, out, above)
+        self._use(directive, given or {}, out, above)
 
-    def _use(self, directive: Directive, given: dict[str, str], out: list[Directive], above: tuple[str, ...]) -> None:
+    def _use(self, directive: Directive, given: Mapping[str, str], out: list[Directive],
+             above: tuple[str, ...]) -> None:
         values = directive.values
         if not values or len(values) > 2 or not isinstance(values[0], Word) or directive.block is not None:
-            self._problems.append(fault(directive.name, "use: a definition's name and [values] are due",
-                                        "such as use view [/stock]", code="arguments"))
+            self.problems.append(fault(directive.name, "use: a definition's name and [values] are due",
+                                       "such as use view [/stock]", code="arguments"))
             return
         name = values[0].text
-        definition = self._definitions.get(name)
+        definition = self.used[name] = self._known.definitions.get(name)
         if definition is None:
-            from anisefront.config.values import near
-            self._problems.append(fault(values[0], f"there is no definition {name!r}",
-                                        near(name, list(self._definitions)), code="reference"))
+            self.problems.append(fault(values[0], f"there is no definition {name!r}",
+                                       near(name, list(self._known.definitions)), code="reference"))
             return
-        self._used.add(name)
         if name in above:
-            self._problems.append(fault(values[0], f"definition {name!r} uses itself", "", code="definition"))
+            self.problems.append(fault(values[0], f"definition {name!r} uses itself", "", code="definition"))
             return
         parameters = [word.text for word in definition.values[1].words] if len(definition.values) == 2 else []
         words = [values[1]] if len(values) == 2 and isinstance(values[1], Word) else \
             list(values[1].words) if len(values) == 2 else []
         if len(words) != len(parameters):
-            self._problems.append(fault(values[0], f"{name} takes {len(parameters)} values, not {len(words)}",
-                                        f"[{' '.join(parameters)}]", code="arguments"))
+            self.problems.append(fault(values[0], f"{name} takes {len(parameters)} values, not {len(words)}",
+                                       f"[{' '.join(parameters)}]", code="arguments"))
             return
         inner = dict(zip(parameters, (self._text(word, given).text for word in words), strict=True))
         for each in definition.block:
-            self._put(each, inner, out, (*above, name))
+            self.put(each, out, inner, (*above, name))
 
-    def _replaced(self, directive: Directive, given: dict[str, str]) -> Directive:
-        if not given and not self._values and not _has_reference(directive):
+    def _replaced(self, directive: Directive, given: Mapping[str, str]) -> Directive:
+        if not _has_reference(directive):
             return directive
-        from anisefront.config.parser import List
         values = [self._text(value, given) if isinstance(value, Word) else
                   List([self._text(word, given) for word in value.words], value.place) for value in directive.values]
         block = None if directive.block is None else [self._replaced(each, given) for each in directive.block]
-        return Directive(directive.name, values, block, directive.above, directive.beside, directive.below)
+        return Directive(directive.name, values, block, directive.above, directive.beside, directive.below,
+                         directive.closing, directive.broken)
 
-    def _text(self, word: Word, given: dict[str, str]) -> Word:
+    def _text(self, word: Word, given: Mapping[str, str]) -> Word:
         if "${" not in word.text:
             return word
         out, rest = "", word.text
         while "${" in rest:
             before, _, rest = rest.partition("${")
             name, closed, rest = rest.partition("}")
-            value = given.get(name, self._values.get(name))
+            value = given.get(name)
+            if value is None:
+                value = self.looked_up[name] = self._known.values.get(name)
             if not closed or value is None:
                 what = f"${{{name}}} is not declared" if closed else "a ${ that is not closed"
-                if name not in self._undeclared:
-                    self._problems.append(fault(word, what, f"write env {name}, or a parameter of the definition"
-                                                if closed else "end it with }", code="reference"))
-                    self._undeclared.add(name)
+                if name not in self._known.unset:
+                    self.undeclared.setdefault(name, fault(
+                        word, what, f"write env {name}, or a parameter of the definition" if closed
+                        else "end it with }", code="reference"))
                 value = ""
             out += before + value
         return Word(out + rest, word.place, True)
 
 
+def substitute(directives: list[Directive], problems: list[Problem],
+               environment: Mapping[str, str]) -> list[Directive]:
+    """The directives with definitions put in and declared environment variables replaced. Free of I/O."""
+    known = Globals([each for each in directives if each.name.text in ("env", "define")], environment)
+    expansion, out = Expansion(known), list[Directive]()
+    for directive in directives:
+        if directive.name.text not in ("env", "define"):
+            expansion.put(directive, out)
+    problems += [*known.problems, *expansion.problems, *expansion.undeclared.values()]
+    problems += [fault(definition.values[0], f"definition {name!r} is not used", "", Severity.NOTE, "unused")
+                 for name, definition in known.definitions.items() if name not in expansion.used]
+    return out
+
+
 def _has_reference(directive: Directive) -> bool:
     for value in directive.values:
-        words = [value] if isinstance(value, Word) else value.words
-        if any("${" in word.text for word in words):
+        if isinstance(value, Word):
+            if "${" in value.text:
+                return True
+        else:
+            for word in value.words:
+                if "${" in word.text:
+                    return True
+    for each in directive.block or ():
+        if _has_reference(each):
             return True
-    return any(_has_reference(each) for each in directive.block or ())
+    return False
--- a/anisefront/config/meaning.py
+++ b/anisefront/config/meaning.py
@@ -3,22 +3,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Generator, Iterable, Iterator
 
 from anisefront.config.lexer import Problem, Severity, Word, fault
-from anisefront.config.model import Entry, Model
+from anisefront.config.model import Entry, Model, Uses
 from anisefront.config.types import Config
-from anisefront.core.patterns import OTHER, OTHER_METHOD, common, covers, rank, segments, shape
+from anisefront.core.patterns import OTHER, OTHER_METHOD, Pattern, common, covers, rank, segments, shape
 from anisefront.core.routing import Route, RouteIndex
 
 MOST_STEPS = 20_000  # of one pattern's walk through the others; a file that needs more is told less
-MOST_OVERLAPS = 200  # pairs that are reported; a table of thousands is no help to anybody
+MOST_OVERLAPS = 200  # pairs that are reported of one neighbourhood, and notes in all; thousands are no help to anybody
+PAIRS = 50  # that are compared in one step
 
 
-def examine(model: Model, config: Config) -> list[Problem]:
-    """All findings."""
-    return [*_quotas(model, config), *_classes(model), *_fleet(model, config), *_unused(model),
-            *routes([(entry.word, route) for entry, route in zip(model.of("route"), config.routes, strict=True)])]
+def examine(model: Model, config: Config, uses: Uses) -> Iterator[Problem]:
+    """What is found of all lines but routes and keys, of which it takes no more than how often they use a name."""
+    yield from _quotas(model, uses)
+    yield from _classes(model)
+    yield from _fleet(model, config)
+    yield from _unused(model, uses)
 
 
 def _found(word: Word, what: str, mend: str = "", severity: Severity = Severity.WARNING,
@@ -26,9 +29,8 @@
     return fault(word, what, mend, severity, code)
 
 
-def _quotas(model: Model, config: Config) -> Iterator[Problem]:
-    most = max((route.units for route in config.routes), default=1.0)
-    open_ended = any(route.units_header for route in config.routes)
+def _quotas(model: Model, uses: Uses) -> Iterator[Problem]:
+    most, open_ended = max(uses.units, default=1.0), bool(uses.headers)
     for name, entry in model.named("quota").items():
         rate, ceiling, out = entry.get("rate", 0.0), entry.get("ceiling", 0.0), entry.get("max-out", 0)
         burst, ceiling_burst = entry.get("burst", rate), entry.get("ceiling-burst", ceiling)
@@ -49,10 +51,14 @@
         if rate and out:
             yield _found(entry.place("max-out"), f"quota {name!r}: with max-out its rate counts at the home alone", "",
                          Severity.NOTE)
-    owners: dict[str, Entry] = {}
-    for entry in model.of("key"):
+
+
+def owners(entries: Iterable[Entry]) -> Iterator[Problem]:
+    """Customers on two plans, of the keys that are given, in the order of their lines."""
+    known: dict[str, Entry] = {}
+    for entry in entries:
         customer = entry.options["customer"]
-        first = owners.setdefault(customer, entry)
+        first = known.setdefault(customer, entry)
         if first.options["plan"] != entry.options["plan"]:
             yield _found(entry.place("plan"), f"customer {customer!r} is on two plans, first in line "
                          f"{first.word.place.line}", "keys of one customer count against one quota", Severity.ERROR)
@@ -107,13 +113,11 @@
             yield _found(entry.place("address"), "two fronts on one port", "give each its own", Severity.ERROR)
 
 
-def _unused(model: Model) -> Iterator[Problem]:
-    reached = {entry.options["class"] for entry in model.of("route")}
-    pools = {entry.options["pool"] for entry in model.of("route")}
-    plans = {entry.options["plan"] for entry in model.of("key")} | {model.one("customers").get("plan")}
+def _unused(model: Model, uses: Uses) -> Iterator[Problem]:
+    plans = {*uses.plans, model.one("customers").get("plan")}
     quotas = {entry.options["quota"] for entry in model.of("plan")}
-    for what, known, used, by in (("class", model.named("class"), reached, "no route leads to it"),
-                                  ("pool", model.named("pool"), pools, "no route reaches it"),
+    for what, known, used, by in (("class", model.named("class"), uses.classes, "no route leads to it"),
+                                  ("pool", model.named("pool"), uses.pools, "no route reaches it"),
                                   ("plan", model.named("plan"), plans, "no customer is on it"),
                                   ("quota", model.named("quota"), quotas, "no plan has it")):
         for name, entry in known.items():
@@ -124,17 +128,47 @@
 # ---- routes ---------------------------------------------------------------------------------------------------
 
 
-def routes(lines: list[tuple[Word, Route]]) -> Iterator[Problem]:
-    """Routes that never match, pairs that overlap with different outcomes, and near twins."""
+Lines = list[tuple[Word, Route]]  # where routes stand, and what they are, in their order
+
+
+def neighbourhood(pattern: Pattern) -> str:
+    """All routes that can contradict each other or be taken for one another have the same: host and shape, whatever
+    the case and a final slash."""
+    path = "/".join(":" if segment.startswith(":") else segment for segment in pattern.path.split("/"))
+    return f"{pattern.host} {path.lower().rstrip('/')}"
+
+
+def routes(lines: Lines, notes: bool = True) -> Iterator[Problem]:
+    """What is found of all routes: errors and warnings by neighbourhoods; and notes, for which each is held against
+    all others."""
+    grouped: dict[str, Lines] = {}
+    for line in lines:
+        grouped.setdefault(neighbourhood(line[1].pattern), []).append(line)
+    dead: set[int] = set()
+    for each in grouped.values():
+        yield from (found for found in neighbours(each, dead) if found is not None)
+    if notes:
+        yield from _crossings([line for line in lines if id(line) not in dead])
+        yield from _slips(lines)
+
+
+def neighbours(lines: Lines, never: set[int]) -> Iterator[Problem | None]:
+    """What is found of the routes of one neighbourhood: those that never match, whose ids go to `never`; pairs that
+    overlap with different outcomes; near twins. None stands for a step's work without a finding."""
+    if len(lines) == 1:
+        return
     groups: dict[tuple, list[int]] = {}
     for number, (_, route) in enumerate(lines):
+        if number % PAIRS == PAIRS - 1:
+            yield None
         groups.setdefault((route.pattern.host, shape(route.pattern.path)), []).append(number)
     dead: set[int] = set()
     for numbers in groups.values():
         for number in numbers:
-            covering = _covering(lines, numbers, number)
+            covering = yield from _covering(lines, numbers, number)
             if covering is not None:
                 dead.add(number)
+                never.add(id(lines[number]))
                 word, route = lines[number]
                 by = lines[covering]
                 same = "" if by[1].outcome == route.outcome else ", with another outcome"
@@ -142,13 +176,14 @@
                              "remove it, or put it first", Severity.ERROR if same else Severity.WARNING, "unreachable")
     yield from _overlaps(lines, groups, dead)
     yield from _twins(lines)
-    yield from _slips(lines)
 
 
-def _covering(lines: list[tuple[Word, Route]], numbers: list[int], number: int) -> int | None:
+def _covering(lines: Lines, numbers: list[int], number: int) -> Generator[None, None, int | None]:
     """The route that takes all of another's requests, or that takes what is left of them for each method."""
     pattern, left, last = lines[number][1].pattern, set(lines[number][1].pattern.methods), None
-    for other in numbers:
+    for at, other in enumerate(numbers):
+        if at % PAIRS == PAIRS - 1:
+            yield
         if other == number:
             continue
         higher = lines[other][1].pattern
@@ -162,13 +197,15 @@
     return last if not left else None
 
 
-def _overlaps(lines: list[tuple[Word, Route]], groups: dict[tuple, list[int]], dead: set[int]) -> Iterator[Problem]:
-    """Pairs with requests in common and different outcomes. Those of one shape are decided by conditions or by
-    line order, which is easily overlooked: a warning. The rest are decided by being more particular: a note."""
+def _overlaps(lines: Lines, groups: dict[tuple, list[int]], dead: set[int]) -> Iterator[Problem | None]:
+    """Pairs of one shape with requests in common and different outcomes, decided by conditions or by line order, which
+    is easily overlooked."""
     told = 0
     for numbers in groups.values():
         for at, first in enumerate(numbers):
-            for second in numbers[at + 1:]:
+            for count, second in enumerate(numbers[at + 1:], 1):
+                if count % PAIRS == 0:
+                    yield None
                 if told >= MOST_OVERLAPS or first in dead or second in dead:
                     continue
                 a, b = lines[first][1], lines[second][1]
@@ -180,12 +217,16 @@
                     yield _found(lines[second][0], f"overlaps line {lines[first][0].place.line} with another outcome: "
                                  f"{shared[0]} goes there, by order of lines",
                                  "make the conditions exclude each other", Severity.WARNING, "overlap")
+
+
+def _crossings(lines: Lines) -> Iterator[Problem]:
+    """Pairs of several shapes with requests in common and different outcomes: being more particular decides."""
     notes = 0
     for first, second in dict.fromkeys(_crossing(lines)):
         if notes >= MOST_OVERLAPS:
             return
         a, b = lines[first][1], lines[second][1]
-        if first in dead or second in dead or a.outcome == b.outcome:
+        if a.outcome == b.outcome:
             continue
         shared = common(a.pattern, b.pattern)
         if shared:
@@ -208,7 +249,7 @@
         self.here: list[int] = []
 
 
-def _crossing(lines: list[tuple[Word, Route]]) -> Iterator[tuple[int, int]]:
+def _crossing(lines: Lines) -> Iterator[tuple[int, int]]:
     """Pairs of which each is somewhere wider than the other, by walking every pattern through a trie of all.
 
     Where one is a special case of the other nobody is surprised, so such branches are not followed."""
@@ -273,7 +314,7 @@
         stack += [*branch.literals.values(), *([branch.parameter] if branch.parameter is not None else [])]
 
 
-def _slips(lines: list[tuple[Word, Route]]) -> Iterator[Problem]:
+def _slips(lines: Lines) -> Iterator[Problem]:
     """Routes of which a raw form goes by another, wider route with another outcome, though many workers take it for
     the same: with a final slash, in other letters, with a parameter behind a semicolon. All other raw forms are
     brought to one or refused."""
@@ -296,10 +337,12 @@
                 break
 
 
-def _twins(lines: list[tuple[Word, Route]]) -> Iterator[Problem]:
+def _twins(lines: Lines) -> Iterator[Problem | None]:
     """Routes that differ in case or in a final slash alone: to a request they are two."""
     seen: dict[tuple, int] = {}
     for number, (word, route) in enumerate(lines):
+        if number % PAIRS == PAIRS - 1:
+            yield None
         pattern = route.pattern
         key = (pattern.host, pattern.methods, pattern.when, pattern.path.lower().rstrip("/") or "/")
         first = seen.setdefault(key, number)
--- a/anisefront/config/parser.py
+++ b/anisefront/config/parser.py
@@ -59,13 +59,16 @@
 def parse(text: str, file: int = 0) -> tuple[Document, list[Problem]]:
     """The tree of a text, as far as it can be read, and all that is wrong with its form."""
     stream, problems = tokens(text, file)
-    parser = _Parser(stream, problems)
-    return parser.run(), problems
+    parser = Parser(problems)
+    parser.feed(stream)
+    return parser.finish(), problems
 
 
-class _Parser:
-    def __init__(self, stream: list[Token], problems: list[Problem]) -> None:
-        self._stream, self._problems = stream, problems
+class Parser:
+    """Takes tokens as they come, whole logical lines at a time; what is wrong goes to `problems`."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        self._problems = problems
         self._top: list[Directive] = []
         self._open: list[Directive] = []  # blocks that are open, the innermost last
         self._current: Directive | None = None
@@ -77,8 +80,17 @@
         self._closed = False  # that directive was just closed
         self._empty = True
 
-    def run(self) -> Document:
-        for kind, word in self._stream:
+    def complete(self) -> list[Directive]:
+        """The directives that are complete so far, which are forgotten here. Danger: mending a fault looks back at
+        them; so this is only for as long as there is no problem."""
+        if self._open or self._current is not None:
+            return []
+        out, self._top = self._top, []
+        return out
+
+    def feed(self, stream: list[Token]) -> None:
+        """Take tokens."""
+        for kind, word in stream:
             if self._skip:
                 self._skip += (kind == "{") - (kind == "}")
                 continue
@@ -103,6 +115,9 @@
                 self._finish()
             else:
                 self._wrong(word, f"{word.text!r} can't stand here", "commas and ] belong into [ ]")
+
+    def finish(self) -> Document:
+        """The tree, or what is left of it after `complete`."""
         if self._list is not None:
             self._close_list()
         for directive in self._open[:1]:  # one message for the outermost; the inner ones follow from it
--- a/anisefront/config/types.py
+++ b/anisefront/config/types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from anisefront.core.routing import Key, Route
@@ -41,7 +42,7 @@
 
     settings: Settings
     routes: tuple[Route, ...]
-    keys: dict[str, Key]
+    keys: Mapping[str, Key]
     customer_header: str
     default_plan: str = ""
     repeat_header: str = ""
