Core: tables of routes and keys that share what did not change, versions made of them in steps

Ties at one place are broken by the part that a route stands in and its number there, so that nothing is renumbered; parts that stand elsewhere are taken out and put in, as few as can be.

--- a/anisefront/core/versions.py
+++ b/anisefront/core/versions.py
@@ -1,6 +1,6 @@
 """Settings in force as immutable versions: what changed from one to the next, and the look-ups of the next one.
 
-A version is made in slices and put in force by one assignment, so that no request is judged under a mix. It shares with
+A version is made in steps and put in force by one assignment, so that no request is judged under a mix. It shares with
 the version before all that did not change. Pure: nothing is read here, and settings are handed in.
 """
 
@@ -12,14 +12,16 @@
 from typing import Any, Protocol, TypeVar
 
 from anisefront.core.routing import Key, Route, Router
+from anisefront.core.tables import KeyTable, Part, RouteTable, parts_changed
 
 Value = TypeVar("Value")
+ENTRIES = 100  # routes or keys that are compared in one step
 
 
 @dataclass(frozen=True, slots=True)
 class Changed:
-    """Of one kind of settings: what came, what is another now, what went. Of routes `METHODS host/path`; of keys the
-    customers whose they are, one for each key, since a key's text is a secret."""
+    """Of one kind of settings: what came, what is another now, what went. Of routes `METHODS host/path conditions`; of
+    keys the customers whose they are, one for each key, since a key's text is a secret."""
 
     added: tuple[str, ...] = ()
     changed: tuple[str, ...] = ()
@@ -70,40 +72,63 @@
 
 
 def next_steps(before: Version | None, read: Read) -> Generator[None, None, Version]:
-    """The version after `before` (None: the first of a life), in steps."""
-    config = read.config
+    """The version after `before` (None: the first of a life), in steps.
+
+    What a reading came to between the two is of no matter: the two are held against each other by their parts."""
+    config, settings = read.config, read.config.settings
+    removed, added = parts_changed(() if before is None else before.parts, read.parts)
+    ranks = {id(part): number for number, part in enumerate(read.parts)}
     yield
-    settings = config.settings
+    table = yield from (RouteTable() if before is None else before.router.table).edited(removed, added, ranks)
     router = Router(config.routes, {kind.name: kind.deadline_ms for kind in settings.classes}, config.customer_header,
-                    config.keys, config.default_plan, settings.max_units, config.repeat_header)
+                    config.keys, config.default_plan, settings.max_units, config.repeat_header, table=table)
     yield
-    changes = ChangeSet() if before is None else changes_between(before.config, config)
+    changes = ChangeSet()
+    if before is not None:
+        old, new = before.config.settings, settings
+        changes = ChangeSet((yield from _routes(removed, added)),
+                            (yield from _keys(before.config.keys, config.keys)),
+                            _changed(_by_name(old.plans), _by_name(new.plans)),
+                            _changed(_by_name(old.classes), _by_name(new.classes)),
+                            (*_fields(old, new, ("classes", "plans")),
+                             *_fields(before.config, config, ("settings", "routes", "keys"))))
     return Version(1 if before is None else before.number + 1, read.digest, config, router, changes, read.parts)
 
 
-def changes_between(before: Any, after: Any) -> ChangeSet:
-    """What differs between two settings."""
-    old, new = before.settings, after.settings
-    return ChangeSet(
-        _changed(_by_place(before.routes), _by_place(after.routes)),
-        _customers(before.keys, after.keys),
-        _changed(_by_name(old.plans), _by_name(new.plans)), _changed(_by_name(old.classes), _by_name(new.classes)),
-        (*_fields(old, new, ("classes", "plans")), *_fields(before, after, ("settings", "routes", "keys"))))
+def _routes(removed: Iterable[Part], added: Iterable[Part]) -> Generator[None, None, Changed]:
+    old = yield from _by_place(removed)
+    new = yield from _by_place(added)
+    return _changed(old, new)
 
 
-def _by_name(values: Iterable[Any]) -> dict[str, Any]:
-    return {each.name: each for each in values}
+def _by_place(parts: Iterable[Part]) -> Generator[None, None, dict[str, Route]]:
+    out: dict[str, Route] = {}
+    for part in parts:
+        for number, route in enumerate(part):
+            if number % ENTRIES == ENTRIES - 1:
+                yield
+            pattern = route.pattern
+            when = "".join(f" {name}={value}" for name, value in pattern.when)
+            out[f"{' '.join(pattern.methods)} {pattern.host}{pattern.path}{when}"] = route
+    return out
 
 
-def _by_place(routes: Iterable[Route]) -> dict[str, Route]:
-    return {f"{' '.join(each.pattern.methods)} {each.pattern.host}{each.pattern.path}": each for each in routes}
+def _keys(before: Mapping[str, Key], after: Mapping[str, Key]) -> Generator[None, None, Changed]:
+    if isinstance(before, KeyTable) and isinstance(after, KeyTable):
+        texts: Iterable[str] = before.differing(after)
+    else:
+        texts = (text for text in {**before, **after} if before.get(text) != after.get(text))
+    added, changed, removed = [], [], []
+    for number, text in enumerate(texts):
+        if number % ENTRIES == ENTRIES - 1:
+            yield
+        old, new = before.get(text), after.get(text)
+        (added if old is None else removed if new is None else changed).append((new or old).customer)
+    return Changed(tuple(sorted(added)), tuple(sorted(changed)), tuple(sorted(removed)))
 
 
-def _customers(before: Mapping[str, Key], after: Mapping[str, Key]) -> Changed:
-    found = _changed(before, after)
-    return Changed(tuple(after[key].customer for key in found.added),
-                   tuple(after[key].customer for key in found.changed),
-                   tuple(before[key].customer for key in found.removed))
+def _by_name(values: Iterable[Any]) -> dict[str, Any]:
+    return {each.name: each for each in values}
 
 
 def _changed(before: Mapping[str, Any], after: Mapping[str, Any]) -> Changed:
