--- a/anisefront/config/loader.py
+++ b/anisefront/config/loader.py
@@ -10,7 +10,7 @@
 import glob
 import os
 import stat
-from collections.abc import Callable, Generator, Mapping
+from collections.abc import Callable, Generator, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -87,6 +87,11 @@
         """Whether a path names a folder."""
         return os.path.isdir(path)
 
+    def changed(self) -> Generator[None, None, str]:
+        """What is not as it was when it was read, in steps; "" for nothing."""
+        yield
+        return ""
+
 
 class Disk(Files):
     """Files on disk, for one reading: each is read once, and it can be told afterwards whether one has changed."""
@@ -288,24 +293,28 @@
 class Globals:
     """What `env` and `define` lines anywhere in a load come to. Free of I/O; the environment is handed in."""
 
-    def __init__(self, lines: list[Directive], environment: Mapping[str, str]) -> None:
+    def __init__(self, environment: Mapping[str, str]) -> None:
+        self._environment = environment
         self.values: dict[str, str] = {}
         self.definitions: dict[str, Directive] = {}
         self.unset: set[str] = set()
         self.problems: list[Problem] = []
+
+    def add(self, lines: Iterable[Directive]) -> None:
+        """Take lines in, in the order in which they count."""
         for line in lines:
             if line.name.text == "env":
-                self._env(line, environment)
+                self._env(line)
             else:
                 self._define(line)
 
-    def _env(self, directive: Directive, environment: Mapping[str, str]) -> None:
+    def _env(self, directive: Directive) -> None:
         words = [value.text for value in directive.values]
         if len(words) not in (1, 3) or len(words) == 3 and words[1] != "default" or directive.block is not None:
             self.problems.append(fault(directive.name, "env: a name is due, and perhaps its default",
                                        'such as env SECRET default "..."', code="arguments"))
             return
-        value = environment.get(words[0], words[2] if len(words) == 3 else None)
+        value = self._environment.get(words[0], words[2] if len(words) == 3 else None)
         if value is None:
             first = directive.values[0]
             at = first if isinstance(first, Word) else Word("[", first.place)
@@ -341,9 +350,9 @@
         self.looked_up: dict[str, str | None] = {}
         self.lines = 0
 
-    def put(self, directive: Directive, out: list[Directive], given: Mapping[str, str] | None = None,
-            above: tuple[str, ...] = ()) -> None:
-        """Add what a line comes to."""
+    def put(self, directive: Directive, given: Mapping[str, str] | None = None,
+            above: tuple[str, ...] = ()) -> Iterator[Directive | None]:
+        """What a line comes to, one by one; None stands for work without a line."""
         self.lines += 1
         if self.lines == MOST_LINES:
             self.problems.append(fault(directive.name, f"definitions come to more than {MOST_LINES} lines", "",
@@ -351,12 +360,13 @@
         if self.lines >= MOST_LINES:
             return
         if directive.name.text != "use":
-            out.append(self._replaced(directive, given or {}))
-            return
-        self._use(directive, given or {}, out, above)
+            yield self._replaced(directive, given or {})
+        else:
+            yield from self._use(directive, given or {}, above)
 
-    def _use(self, directive: Directive, given: Mapping[str, str], out: list[Directive],
-             above: tuple[str, ...]) -> None:
+    def _use(self, directive: Directive, given: Mapping[str, str],
+             above: tuple[str, ...]) -> Iterator[Directive | None]:
+        yield None
         values = directive.values
         if not values or len(values) > 2 or not isinstance(values[0], Word) or directive.block is not None:
             self.problems.append(fault(directive.name, "use: a definition's name and [values] are due",
@@ -380,7 +390,7 @@
             return
         inner = dict(zip(parameters, (self._text(word, given).text for word in words), strict=True))
         for each in definition.block:
-            self.put(each, out, inner, (*above, name))
+            yield from self.put(each, inner, (*above, name))
 
     def _replaced(self, directive: Directive, given: Mapping[str, str]) -> Directive:
         if not _has_reference(directive):
@@ -415,11 +425,12 @@
 def substitute(directives: list[Directive], problems: list[Problem],
                environment: Mapping[str, str]) -> list[Directive]:
     """The directives with definitions put in and declared environment variables replaced. Free of I/O."""
-    known = Globals([each for each in directives if each.name.text in ("env", "define")], environment)
+    known = Globals(environment)
+    known.add(each for each in directives if each.name.text in ("env", "define"))
     expansion, out = Expansion(known), list[Directive]()
     for directive in directives:
         if directive.name.text not in ("env", "define"):
-            expansion.put(directive, out)
+            out += (each for each in expansion.put(directive) if each is not None)
     problems += [*known.problems, *expansion.problems, *expansion.undeclared.values()]
     problems += [fault(definition.values[0], f"definition {name!r} is not used", "", Severity.NOTE, "unused")
                  for name, definition in known.definitions.items() if name not in expansion.used]
--- a/anisefront/config/model.py
+++ b/anisefront/config/model.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from sys import intern  # thousands of routes and keys say the same few names
 from typing import Any
 
 from anisefront.config.lexer import Place, Problem, Severity, Word, fault
@@ -14,6 +15,7 @@
 from anisefront.core.routing import Key, Route
 from anisefront.policy.interface import Plan, Repeat, RequestClass, Scope, Settings
 
+_METHODS = {(method,): (method,) for method in ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD", "OPTIONS", "*")}
 TICK_MS = 5.0  # the grain of the module's turns here; its guards leave twice this
 
 
@@ -244,15 +246,15 @@
 
 def key(entry: Entry) -> Key:
     """What a key's entry stands for."""
-    return Key(entry.options["customer"], entry.options["plan"])
+    return Key(entry.options["customer"], intern(entry.options["plan"]))
 
 
 def route(entry: Entry) -> Route:
     """A route's entry as the program knows it."""
     when = tuple(sorted(tuple(condition.split("=", 1)) for condition in entry.get("when", ())))
-    methods = tuple(dict.fromkeys(entry.arguments["method"]))
-    pattern = Pattern(methods, entry.arguments["path"], entry.get("host", "*"), when)
-    return Route(pattern, entry.options["class"], entry.options["pool"], entry.get("units", 1.0),
+    methods = tuple(dict.fromkeys(map(intern, entry.arguments["method"])))
+    pattern = Pattern(_METHODS.get(methods, methods), entry.arguments["path"], intern(entry.get("host", "*")), when)
+    return Route(pattern, intern(entry.options["class"]), intern(entry.options["pool"]), entry.get("units", 1.0),
                  entry.get("units-header", ""))
 
 
