Config: a reading costs what changed, in steps

Files are read anew each time; those whose bytes are as before are not lexed, parsed, expanded or checked again. A record holds routes and keys as the program needs them, with their places, and all other lines as entries. Keys that stand twice, customers on two plans, uses of names and routes that are neighbours are kept across files; a part more or less costs itself. Where a message needs the place of a word, the file is read for it again from the bytes at hand. The plain way, loader.load and checker.check, stays as what this is held against.

--- a/anisefront/config/loader.py
+++ b/anisefront/config/loader.py
@@ -21,6 +21,7 @@
 
 MOST_FILES, MOST_DEPTH, MOST_BYTES = 1000, 16, 64 << 20
 PIECE = 1 << 18  # bytes that are read at once
+FILES = 8  # that are read in one step
 
 
 @dataclass(slots=True)
@@ -101,6 +102,7 @@
         self._marks: dict[str, tuple[int, ...]] = {}  # of each file, from before its first byte was read
         self._found: dict[str, list[str]] = {}
         self._folders: dict[str, str] = {}
+        self._last = "", 0  # each path is asked of twice in a row
 
     def read(self, path: str) -> Generator[None, None, bytes]:
         """The bytes of a file, in pieces; raises OSError. One byte more than may be read shows that there are more."""
@@ -129,15 +131,27 @@
 
     def real(self, path: str) -> str:
         """The path without links; each folder is looked up once."""
-        folder, name = os.path.split(path)
-        try:
-            if name in ("", ".", "..") or stat.S_ISLNK(os.lstat(path).st_mode):
-                return os.path.realpath(path)
-        except OSError:
+        folder, _, name = path.rpartition("/")
+        mode = self._mode(path)
+        if not folder or name in ("", ".", "..") or not mode or stat.S_ISLNK(mode):
             return os.path.realpath(path)
         if folder not in self._folders:
             self._folders[folder] = os.path.realpath(folder)
-        return os.path.join(self._folders[folder], name)
+        return f"{self._folders[folder]}/{name}"
+
+    def is_folder(self, path: str) -> bool:
+        """Whether a path names a folder."""
+        mode = self._mode(path)
+        return os.path.isdir(path) if stat.S_ISLNK(mode) else stat.S_ISDIR(mode)
+
+    def _mode(self, path: str) -> int:
+        """What a path itself is, 0 where there is nothing."""
+        if path != self._last[0]:
+            try:
+                self._last = path, os.lstat(path).st_mode
+            except OSError:
+                self._last = path, 0
+        return self._last[1]
 
     def changed(self) -> Generator[None, None, str]:
         """The path of a file or the pattern of an include that is not as it was when it was read; "" for none."""
@@ -183,7 +197,8 @@
             continue
         if not glob.has_magic(base):
             names = [base] if os.path.lexists(os.path.join(each, base)) else []
-        out += [os.path.join(each, name) for name in fnmatch.filter(names, base)
+        before = os.path.join(each, "")
+        out += [before + name for name in fnmatch.filter(names, base)
                 if base.startswith(".") or not name.startswith(".")]
     return sorted(out)
 
@@ -275,7 +290,7 @@
                                         "include"))
             return
         for number, each in enumerate(found or [pattern]):
-            if number % 16 == 15:
+            if number % FILES == 0:
                 yield
             if not self._files.is_folder(each):
                 yield from self.file(each, words[0], above)
--- a/anisefront/config/reading.py
+++ b/anisefront/config/reading.py
@@ -1,18 +1,33 @@
-"""The file of settings and what it includes, read again and again: in steps, each of little work.
+"""The file of settings and what it includes, read again and again: a reading costs what changed, in steps.
 
-A gatekeeper keeps one reading for its life. It opens files by the loader's ways alone, and puts nothing in force.
+A gatekeeper keeps one Reading for its life. All files are read anew each time, since a time stamp proves nothing; those
+whose bytes are as before are not lexed, parsed, expanded or checked again (record.py), and what lines of several files
+have to do with each other is looked at where a change can touch it (across.py). What comes out is what
+`checker.check(loader.load(path), environment, notes=False)` gives. It puts nothing in force.
 """
 
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable, Generator, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Generator, Iterator, Mapping
+from dataclasses import dataclass, replace
+from itertools import chain
 
-from anisefront.config import checker, loader, messages
-from anisefront.config.lexer import Problem, Severity
+from anisefront.config import checker, meaning, messages, model
+from anisefront.config.across import Across
+from anisefront.config.checker import Names, references
+from anisefront.config.lexer import Place, Problem, Severity, Word, fault
+from anisefront.config.loader import MOST_LINES, Disk, Files, Find, Globals, Load, Read, Source, Walk
+from anisefront.config.model import Entry, Model
+from anisefront.config.parser import Directive, Document
+from anisefront.config.record import Part, Record, entries, lines_of, record
 from anisefront.config.types import Config
 from anisefront.core.routing import Route
+from anisefront.core.tables import parts_changed
+
+MOST_TRIES = 3  # of one reading, while files change under it
+PARTS = 64  # that are gone through in one step
+PIECE = 1 << 18  # bytes that are hashed at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,28 +47,333 @@
         return self.texts[:count]
 
 
+@dataclass(slots=True)
+class _File:
+    """A file of one reading."""
+
+    path: str
+    number: int  # by which places name it, for as long as its path is known
+    data: bytes
+    record: Record
+    asked_by: Place | None
+
+
 class Reading:
     """`environment` holds what `env` may name. `read` and `find` (a glob) may be others, for texts in no file."""
 
-    def __init__(self, path: str, environment: Mapping[str, str] | None = None,
-                 read: Callable[[str], bytes] | None = None,
-                 find: Callable[[str], list[str]] | None = None) -> None:
+    def __init__(self, path: str, environment: Mapping[str, str] | None = None, read: Read | None = None,
+                 find: Find | None = None) -> None:
         self.path, self._environment = path, environment or {}
-        self._read, self._find = read or loader._read_file, find
+        self._files: Callable[[], Files] = Disk if read is None else lambda: Files(read, find)
+        self._running: Generator[None, None, Outcome] | None = None
+        self._last, self._numbers = 0, dict[str, int]()  # of paths, from 1; none is given again
+        self._records: dict[str, Record] = {}  # by path: of the files of the last reading, and of the last good one
+        self._good: dict[str, Record] = {}
+        self._known: Globals | None = None
+        self._across, self._order, self._half_done = Across(), list[Part](), False
 
     def steps(self) -> Generator[None, None, Outcome]:
-        """Read all files anew; the outcome is what the generator returns."""
-        whole = hashlib.blake2b(digest_size=16)
-
-        def read(path: str) -> bytes:
-            data = self._read(path)
-            whole.update(hashlib.blake2b(data, digest_size=16).digest())
-            return data
-        load = loader.load(self.path, read, self._find)
+        """Read all files anew; the outcome is what the generator returns. A reading before it that was not run to its
+        end is given up."""
+        if self._running is not None:
+            self._running.close()
+        self._running = self._steps()
+        return self._running
+
+    def _steps(self) -> Generator[None, None, Outcome]:
+        for _ in range(MOST_TRIES):
+            turn, files = _Turn(self), self._files()
+            yield from turn.read(files)
+            changed = yield from files.changed()
+            if not changed:
+                break
+        else:
+            what = f"{changed!r} changed while it was read, {MOST_TRIES} times"
+            problem = Problem(Place(0, 1, 1), what, "let writing come to its end, then ask again", code="include")
+            text = messages.text(Load([Source(self.path, "", Document([], []))]), problem)
+            return Outcome(None, (problem,), (text,), "")
+        yield from turn.put_in()
+        yield from self._take(turn.order)
+        return (yield from turn.outcome())
+
+    def _take(self, order: list[Part]) -> Generator[None, None, None]:
+        """Bring what is kept across files to the parts of this reading."""
+        if self._half_done:
+            self._across, self._order = Across(), []
+        self._half_done = True
+        removed, added = parts_changed(self._order, order)
+        yield
+        yield from self._across.take(removed, added)
+        self._order, self._half_done = order, False
+
+
+class _Turn:
+    """One reading: its files with their bytes, which are gone when it is over."""
+
+    def __init__(self, reading: Reading) -> None:
+        self._reading, self._across = reading, reading._across
+        self.files: list[_File] = []
+        self._by_number: dict[int, _File] = {}
+        self._running: dict[int, int] = {0: 0}  # numbers of files in this reading
+        self._problems: list[Problem] = []  # places name files by their numbers until the end
+        self._digest = hashlib.blake2b(digest_size=16)
+        self._entries: dict[int, list[tuple[list[Entry], list[Entry]]]] = {}
+        self._lost = False
+        self.order: list[Part] = []
+        # What was known of definitions and values before is the best guess until all files are read.
+        self._gathered = Globals(reading._environment)
+        self._guess = reading._known or self._gathered
+
+    # ---- files -----------------------------------------------------------------------------------------------
+
+    def read(self, files: Files) -> Generator[None, None, None]:
+        """Read all files, and make the records of those that are not as before."""
+        walk = Walk(files, self._take, self._where, self._problems)
+        yield from walk.file(self._reading.path, None, ())
+        self.order = walk.out
+
+    def _where(self, place: Place) -> str:
+        file = self._by_number.get(place.file)
+        return f"{file.path if file else '?'}:{place.line}:{place.column}"
+
+    def _take(self, path: str, real: str, data: bytes,
+              asked: Word | None) -> Generator[None, None, tuple[Part | Directive, ...]]:
+        numbers, records = self._reading._numbers, self._reading._records
+        if path not in numbers:
+            self._reading._last += 1
+            numbers[path] = self._reading._last
+        number = numbers[path]
+        whole = hashlib.blake2b(data[:PIECE], digest_size=16)
+        for at in range(PIECE, len(data), PIECE):
+            yield
+            whole.update(data[at:at + PIECE])
+        digest, place = whole.digest(), None if asked is None else asked.place
+        known = records.get(path)
+        if known is None or known.digest != digest:
+            known = yield from record(data, digest, number, self._guess)
+            records[path] = known
+        file = _File(path, number, data, known, place)
+        at = (0, 0, 0) if place is None else (self._running[place.file] + 1, place.line, place.column)
+        self._digest.update(b"%d %d %d " % at + digest)
+        self._running[number] = len(self.files)
+        self.files.append(file)
+        self._by_number[number] = file
+        for item in known.items:
+            if isinstance(item, Part):
+                self._gathered.add(item.globals)
+        return known.items
+
+    def put_in(self) -> Generator[None, None, None]:
+        """Make those records anew that went by other definitions or values than there are."""
+        known = Globals(self._reading._environment)
+        for number, part in enumerate(self.order):
+            if number % PARTS == PARTS - 1:
+                yield
+            known.add(part.globals)
+        self._known, instead = known, dict[int, Part]()
+        yield
+        for number, file in enumerate(self.files):
+            if number % PARTS == PARTS - 1:
+                yield
+            if not file.record.holds(known):
+                again = yield from record(file.data, file.record.digest, file.number, known)
+                instead.update((id(old), new) for old, new in zip(file.record.items, again.items, strict=True)
+                               if isinstance(old, Part))
+                file.record = self._reading._records[file.path] = again
+        if instead:
+            self.order = [instead.get(id(part), part) for part in self.order]
+        self._reading._known = known
+
+    # ---- what is wrong ----------------------------------------------------------------------------------------
+
+    def outcome(self) -> Generator[None, None, Outcome]:
+        """What the files come to."""
+        self._across, config = self._reading._across, None
+        parts = tuple(part.routes for part in self.order if part.routes)
+        for file in self.files:
+            self._problems += file.record.problems
+        if checker.version(next((part.first for part in self.order), None), self._problems):
+            names = yield from self._form()
+            yield
+            if not checker.faulty(self._problems):
+                config = yield from self._meaning(names, parts)
+        self._keep(config is not None)
+        problems, texts = yield from self._told()
+        return Outcome(config, problems, texts, self._digest.hexdigest(), () if config is None else parts)
+
+    def _keep(self, good: bool) -> None:
+        """Forget the records of files that are neither in this reading nor in the last good one: a fault in the first
+        file, which hides all others for a while, must not have them all read again."""
+        reading, now = self._reading, {file.path: file.record for file in self.files}
+        if good:
+            reading._good = now
+        reading._records = {**reading._good, **now}
+        if len(reading._numbers) > len(reading._records):
+            reading._numbers = {path: number for path, number in reading._numbers.items() if path in reading._records}
+
+    def _form(self) -> Generator[None, None, Names]:
+        """Faults of lines by themselves, of definitions, of names."""
+        names, problems, undeclared, lines = Names(), self._problems, set[str](), 0
+        problems += self._known.problems
+        for number, part in enumerate(self.order):
+            if number % PARTS == PARTS - 1:
+                yield
+            problems += part.expansion
+            for name, problem in part.undeclared:
+                if name not in undeclared:
+                    undeclared.add(name)
+                    problems.append(problem)
+            if lines < MOST_LINES <= lines + part.lines and not part.expansion:
+                problems.append(fault(part.first.name, f"lines come to more than {MOST_LINES}", "",
+                                      code="definition"))
+            lines += part.lines
+        self._lost = bool(problems)
+        for number, part in enumerate(self.order):
+            if number % PARTS == PARTS - 1:
+                yield
+            problems += part.problems
+            problems += part.languages[1:] if number == 0 else part.languages
+            self._lost = self._lost or part.lost
+            for count, named in enumerate(part.named, 1):
+                if count % PARTS == 0:
+                    yield
+                if (problem := names.add(named)) is not None:
+                    problems.append(problem)
+        yield from self._doubled()
+        yield from self._references(names)
+        if not self._lost:
+            stood = {"route": self._across.uses.classes, "key": self._across.keys}
+            problems += names.missing({name for name, there in stood.items() if there})
+        return names
+
+    def _doubled(self) -> Generator[None, None, None]:
+        """Keys that stand twice."""
+        texts = {*self._across.doubled, *(word.text for part in self.order for _, word in part.faulty_keys)}
+        first: dict[str, Word] = {}
+        for part in self.order if texts else ():
+            found = [(at - 0.5, word) for at, word in part.faulty_keys]
+            for at, text in enumerate(part.texts):
+                if at % PARTS == PARTS - 1:
+                    yield
+                if text in texts:
+                    _, keys = yield from self._of(part)
+                    found.append((at, keys[at].places["key"]))
+            for _, word in sorted(found, key=lambda each: each[0]):
+                known = first.setdefault(word.text, word)
+                if known is not word:
+                    self._problems.append(checker.twice("key", word, known))
+
+    def _references(self, names: Names) -> Generator[None, None, None]:
+        """Names that are not there."""
+        uses = self._across.uses
+        for number, part in enumerate(self.order):
+            if number % PARTS == PARTS - 1:
+                yield
+            for entry in part.entries:
+                self._problems += references(entry, names.of)
+        plans, classes, pools = ({name for name in used if name not in names.of[kind]} for kind, used in
+                                 (("plan", uses.plans), ("class", uses.classes), ("pool", uses.pools)))
+        for part in self.order if plans or classes or pools else ():
+            yield
+            hit = any(key.plan in plans for key in part.keys) or \
+                any(route.class_name in classes or route.pool in pools for route in part.routes)
+            for count, entry in enumerate(chain(*(yield from self._of(part)) if hit else ()), 1):
+                if count % PARTS == 0:
+                    yield
+                self._problems += references(entry, names.of)
+
+    def _of(self, part: Part) -> Generator[None, None, tuple[list[Entry], list[Entry]]]:
+        """The entries of a part's routes and of its keys, with the places of their words: its file is read again."""
+        if part.file not in self._entries:
+            self._entries[part.file] = yield from entries(self._by_number[part.file].data, part.file, self._known)
+        return self._entries[part.file][part.number]
+
+    def _meaning(self, names: Names, parts: tuple[tuple[Route, ...], ...]) -> Generator[None, None, Config | None]:
+        """The settings, where lines are right by themselves; None where they contradict each other."""
+        across, problems, rest = self._across, self._problems, Model()
+        for part in self.order:
+            for entry in part.entries:
+                rest.add(entry)
+        yield
+        other = model.second_pool(across.uses)
+        if other:
+            part, at = next((part, at) for part in self.order for at, route in enumerate(part.routes)
+                            if route.pool == other)
+            routes, _ = yield from self._of(part)
+            problems.append(model.pools_fault(routes[at].place("pool"), across.uses))
+        config = model.build(rest, across.uses, tuple(chain.from_iterable(parts)), across.keys.table(), problems)
         yield
-        checked = checker.check(load, self._environment)
+        if config is None or other:
+            return None
+        problems += meaning.examine(rest, config, across.uses)
+        yield
+        if across.split:
+            yield from self._split()
+        yield from across.look({part: number for number, part in enumerate(self.order)})
+        problems += chain.from_iterable(across.found.values())
+        return None if checker.faulty(problems) else config
+
+    def _split(self) -> Generator[None, None, None]:
+        """Customers on two plans."""
+        found: list[Entry] = []
+        for part in self.order:
+            yield
+            at = [number for number, key in enumerate(part.keys) if key.customer in self._across.split]
+            if at:
+                _, keys = yield from self._of(part)
+                found += (keys[number] for number in at)
+        self._problems += meaning.owners(found)
+
+    # ---- what is told -----------------------------------------------------------------------------------------
+
+    def _told(self) -> Generator[None, None, tuple[tuple[Problem, ...], tuple[str, ...]]]:
+        """The problems with files by their numbers in this reading, and their texts."""
+        def now(place: Place) -> Place:
+            return Place(self._running[place.file], place.line, place.column)
+        problems = checker.arranged((replace(each, place=now(each.place)) for each in self._problems), notes=False)
+        if not problems:
+            return (), ()
         yield
-        problems = tuple(each for each in checked.problems if each.severity is not Severity.NOTE)
-        first = sorted(problems, key=lambda problem: -problem.severity)
-        return Outcome(checked.config, problems, tuple(messages.text(load, each) for each in first), whole.hexdigest(),
-                       () if checked.config is None else (checked.config.routes,))
+        load = _Shown([Source(file.path, "", Document([], []), None if file.asked_by is None else now(file.asked_by))
+                       for file in self.files] or [Source("settings", "", Document([], []))])
+        yield from load.look_up(problems, self.files)
+        texts = []
+        for problem in sorted(problems, key=lambda each: -each.severity):
+            yield
+            texts.append(messages.text(load, problem))
+        return tuple(problems), tuple(texts)
+
+
+class _Shown(Load):
+    """A load that knows those of its lines that are shown."""
+
+    __slots__ = ("_lines",)
+
+    def line(self, place: Place) -> str:
+        """The text of a line."""
+        return self._lines.get(place[:2], "")
+
+    def look_up(self, problems: list[Problem], files: list[_File]) -> Generator[None, None, None]:
+        """Find the lines of problems."""
+        self._lines: dict[tuple[int, int], str] = {}
+        wanted: dict[int, set[int]] = {}
+        for problem in problems:
+            wanted.setdefault(problem.place.file, set()).add(problem.place.line)
+        for file, lines in wanted.items():
+            last = max(lines)
+            for number, line in enumerate(_shown_lines(files[file].data) if files else (), 1):
+                if number % PARTS == 0:
+                    yield
+                if number in lines:
+                    self._lines[file, number] = line.removesuffix("\r")
+                if number >= last:
+                    break
+
+
+def _shown_lines(data: bytes) -> Iterator[str]:
+    if data.startswith((b"\xff\xfe", b"\xfe\xff")):
+        return
+    try:
+        yield from lines_of(data)
+    except UnicodeDecodeError:
+        yield from data.removeprefix(b"\xef\xbb\xbf").decode("utf-8", "replace").split("\n")
--- /dev/null
+++ b/anisefront/config/record.py
@@ -0,0 +1,260 @@
+"""What one file of settings came to, kept so that it need not be read again while its bytes are the same: routes and
+keys as the program needs them, with their places, and all other lines as entries. No text, no tokens, no tree. Free of
+I/O; made in steps.
+"""
+
+from __future__ import annotations
+
+from array import array
+from collections.abc import Generator, Iterable, Iterator, Mapping
+
+from anisefront.config.checker import LineReader, Named
+from anisefront.config.lexer import Place, Problem, Severity, Token, Word, decode, take_line
+from anisefront.config.loader import Expansion, Globals
+from anisefront.config.model import Entry, key, route
+from anisefront.config.parser import Directive, Parser
+from anisefront.core.routing import Key, Route
+
+LINES = 8  # of a file that are read in one step; one line may be long, and one directive may go over many
+PIECE = 1 << 15  # bytes that are decoded at once, and those to the end of their line
+
+
+class Part:
+    """What stands in a file between two includes, as it counts. Never changed once it is made.
+
+    `route_places` and `key_places` hold file, line and column of each, three numbers in a row."""
+
+    __slots__ = ("entries", "expansion", "faulty_keys", "file", "first", "globals", "key_places", "keys", "languages",
+                 "lines", "lost", "named", "number", "problems", "route_places", "routes", "texts", "undeclared")
+
+    def __init__(self, file: int, number: int) -> None:
+        self.file, self.number = file, number
+        self.first: Directive | None = None  # the first line; of its values none unless it is `language`
+        self.globals: tuple[Directive, ...] = ()  # `env` and `define` lines
+        self.languages: tuple[Problem, ...] = ()  # what each `language` line is, unless it is the first of all
+        self.routes: tuple[Route, ...] = ()
+        self.route_places = array("I")
+        self.texts: tuple[str, ...] = ()  # of keys
+        self.keys: tuple[Key, ...] = ()
+        self.key_places = array("I")
+        self.entries: tuple[Entry, ...] = ()  # of all other lines
+        self.named: tuple[Named, ...] = ()  # what they name, and lines with a fault of their own, but keys
+        self.faulty_keys: tuple[tuple[int, Word], ...] = ()  # how many keys stand before it, and its text
+        self.problems: tuple[Problem, ...] = ()  # of lines by themselves
+        self.expansion: tuple[Problem, ...] = ()
+        self.undeclared: tuple[tuple[str, Problem], ...] = ()  # values that are not there, the first of each
+        self.lines = 0  # that were read or put in
+        self.lost = False  # a line is no directive
+
+    def route_word(self, at: int) -> Word:
+        """The first word of a route's line."""
+        return Word("route", Place(*self.route_places[3 * at:3 * at + 3]))
+
+    def key_word(self, at: int) -> Word:
+        """The first word of a key's line."""
+        return Word("key", Place(*self.key_places[3 * at:3 * at + 3]))
+
+
+class Record:
+    """One file: its digest, parts and includes in their order, faults of its form, and what it looked up elsewhere."""
+
+    __slots__ = ("digest", "items", "looked_up", "names", "problems", "used")
+
+    def __init__(self, digest: bytes, items: tuple[Part | Directive, ...], problems: tuple[Problem, ...],
+                 expansion: Expansion, known: Globals) -> None:
+        self.digest, self.items, self.problems = digest, items, problems
+        self.used = expansion.used
+        self.looked_up = {name: (value, name in known.unset) for name, value in expansion.looked_up.items()}
+        # A definition that is not there is told by the names that are near.
+        self.names = tuple(known.definitions) if None in expansion.used.values() else None
+
+    def holds(self, known: Globals) -> bool:
+        """Whether the file comes to the same under these definitions and values."""
+        return (all(known.definitions.get(name) is definition for name, definition in self.used.items())
+                and all((known.values.get(name), name in known.unset) == found
+                        for name, found in self.looked_up.items())
+                and (self.names is None or self.names == tuple(known.definitions)))
+
+
+def record(data: bytes, digest: bytes, file: int, known: Globals) -> Generator[None, None, Record]:
+    """A file's record, in steps."""
+    return (yield from _Maker(file, known, False).run(data, digest))[0]
+
+
+def entries(data: bytes, file: int, known: Globals) -> Generator[None, None, list[tuple[list[Entry], list[Entry]]]]:
+    """The entries of routes and of keys, part by part, with the places of all their words: for messages."""
+    return (yield from _Maker(file, known, True).run(data, b""))[1]
+
+
+def lines_of(data: bytes) -> Iterator[str]:
+    """The lines of a file, decoded a piece at a time; raises UnicodeDecodeError."""
+    at = 3 if data.startswith(b"\xef\xbb\xbf") else 0
+    while True:
+        end = data.find(b"\n", at + PIECE)
+        yield from data[at:end if end >= 0 else len(data)].decode().split("\n")
+        if end < 0:
+            return
+        at = end + 1
+
+
+class _Maker:
+    def __init__(self, file: int, known: Globals, keep: bool) -> None:
+        self._file, self._known, self._keep = file, known, keep
+
+    def _begin(self) -> None:
+        self._items: list[Part | Directive] = []
+        self._kept: list[tuple[list[Entry], list[Entry]]] = []
+        self._expansion = Expansion(self._known)
+        self._part: _OpenPart | None = None
+
+    def run(self, data: bytes, digest: bytes) -> \
+            Generator[None, None, tuple[Record, list[tuple[list[Entry], list[Entry]]]]]:
+        """The record and, where they are kept, the entries."""
+        problems = yield from self._clean(data)
+        if problems is None:
+            problems = yield from self._faulty(data)
+        self._end_part()
+        return Record(digest, tuple(self._items), tuple(problems), self._expansion, self._known), self._kept
+
+    def _clean(self, data: bytes) -> Generator[None, None, list[Problem] | None]:
+        """The usual way: each directive is forgotten once it is read. None where the file has a fault of form: mending
+        that looks back and forth, which takes the whole tree."""
+        self._begin()
+        problems: list[Problem] = []
+        parser, tokens, seen = Parser(problems), list[Token](), 0
+        try:
+            for number, line in enumerate(lines_of(data), 1):
+                if number % LINES == 0:
+                    yield
+                if take_line(line, number, self._file, tokens, problems):
+                    parser.feed(tokens)
+                    tokens.clear()
+                    if len(problems) > seen:
+                        if any(problem.severity is Severity.ERROR for problem in problems):
+                            return None
+                        seen = len(problems)
+                    yield from self._take_all(parser.complete())
+        except UnicodeDecodeError:
+            return None
+        parser.feed(tokens)
+        document = parser.finish()
+        if any(problem.severity is Severity.ERROR for problem in problems):
+            return None
+        yield from self._take_all(document.directives)
+        return problems
+
+    def _faulty(self, data: bytes) -> Generator[None, None, list[Problem]]:
+        """The way of a file with a fault of form: all of its tree, and then its lines."""
+        self._begin()
+        text, problems = decode(data, self._file)
+        yield
+        parser, tokens = Parser(problems), list[Token]()
+        for number, line in enumerate(text.split("\n"), 1):
+            if number % LINES == 0:
+                yield
+            if take_line(line, number, self._file, tokens, problems):
+                parser.feed(tokens)
+                tokens.clear()
+        parser.feed(tokens)
+        document = parser.finish()
+        yield
+        yield from self._take_all(document.directives)
+        return problems
+
+    def _take_all(self, directives: Iterable[Directive]) -> Generator[None, None, None]:
+        for number, directive in enumerate(directives, 1):
+            if number % LINES == 0:
+                yield
+            if directive.name.text == "include":
+                self._end_part()
+                self._items.append(directive)
+                continue
+            if self._part is None:
+                self._part = _OpenPart(self._file, sum(isinstance(each, Part) for each in self._items), self._keep,
+                                       directive)
+            yield from self._part.take(directive, self._expansion)
+
+    def _end_part(self) -> None:
+        if self._part is not None:
+            self._items.append(self._part.closed(self._expansion))
+            self._kept.append((self._part.kept_routes, self._part.kept_keys))
+            self._part = None
+
+
+class _OpenPart:
+    """A part while its lines are taken in."""
+
+    def __init__(self, file: int, number: int, keep: bool, first: Directive) -> None:
+        self._keep, self._part = keep, Part(file, number)
+        self._part.first = first if first.name.text == "language" else Directive(first.name)
+        self._problems: list[Problem] = []
+        self._reader = LineReader(self._problems)
+        self._globals: list[Directive] = []
+        self._languages: list[Problem] = []
+        self._routes: list[Route] = []
+        self._texts: list[str] = []
+        self._keys: list[Key] = []
+        self._entries: list[Entry] = []
+        self._named: list[Named] = []
+        self._faulty_keys: list[tuple[int, Word]] = []
+        self.kept_routes: list[Entry] = []
+        self.kept_keys: list[Entry] = []
+        self._known_before = 0
+        self._lines_before: int | None = None
+
+    def take(self, directive: Directive, expansion: Expansion) -> Generator[None, None, None]:
+        """Take one line in."""
+        if self._lines_before is None:
+            self._lines_before, self._known_before = expansion.lines, len(expansion.undeclared)
+        name = directive.name.text
+        if name in ("env", "define"):
+            self._globals.append(directive)
+        elif name == "language":
+            self._reader.read(directive)
+            self._languages.append(self._problems.pop())
+        else:
+            for count, line in enumerate(expansion.put(directive)):
+                if count % LINES == LINES - 1:
+                    yield
+                if line is not None:
+                    self._line(line)
+
+    def _line(self, line: Directive) -> None:
+        entry, named = self._reader.read(line)
+        if entry is None:
+            if named is not None and named.directive != "key":
+                self._named.append(named)
+            elif named is not None and named.first is not None:
+                self._faulty_keys.append((len(self._keys), named.first))
+        elif entry.name == "route":
+            self._routes.append(route(entry))
+            self._part.route_places.extend(entry.word.place)
+            if self._keep:
+                self.kept_routes.append(entry)
+        elif entry.name == "key":
+            self._texts.append(entry.arguments["key"])
+            self._keys.append(key(entry))
+            self._part.key_places.extend(entry.word.place)
+            if self._keep:
+                self.kept_keys.append(entry)
+        else:
+            self._entries.append(entry)
+            self._named.append(named)
+
+    def closed(self, expansion: Expansion) -> Part:
+        """The part; what the expansion had to say of its lines goes with it."""
+        part = self._part
+        part.globals, part.languages = tuple(self._globals), tuple(self._languages)
+        part.routes, part.texts, part.keys = tuple(self._routes), tuple(self._texts), tuple(self._keys)
+        part.entries, part.named = tuple(self._entries), tuple(self._named)
+        part.faulty_keys, part.problems = tuple(self._faulty_keys), tuple(self._problems)
+        part.expansion, part.lost = tuple(expansion.problems), self._reader.lost
+        part.undeclared = tuple(list(expansion.undeclared.items())[self._known_before:])
+        part.lines = expansion.lines - (self._lines_before or 0)
+        expansion.problems.clear()
+        return part
+
+
+def where(paths: Mapping[int, str], place: Place) -> str:
+    """file:line:column."""
+    return f"{paths.get(place.file, '?')}:{place.line}:{place.column}"
