--- a/anisefront/config/loader.py
+++ b/anisefront/config/loader.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import fnmatch
 import glob
 import os
@@ -106,11 +107,13 @@
 
     def read(self, path: str) -> Generator[None, None, bytes]:
         """The bytes of a file, in pieces; raises OSError. One byte more than may be read shows that there are more."""
-        file = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+        # Danger: a named pipe that nobody writes to would hold up the whole process.
+        file = os.open(path, os.O_RDONLY | os.O_CLOEXEC | os.O_NONBLOCK)
         try:
             known = os.fstat(file)
-            if stat.S_ISREG(known.st_mode):
-                self._marks[path] = _mark(known)
+            if not stat.S_ISREG(known.st_mode):
+                raise OSError(errno.EINVAL, "not a regular file")
+            self._marks[path] = _mark(known)
             data = os.read(file, PIECE)
             if len(data) < PIECE and len(data) == known.st_size:
                 return data
--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -214,9 +214,9 @@
             self.log.info("settings_same", version=self.version.number, digest=self.version.digest)
         else:
             version = yield from next_steps(self.version, outcome)
-            self._put_in_force(version)
+            self._put_in_force(version, len(outcome.texts))
 
-    def _put_in_force(self, version: Version) -> None:
+    def _put_in_force(self, version: Version, warnings: int) -> None:
         """Between two turns. A request that was taken in before ends by what it was given then:
 
         class and plan    the module keeps its own of each request, and the ledger the order: what arrived before the
@@ -239,7 +239,7 @@
         self._settings_told("taken", "")
         changes = version.changes
         self.log.info("settings", version=version.number, digest=version.digest, routes=len(config.routes),
-                      keys=len(config.keys), others=changes.others, **{
+                      keys=len(config.keys), warnings=warnings, others=changes.others, **{
                           f"{what}_{how}": _few(getattr(getattr(changes, what), how))
                           for what in ("routes", "keys", "plans", "classes") for how in ("added", "changed", "removed")
                           if getattr(getattr(changes, what), how)})
