Tests: settings that change under load, by processes; what a change costs at the planned size

tests/change_loop.py runs gatekeepers of one fleet while routes, keys and the deadline of a class change together, one stopped and woken, one killed and started, one given a bad change; each answer must be right for one version that may have been in force while the request was there.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 RUN = .venv/bin/python
 
-.PHONY: test day lint bench bench-model bench-config fuzz steady standing search losses kills bench-members
+.PHONY: test day lint bench bench-model bench-config fuzz steady standing search losses kills changes bench-changes bench-members
 .venv/made: pyproject.toml requirements.txt requirements-run.txt requirements-dev.txt
 	test -d .venv || $(PYTHON) -m venv .venv
 	$(RUN) -m pip -q --disable-pip-version-check install -r requirements.txt -r requirements-run.txt -r requirements-dev.txt
@@ -53,5 +53,13 @@
 kills: .venv/made
 	$(RUN) tests/kill_loop.py 3600
 
+# Six gatekeepers of full size under load whose settings change once a second, judged by their answers; under a minute.
+changes: .venv/made
+	PYTHONPATH=. $(RUN) tests/change_loop.py 30
+
+# What a change costs one gatekeeper of full size. BEFORE=FOLDER, a checkout of another text, is measured in the same run.
+bench-changes: .venv/made
+	$(RUN) -m benchmarks.changes $(if $(BEFORE),--before $(BEFORE))
+
 bench-members: .venv/made
 	$(RUN) -m benchmarks.members 24 100 200
