Config: plain routes and keys are read without tokens; readings held against fresh loads by a property test

Drawn changes, good and bad, to files in memory, with readings that are given up half way: problems, texts, digest, settings, routing, explain and every line with its place equal those of a fresh load, and no version is changed by those made of it. It found a key that stands twice by a definition used twice and was not named: the same word object stood for both.

--- a/anisefront/config/model.py
+++ b/anisefront/config/model.py
@@ -253,9 +253,15 @@
     """A route's entry as the program knows it."""
     when = tuple(sorted(tuple(condition.split("=", 1)) for condition in entry.get("when", ())))
     methods = tuple(dict.fromkeys(map(intern, entry.arguments["method"])))
-    pattern = Pattern(_METHODS.get(methods, methods), entry.arguments["path"], intern(entry.get("host", "*")), when)
-    return Route(pattern, intern(entry.options["class"]), intern(entry.options["pool"]), entry.get("units", 1.0),
-                 entry.get("units-header", ""))
+    return plain_route(methods, entry.arguments["path"], entry.get("host", "*"), entry.options["class"],
+                       entry.options["pool"], when, entry.get("units", 1.0), entry.get("units-header", ""))
+
+
+def plain_route(methods: tuple[str, ...], path: str, host: str, class_name: str, pool: str,
+                when: tuple[tuple[str, str], ...] = (), units: float = 1.0, units_header: str = "") -> Route:
+    """A route, sharing the few names that thousands have."""
+    return Route(Pattern(_METHODS.get(methods, methods), path, intern(host), when), intern(class_name), intern(pool),
+                 units, units_header)
 
 
 def _class(entry: Entry, park_ms: float) -> RequestClass:
--- a/anisefront/config/parser.py
+++ b/anisefront/config/parser.py
@@ -80,6 +80,11 @@
         self._closed = False  # that directive was just closed
         self._empty = True
 
+    @property
+    def at_rest(self) -> bool:
+        """Whether a directive that begins now would be one of the document's own."""
+        return not self._open and self._list is None and not self._skip
+
     def complete(self) -> list[Directive]:
         """The directives that are complete so far, which are forgotten here. Danger: mending a fault looks back at
         them; so this is only for as long as there is no problem."""
--- a/anisefront/config/reading.py
+++ b/anisefront/config/reading.py
@@ -63,7 +63,7 @@
 
     def __init__(self, path: str, environment: Mapping[str, str] | None = None, read: Read | None = None,
                  find: Find | None = None) -> None:
-        self.path, self._environment = path, environment or {}
+        self.path, self._environment = path, {} if environment is None else environment
         self._files: Callable[[], Files] = Disk if read is None else lambda: Files(read, find)
         self._running: Generator[None, None, Outcome] | None = None
         self._last, self._numbers = 0, dict[str, int]()  # of paths, from 1; none is given again
@@ -116,7 +116,7 @@
         self._by_number: dict[int, _File] = {}
         self._running: dict[int, int] = {0: 0}  # numbers of files in this reading
         self._problems: list[Problem] = []  # places name files by their numbers until the end
-        self._digest = hashlib.blake2b(digest_size=16)
+        self._digest = hashlib.sha256()
         self._entries: dict[int, list[tuple[list[Entry], list[Entry]]]] = {}
         self._lost = False
         self.order: list[Part] = []
@@ -143,7 +143,7 @@
             self._reading._last += 1
             numbers[path] = self._reading._last
         number = numbers[path]
-        whole = hashlib.blake2b(data[:PIECE], digest_size=16)
+        whole = hashlib.sha256(data[:PIECE])
         for at in range(PIECE, len(data), PIECE):
             yield
             whole.update(data[at:at + PIECE])
@@ -259,9 +259,10 @@
                     _, keys = yield from self._of(part)
                     found.append((at, keys[at].places["key"]))
             for _, word in sorted(found, key=lambda each: each[0]):
-                known = first.setdefault(word.text, word)
-                if known is not word:
-                    self._problems.append(checker.twice("key", word, known))
+                if word.text in first:
+                    self._problems.append(checker.twice("key", word, first[word.text]))
+                else:
+                    first[word.text] = word
 
     def _references(self, names: Names) -> Generator[None, None, None]:
         """Names that are not there."""
--- a/anisefront/config/record.py
+++ b/anisefront/config/record.py
@@ -5,17 +5,26 @@
 
 from __future__ import annotations
 
+import re
 from array import array
 from collections.abc import Generator, Iterable, Iterator, Mapping
+from sys import intern
 
 from anisefront.config.checker import LineReader, Named
-from anisefront.config.lexer import Place, Problem, Severity, Token, Word, decode, take_line
+from anisefront.config.lexer import MOST_LINE, Place, Problem, Severity, Token, Word, decode, take_line
 from anisefront.config.loader import Expansion, Globals
-from anisefront.config.model import Entry, key, route
+from anisefront.config.model import Entry, key, plain_route, route
 from anisefront.config.parser import Directive, Parser
+from anisefront.config.values import HOST, PATH, Unfit
 from anisefront.core.routing import Key, Route
 
 LINES = 8  # of a file that are read in one step; one line may be long, and one directive may go over many
+PLAIN = 8  # plain lines that count as one
+# The lines of which a large installation has thousands, where each word is plain: their meaning is plain as well.
+_WORD, _NAME = r"([!%&'()*+\-./0-9:<=>?@A-Z^_`a-z|~]{1,4096})", r"([A-Za-z][A-Za-z0-9._-]{0,63})"
+_KEY = re.compile(rf"([ \t]*)key[ \t]+{_WORD}[ \t]+customer[ \t]+{_WORD}[ \t]+plan[ \t]+{_NAME}[ \t]*\r?\Z")
+_ROUTE = re.compile(rf"([ \t]*)route[ \t]+(\*|[A-Z][A-Z-]{{0,31}})[ \t]+{_WORD}[ \t]+class[ \t]+{_NAME}[ \t]+pool[ \t]+"
+                    rf"{_NAME}(?:[ \t]+host[ \t]+{_WORD})?[ \t]*\r?\Z")
 PIECE = 1 << 15  # bytes that are decoded at once, and those to the end of their line
 
 
@@ -121,11 +130,16 @@
         that looks back and forth, which takes the whole tree."""
         self._begin()
         problems: list[Problem] = []
-        parser, tokens, seen = Parser(problems), list[Token](), 0
+        parser, tokens, seen, work = Parser(problems), list[Token](), 0, 0
         try:
             for number, line in enumerate(lines_of(data), 1):
-                if number % LINES == 0:
+                if work >= LINES * PLAIN:
+                    work = 0
                     yield
+                if not tokens and parser.at_rest and self._plain(line, number):
+                    work += 1
+                    continue
+                work += PLAIN
                 if take_line(line, number, self._file, tokens, problems):
                     parser.feed(tokens)
                     tokens.clear()
@@ -169,10 +183,36 @@
                 self._end_part()
                 self._items.append(directive)
                 continue
-            if self._part is None:
-                self._part = _OpenPart(self._file, sum(isinstance(each, Part) for each in self._items), self._keep,
-                                       directive)
-            yield from self._part.take(directive, self._expansion)
+            yield from self._open_part(directive).take(directive, self._expansion)
+
+    def _open_part(self, first: Directive) -> _OpenPart:
+        if self._part is None:
+            self._part = _OpenPart(self._file, sum(isinstance(each, Part) for each in self._items), self._keep, first,
+                                   self._expansion)
+        return self._part
+
+    def _plain(self, line: str, number: int) -> bool:
+        """Take a plain route or key without tokens; false where the line is none, and must be read by the usual way."""
+        if self._keep or len(line) > MOST_LINE:
+            return False
+        if (found := _KEY.match(line)) is not None:
+            indent, text, customer, plan = found.groups()
+            word = Word("key", Place(self._file, number, len(indent) + 1))
+            self._open_part(Directive(word)).key(word, text, Key(customer, intern(plan)))
+        elif (found := _ROUTE.match(line)) is not None:
+            indent, method, path, class_name, pool, host = found.groups()
+            word = Word("route", Place(self._file, number, len(indent) + 1))
+            try:
+                PATH.read(Word(path, word.place))
+                if host is not None:
+                    HOST.read(Word(host, word.place))
+            except Unfit:
+                return False
+            self._open_part(Directive(word)).route(word, plain_route((method,), path, host or "*", class_name, pool))
+        else:
+            return False
+        self._expansion.lines += 1
+        return True
 
     def _end_part(self) -> None:
         if self._part is not None:
@@ -184,8 +224,9 @@
 class _OpenPart:
     """A part while its lines are taken in."""
 
-    def __init__(self, file: int, number: int, keep: bool, first: Directive) -> None:
+    def __init__(self, file: int, number: int, keep: bool, first: Directive, expansion: Expansion) -> None:
         self._keep, self._part = keep, Part(file, number)
+        self._lines_before, self._known_before = expansion.lines, len(expansion.undeclared)
         self._part.first = first if first.name.text == "language" else Directive(first.name)
         self._problems: list[Problem] = []
         self._reader = LineReader(self._problems)
@@ -199,13 +240,9 @@
         self._faulty_keys: list[tuple[int, Word]] = []
         self.kept_routes: list[Entry] = []
         self.kept_keys: list[Entry] = []
-        self._known_before = 0
-        self._lines_before: int | None = None
 
     def take(self, directive: Directive, expansion: Expansion) -> Generator[None, None, None]:
         """Take one line in."""
-        if self._lines_before is None:
-            self._lines_before, self._known_before = expansion.lines, len(expansion.undeclared)
         name = directive.name.text
         if name in ("env", "define"):
             self._globals.append(directive)
@@ -227,20 +264,28 @@
             elif named is not None and named.first is not None:
                 self._faulty_keys.append((len(self._keys), named.first))
         elif entry.name == "route":
-            self._routes.append(route(entry))
-            self._part.route_places.extend(entry.word.place)
+            self.route(entry.word, route(entry))
             if self._keep:
                 self.kept_routes.append(entry)
         elif entry.name == "key":
-            self._texts.append(entry.arguments["key"])
-            self._keys.append(key(entry))
-            self._part.key_places.extend(entry.word.place)
+            self.key(entry.word, entry.arguments["key"], key(entry))
             if self._keep:
                 self.kept_keys.append(entry)
         else:
             self._entries.append(entry)
             self._named.append(named)
 
+    def route(self, word: Word, route: Route) -> None:
+        """Take a route in."""
+        self._routes.append(route)
+        self._part.route_places.extend(word.place)
+
+    def key(self, word: Word, text: str, key: Key) -> None:
+        """Take a key in."""
+        self._texts.append(text)
+        self._keys.append(key)
+        self._part.key_places.extend(word.place)
+
     def closed(self, expansion: Expansion) -> Part:
         """The part; what the expansion had to say of its lines goes with it."""
         part = self._part
@@ -250,7 +295,7 @@
         part.faulty_keys, part.problems = tuple(self._faulty_keys), tuple(self._problems)
         part.expansion, part.lost = tuple(expansion.problems), self._reader.lost
         part.undeclared = tuple(list(expansion.undeclared.items())[self._known_before:])
-        part.lines = expansion.lines - (self._lines_before or 0)
+        part.lines = expansion.lines - self._lines_before
         expansion.problems.clear()
         return part
 
