--- a/anisefront/cli/config.py
+++ b/anisefront/cli/config.py
@@ -1,4 +1,4 @@
-"""`anisefront config check|fmt|diff|explain|show|migrate|reference|lsp`: thin commands over anisefront/config."""
+"""`anisefront config check|digest|fmt|diff|explain|show|migrate|reference|lsp`: thin commands over the config room."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 @click.group()
 def config() -> None:
-    """Check, format, compare and explain settings."""
+    """Check, format, compare and explain settings: a file with all that it includes."""
 
 
 def checked(path: str) -> Checked:
@@ -125,6 +125,22 @@
         click.echo(line)
 
 
+@config.command()
+@click.argument("file", type=click.Path())
+def digest(file: str) -> None:
+    """Print the digest of FILE and what it includes: `anisefront state` shows the same where they are in force.
+
+    A file with errors exits 2: it is taken by nobody."""
+    from anisefront.config.reading import Reading
+    from anisefront.core.versions import at_once
+    outcome = at_once(Reading(file, os.environ).steps())
+    for text in outcome.errors:
+        click.echo(text, err=True)
+    if outcome.config is None:
+        sys.exit(2)
+    click.echo(outcome.digest)
+
+
 @config.command()
 @click.argument("file", type=click.Path())
 def show(file: str) -> None:
--- a/anisefront/daemon/reloader.py
+++ b/anisefront/daemon/reloader.py
@@ -18,6 +18,8 @@
 from anisefront.core.standing import Lag
 
 SLICE_S = 0.0005  # work for settings in one turn of the loop; the step that passes it is the last
+# A request goes through several turns of the loop, and could wait for a slice in each: so most of the time is theirs.
+REST_S = 0.002
 PUT_OFF = 3  # turns of the loop that a slice waits for requests that are to be decided
 
 
@@ -113,4 +115,4 @@
         if self._steps is None:
             self._take(Step.ENDED)
         else:
-            self._reactor.callLater(0, self._slice)
+            self._reactor.callLater(REST_S, self._slice)
