--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -3,16 +3,20 @@
 import errno
 import fnmatch
 import random
+import re
 from dataclasses import replace
+from types import SimpleNamespace
 
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from anisefront.config import checker, loader, messages, model, record
+from anisefront.config import across, checker, loader, meaning, messages, model, reading, record
 from anisefront.config.checker import Checked
 from anisefront.config.explain import explain
 from anisefront.config.model import Entry, Model
 from anisefront.config.reading import Reading
+from anisefront.core import tables, versions
 from anisefront.core.patterns import Request
 from anisefront.core.routing import RouteIndex
 from anisefront.core.versions import at_once, next_steps
@@ -24,7 +28,7 @@
           "route GET /X class w pool p host h.e units 3", "route GET /x/* class w pool p host *.e",
           "  route GET /x/a* class v pool p units-header u", "route POST /x {\n  class w\n  pool p\n}",
           "route [GET,\n  POST] /y \\\n class v pool p", "use view [/x v]", "use view [/z w]", "use both",
-          "route GET /${ROOT} class v pool p"]
+          "route GET /${ROOT} class v pool p", "route GET /x class v pool p when [g=1]"]
 KEYS = ["key k1 customer c1 plan a", "key k2 customer c1 plan a", "key k3 customer c1 plan b", "key k1 customer c2 "
         "plan b", 'key "k 4" customer c4 plan a', "key k5 plan b customer c5 # beside", "key ${ROOT} customer c plan a"]
 OTHERS = ["class w aim 1s deadline 5s repeat safe", "plan b quota q", "quota r max-out 3", "quota q2 rate 9/s burst 2",
@@ -32,25 +36,28 @@
           "define view [path class] {\n  route GET ${path} class ${class} pool p\n}",
           "define view [path class] {\n  route PUT ${path}/${ROOT} class ${class} pool p\n}",
           "define both {\n  use view [/both v]\n  key kb customer cb plan a\n}"]
-BAD = ["key k1 customer", "route GET x class v pool p", "route GET /q class none pool p", "drain 6", "nonsense",
+BAD = ["key k6 customer c6 plan 9a", "key k1 customer", "route GET x class v pool p", "route GET /q class none pool p",
+       "drain 6", "nonsense",
        "key k9 customer c9 plan none", "route GET /x [", "}", "{", 'key "', "language 2", "use none", "env NOT_SET",
        "${", "class v aim 1s deadline 5s repeat safe", "use view", "class w aim 2s deadline 1s repeat safe", "x {\n}",
        "quota zero burst 0.5 rate 1/s", "gatekeeper 1 of 1", "secret short", "plan c quota none", "include",
-       "route GET /x class v pool none",
-       'include "none.conf"', "key \u0430k customer c plan a", "key [a] customer", "include a.conf", "use viw [/x v]"]
+       "route GET /x class v pool none", "class u\n  aim 1s\n  deadline 2s\n}", "class u {\n  aim 1s\nquota u rate 1/s",
+       "route GET /a//b class v pool p", 'include "none.conf"', "key \u0430k customer c plan a", "key [a] customer",
+       "include a.conf", "use viw [/x v]"]
 NAMES = ["a.conf", "d/b.conf", "d/c.conf", "d/e.conf"]
 INCLUDES = ['include "d/*.conf"', "include a.conf", 'include "n/*.conf"']
 
 
-def drawn(seed):
-    """A change, from a seed: uniformly, which hypothesis's own draws are not."""
-    chance = random.Random(seed)
+def drawn(chance):
+    """A change, drawn uniformly, which hypothesis's own draws are not."""
     good = ROUTES + KEYS
-    what = chance.choice(["put", "put", "put", "bad", "drop", "drop", "write", "write", "remove", "includes",
-                          "environment", "lock", "give up", "mend", "mend"])
+    what = chance.choice(["put", "put", "put", "bad", "bad", "copy", "copy", "drop", "drop", "write", "remove",
+                          "includes", "includes", "environment", "lock", "give up", "give up", "mend", "mend"])
     path = chance.choice(["main.conf", *NAMES, *NAMES])
     if what == "put":
-        return what, path, chance.randrange(10), chance.choice(good * 2 + OTHERS)
+        return what, path, chance.randrange(10), chance.choice(chance.choice([ROUTES, KEYS, OTHERS]))
+    if what == "copy":
+        return what, path, chance.choice(NAMES), chance.randrange(20)
     if what == "bad":
         return "put", path, chance.randrange(10), chance.choice(BAD)
     if what == "drop":
@@ -60,10 +67,10 @@
     if what == "remove":
         return what, path
     if what == "includes":
-        return what, chance.sample(INCLUDES, 2), chance.randrange(10)
+        return what, chance.sample(INCLUDES[:chance.choice((2, 2, 3))], 2), chance.randrange(10)
     if what == "environment":
         return what, chance.choice([{}, {"ROOT": "e"}, {"NOT_SET": "n"}])
-    return what, chance.randrange(1, 40)
+    return what, chance.choice(NAMES), chance.randrange(10), chance.choice(ROUTES + KEYS), chance.randrange(1, 150)
 
 
 REQUESTS = [Request(method, host, path, headers) for method in ("GET", "POST") for host in ("h.e", "o")
@@ -76,8 +83,9 @@
 
     def __init__(self):
         self.lines = {"main.conf": [*HEAD, *INCLUDES[:2]], "a.conf": [OTHERS[0], OTHERS[1], OTHERS[10], OTHERS[7],
-                                                                      OTHERS[12]],
-                      "d/b.conf": [ROUTES[0], ROUTES[3], KEYS[0]], "d/c.conf": [ROUTES[5], ROUTES[11], KEYS[1]]}
+                                                                      OTHERS[12], ROUTES[4], ROUTES[14]],
+                      "d/b.conf": [ROUTES[0], ROUTES[3], KEYS[0], KEYS[2].replace("c1", "c3")],
+                      "d/c.conf": [ROUTES[5], ROUTES[11], KEYS[1]]}
         self.environment, self.locked, self.reads = {}, False, 0
         self.good = None
 
@@ -96,6 +104,8 @@
         if what == "put":
             lines = self.lines.setdefault(more[0], [])
             lines.insert(more[1] % (len(lines) + 1) if more[0] != "main.conf" else len(lines) - more[1] % 4, more[2])
+        elif what == "copy" and self.lines.get(more[1]):
+            self.lines.setdefault(more[0], []).append(self.lines[more[1]][more[2] % len(self.lines[more[1]])])
         elif what == "drop" and self.lines.get(more[0]):
             self.lines[more[0]].pop(more[1] % len(self.lines[more[0]]))
         elif what == "write":
@@ -195,8 +205,9 @@
     assert version is not None
     for what, *more in changes:
         if what == "give up":
+            world.change("put", *more[:3])
             steps = own.steps()
-            for _ in range(more[0]):
+            for _ in range(more[3]):
                 if next(steps, steps) is steps:
                     break
             continue
@@ -206,10 +217,138 @@
         assert judged(each.router.table.find, REQUESTS) == found and dict(each.config.keys) == keys
 
 
-CHANGES = st.lists(st.integers(0, 2**32 - 1).map(drawn), min_size=1, max_size=10)
+@pytest.fixture(autouse=True)
+def small_steps(monkeypatch):
+    """So that a reading can be given up anywhere."""
+    for module, name in ((across, "ENTRIES"), (record, "LINES"), (record, "PLAIN"), (reading, "PARTS"),
+                         (tables, "ROUTES"), (versions, "ENTRIES"), (loader, "FILES"), (meaning, "PAIRS")):
+        monkeypatch.setattr(module, name, 2)
+
+
+CHANGES = st.lists(st.randoms(use_true_random=True).map(drawn), min_size=1, max_size=12)
 
 
 @settings(max_examples=120, deadline=None, suppress_health_check=list(HealthCheck))
 @given(CHANGES)
 def test_after_any_changes_all_is_as_a_fresh_load_has_it(changes):
     play(changes)
+
+
+# ---- each shortcut, made wrong ------------------------------------------------------------------------------------
+
+
+def same_digest(patch):
+    patch.setattr(reading, "hashlib", SimpleNamespace(sha256=lambda data=b"": SimpleNamespace(
+        update=lambda more: None, digest=lambda: b"", hexdigest=lambda: "")))
+
+
+def stays_in_any_order(before, after):
+    old, new = {id(part) for part in before}, {id(part) for part in after}
+    return [part for part in before if id(part) not in new], [part for part in after if id(part) not in old]
+
+
+def untouched_by_what_goes(patch):
+    whole = across.Across._spot
+
+    def spot(self, name, part, at, by):
+        touched = set(self._touched)
+        whole(self, name, part, at, by)
+        if by < 0:
+            self._touched = touched
+    patch.setattr(across.Across, "_spot", spot)
+
+
+def only_up(patch, name):
+    whole = getattr(model.Uses, name)
+    patch.setattr(model.Uses, name, lambda self, each, by: whole(self, each, by) if by > 0 else None)
+
+
+def findings_stay(patch):
+    class Sticky(dict):
+        def pop(self, name, default=None):
+            return default
+    whole = across.Across.__init__
+
+    def begin(self):
+        whole(self)
+        self.found = Sticky()
+    patch.setattr(across.Across, "__init__", begin)
+
+
+def doubled_goes_whole(patch):
+    whole = across.Across._key
+
+    def key(self, text, key, by):
+        if by < 0:
+            self.doubled.pop(text, None)
+        whole(self, text, key, by)
+    patch.setattr(across.Across, "_key", key)
+
+
+def shards_not_copied(patch):
+    whole = tables.KeyEdit.__init__
+
+    def begin(self, before):
+        whole(self, before)
+        self._own = type("All", (), {"__contains__": lambda self, each: True, "clear": lambda self: None})()
+        self._shards = [{} for _ in self._shards]
+    patch.setattr(tables.KeyEdit, "__init__", begin)
+
+
+def at_the_end(placed, ranks):
+    def edit(here, methods):
+        out = dict(here)
+        for method in methods:
+            out[method] = (*out.get(method, ()), placed)
+        return tuple(out.items())
+    return edit
+
+
+def numbers_of_one_reading(patch):
+    whole = reading._Turn.__init__
+
+    def begin(self, own):
+        whole(self, own)
+        own._numbers, own._last = {}, 0
+    patch.setattr(reading._Turn, "__init__", begin)
+
+
+GUARDS = {
+    "bytes as before": same_digest,
+    "definitions and values": lambda patch: patch.setattr(record.Record, "holds", lambda self, known: True),
+    "definitions": lambda patch: patch.setattr(record.Record, "used", property(lambda self: {}, lambda self, each: 0)),
+    "values": lambda patch: patch.setattr(record.Record, "looked_up",
+                                          property(lambda self: {}, lambda self, each: 0)),
+    "names that are near": lambda patch: patch.setattr(record.Record, "names",
+                                                       property(lambda self: None, lambda self, each: 0)),
+    "files that stand elsewhere": lambda patch: patch.setattr(reading, "parts_changed", stays_in_any_order),
+    "parts that stand elsewhere": lambda patch: patch.setattr(versions, "parts_changed", stays_in_any_order),
+    "neighbours of what goes": untouched_by_what_goes,
+    "findings that are gone": findings_stay,
+    "uses of names by routes": lambda patch: only_up(patch, "route"),
+    "uses of names by keys": lambda patch: only_up(patch, "key"),
+    "keys that stand twice": doubled_goes_whole,
+    "customers' plans": lambda patch: patch.setattr(across.Across, "_customer", lambda self, key, by: None),
+    "nodes are copied": lambda patch: patch.setattr(tables, "_own", lambda node, owner: node or tables._Node(owner)),
+    "shards are copied": shards_not_copied,
+    "order at one place": lambda patch: patch.setattr(tables, "_with", at_the_end),
+    "routes that go": lambda patch: patch.setattr(tables, "_without", lambda part: lambda here, methods: here),
+    "keys that differ": lambda patch: patch.setattr(tables.KeyTable, "differing", lambda self, other: iter(())),
+    "readings given up": lambda patch: patch.setattr(Reading, "_half_done",
+                                                     property(lambda self: False, lambda self, each: None),
+                                                     raising=False),
+    "files by lasting numbers": numbers_of_one_reading,
+    "trees of faulty files": lambda patch: patch.setattr(record, "Severity", SimpleNamespace(ERROR=None)),
+    "plain routes' paths": lambda patch: patch.setattr(record, "PATH", SimpleNamespace(read=lambda word: None)),
+    "plain keys' names": lambda patch: patch.setattr(record, "_KEY", re.compile(
+        r"([ \t]*)key[ \t]+(\S+)[ \t]+customer[ \t]+(\S+)[ \t]+plan[ \t]+(\S+)[ \t]*\r?\Z")),
+    "plain lines within blocks": lambda patch: patch.setattr(record.Parser, "at_rest", True)}
+
+
+@pytest.mark.parametrize("name", GUARDS)
+def test_each_shortcut_made_wrong_is_found(monkeypatch, name):
+    GUARDS[name](monkeypatch)
+    with pytest.raises((AssertionError, KeyError)):
+        for seed in range(150):
+            chance = random.Random(seed)
+            play([drawn(chance) for _ in range(12)])
