Versions and readings: steps are bounded by what they do; tests of sharing, files on disk, work of a step

Keys that stay in a file that changed are the same objects in table and record; before, each changed file was held twice.

--- a/anisefront/config/across.py
+++ b/anisefront/config/across.py
@@ -46,8 +46,10 @@
                     self._spot(meaning.neighbourhood(route.pattern), part, at, by)
         for part in removed:
             for text, key in zip(part.texts, part.keys, strict=True):
+                count += 1
+                if count % (4 * ENTRIES) == 0:
+                    yield
                 gone.setdefault(text, []).append(key)
-            yield
         for part in added:
             for text, key in zip(part.texts, part.keys, strict=True):
                 count += 1
--- a/anisefront/config/loader.py
+++ b/anisefront/config/loader.py
@@ -156,7 +156,7 @@
     def changed(self) -> Generator[None, None, str]:
         """The path of a file or the pattern of an include that is not as it was when it was read; "" for none."""
         for number, (path, mark) in enumerate(self._marks.items()):
-            if number % 64 == 63:
+            if number % (4 * FILES) == 0:
                 yield
             try:
                 if _mark(os.stat(path)) != mark:
--- a/anisefront/config/reading.py
+++ b/anisefront/config/reading.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Generator, Iterator, Mapping
 from dataclasses import dataclass, replace
 from itertools import chain
+from typing import Any
 
 from anisefront.config import checker, meaning, messages, model
 from anisefront.config.across import Across
@@ -150,7 +151,7 @@
         digest, place = whole.digest(), None if asked is None else asked.place
         known = records.get(path)
         if known is None or known.digest != digest:
-            known = yield from record(data, digest, number, self._guess)
+            known = yield from record(data, digest, number, self._guess, known)
             records[path] = known
         file = _File(path, number, data, known, place)
         at = (0, 0, 0) if place is None else (self._running[place.file] + 1, place.line, place.column)
@@ -176,7 +177,7 @@
             if number % PARTS == PARTS - 1:
                 yield
             if not file.record.holds(known):
-                again = yield from record(file.data, file.record.digest, file.number, known)
+                again = yield from record(file.data, file.record.digest, file.number, known, file.record)
                 instead.update((id(old), new) for old, new in zip(file.record.items, again.items, strict=True)
                                if isinstance(old, Part))
                 file.record = self._reading._records[file.path] = again
@@ -252,12 +253,9 @@
         first: dict[str, Word] = {}
         for part in self.order if texts else ():
             found = [(at - 0.5, word) for at, word in part.faulty_keys]
-            for at, text in enumerate(part.texts):
-                if at % PARTS == PARTS - 1:
-                    yield
-                if text in texts:
-                    _, keys = yield from self._of(part)
-                    found.append((at, keys[at].places["key"]))
+            for at in (yield from _places(part.texts, texts.__contains__)):
+                _, keys = yield from self._of(part)
+                found.append((at, keys[at].places["key"]))
             for _, word in sorted(found, key=lambda each: each[0]):
                 if word.text in first:
                     self._problems.append(checker.twice("key", word, first[word.text]))
@@ -275,13 +273,13 @@
         plans, classes, pools = ({name for name in used if name not in names.of[kind]} for kind, used in
                                  (("plan", uses.plans), ("class", uses.classes), ("pool", uses.pools)))
         for part in self.order if plans or classes or pools else ():
-            yield
-            hit = any(key.plan in plans for key in part.keys) or \
-                any(route.class_name in classes or route.pool in pools for route in part.routes)
-            for count, entry in enumerate(chain(*(yield from self._of(part)) if hit else ()), 1):
-                if count % PARTS == 0:
+            routes = yield from _places(part.routes, lambda route: route.class_name in classes or route.pool in pools)
+            keys = yield from _places(part.keys, lambda key: key.plan in plans)
+            if routes or keys:
+                of_routes, of_keys = yield from self._of(part)
+                for entry in chain((of_routes[at] for at in routes), (of_keys[at] for at in keys)):
                     yield
-                self._problems += references(entry, names.of)
+                    self._problems += references(entry, names.of)
 
     def _of(self, part: Part) -> Generator[None, None, tuple[list[Entry], list[Entry]]]:
         """The entries of a part's routes and of its keys, with the places of their words: its file is read again."""
@@ -298,10 +296,12 @@
         yield
         other = model.second_pool(across.uses)
         if other:
-            part, at = next((part, at) for part in self.order for at, route in enumerate(part.routes)
-                            if route.pool == other)
-            routes, _ = yield from self._of(part)
-            problems.append(model.pools_fault(routes[at].place("pool"), across.uses))
+            for part in self.order:
+                found = yield from _places(part.routes, lambda route: route.pool == other)
+                if found:
+                    routes, _ = yield from self._of(part)
+                    problems.append(model.pools_fault(routes[found[0]].place("pool"), across.uses))
+                    break
         config = model.build(rest, across.uses, tuple(chain.from_iterable(parts)), across.keys.table(), problems)
         yield
         if config is None or other:
@@ -318,11 +318,10 @@
         """Customers on two plans."""
         found: list[Entry] = []
         for part in self.order:
-            yield
-            at = [number for number, key in enumerate(part.keys) if key.customer in self._across.split]
-            if at:
+            places = yield from _places(part.keys, lambda key: key.customer in self._across.split)
+            if places:
                 _, keys = yield from self._of(part)
-                found += (keys[number] for number in at)
+                found += (keys[at] for at in places)
         self._problems += meaning.owners(found)
 
     # ---- what is told -----------------------------------------------------------------------------------------
@@ -345,6 +344,17 @@
         return tuple(problems), tuple(texts)
 
 
+def _places(values: tuple[Any, ...], wanted: Callable[[Any], bool]) -> Generator[None, None, list[int]]:
+    """Where the values that are wanted stand, in steps."""
+    out = []
+    for at, value in enumerate(values):
+        if at % (4 * PARTS) == 0:
+            yield
+        if wanted(value):
+            out.append(at)
+    return out
+
+
 class _Shown(Load):
     """A load that knows those of its lines that are shown."""
 
--- a/anisefront/config/record.py
+++ b/anisefront/config/record.py
@@ -18,8 +18,8 @@
 from anisefront.config.values import HOST, PATH, Unfit
 from anisefront.core.routing import Key, Route
 
-LINES = 8  # of a file that are read in one step; one line may be long, and one directive may go over many
-PLAIN = 8  # plain lines that count as one
+LINES = 4  # of a file that are read in one step; one line may be long, and one directive may go over many
+PLAIN = 12  # plain lines that count as one
 # The lines of which a large installation has thousands, where each word is plain: their meaning is plain as well.
 _WORD, _NAME = r"([!%&'()*+\-./0-9:<=>?@A-Z^_`a-z|~]{1,4096})", r"([A-Za-z][A-Za-z0-9._-]{0,63})"
 _KEY = re.compile(rf"([ \t]*)key[ \t]+{_WORD}[ \t]+customer[ \t]+{_WORD}[ \t]+plan[ \t]+{_NAME}[ \t]*\r?\Z")
@@ -85,9 +85,10 @@
                 and (self.names is None or self.names == tuple(known.definitions)))
 
 
-def record(data: bytes, digest: bytes, file: int, known: Globals) -> Generator[None, None, Record]:
-    """A file's record, in steps."""
-    return (yield from _Maker(file, known, False).run(data, digest))[0]
+def record(data: bytes, digest: bytes, file: int, known: Globals,
+           before: Record | None = None) -> Generator[None, None, Record]:
+    """A file's record, in steps. Keys that are as in the record before are the same objects."""
+    return (yield from _Maker(file, known, False, before).run(data, digest))[0]
 
 
 def entries(data: bytes, file: int, known: Globals) -> Generator[None, None, list[tuple[list[Entry], list[Entry]]]]:
@@ -107,8 +108,12 @@
 
 
 class _Maker:
-    def __init__(self, file: int, known: Globals, keep: bool) -> None:
+    def __init__(self, file: int, known: Globals, keep: bool, before: Record | None = None) -> None:
         self._file, self._known, self._keep = file, known, keep
+        self._keys: dict[str, tuple[str, Key]] = {}
+        for part in before.items if before is not None else ():
+            if isinstance(part, Part):
+                self._keys.update(zip(part.texts, zip(part.texts, part.keys, strict=True), strict=True))
 
     def _begin(self) -> None:
         self._items: list[Part | Directive] = []
@@ -187,8 +192,8 @@
 
     def _open_part(self, first: Directive) -> _OpenPart:
         if self._part is None:
-            self._part = _OpenPart(self._file, sum(isinstance(each, Part) for each in self._items), self._keep, first,
-                                   self._expansion)
+            number = sum(isinstance(each, Part) for each in self._items)
+            self._part = _OpenPart(self._file, number, self._keep, first, self._expansion, self._keys)
         return self._part
 
     def _plain(self, line: str, number: int) -> bool:
@@ -224,8 +229,9 @@
 class _OpenPart:
     """A part while its lines are taken in."""
 
-    def __init__(self, file: int, number: int, keep: bool, first: Directive, expansion: Expansion) -> None:
-        self._keep, self._part = keep, Part(file, number)
+    def __init__(self, file: int, number: int, keep: bool, first: Directive, expansion: Expansion,
+                 keys_before: Mapping[str, tuple[str, Key]]) -> None:
+        self._keep, self._part, self._keys_before = keep, Part(file, number), keys_before
         self._lines_before, self._known_before = expansion.lines, len(expansion.undeclared)
         self._part.first = first if first.name.text == "language" else Directive(first.name)
         self._problems: list[Problem] = []
@@ -281,7 +287,9 @@
         self._part.route_places.extend(word.place)
 
     def key(self, word: Word, text: str, key: Key) -> None:
-        """Take a key in."""
+        """Take a key in. Danger: the table of keys has the objects of before; others like them would be held twice."""
+        if (known := self._keys_before.get(text)) is not None and known[1] == key:
+            text, key = known
         self._texts.append(text)
         self._keys.append(key)
         self._part.key_places.extend(word.place)
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -2,8 +2,10 @@
 
 import errno
 import fnmatch
+import os
 import random
 import re
+import sys
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -352,3 +354,161 @@
         for seed in range(150):
             chance = random.Random(seed)
             play([drawn(chance) for _ in range(12)])
+
+
+# ---- steps, and files on disk --------------------------------------------------------------------------------------
+
+
+def work_of(steps):
+    """The most calls of one step, and what the steps come to."""
+    calls, most = [0], 0
+
+    def count(frame, event, argument):
+        calls[0] += event in ("call", "c_call")
+    while True:
+        calls[0] = 0
+        sys.setprofile(count)
+        try:
+            next(steps)
+        except StopIteration as ended:
+            return max(most, calls[0]), ended.value
+        finally:
+            sys.setprofile(None)
+        most = max(most, calls[0])
+
+
+MOST_CALLS = 2000  # of one step; a plain file of 2,000 lines takes some hundred thousand
+
+
+def large(files):
+    """An installation of 1,800 keys and 300 routes, in so many files that are included."""
+    world = World()
+    lines = [f"key k-{n} customer c-{n} plan a" for n in range(1500)] + \
+        [f'key "k {n}" customer c-{n} plan a' for n in range(300)] + \
+        [f"route GET /a-{n}/:x class v pool p" + (" when [q=1]" if n % 3 else "") for n in range(300)]
+    world.lines = {"main.conf": [*HEAD, 'include "d/*.conf"']}
+    for n in range(files):
+        world.lines[f"d/{n:03}.conf"] = lines[n::files]
+    return world, Reading("main.conf", {}, world.read, world.find)
+
+
+@pytest.mark.parametrize("files", [1, 150])
+def test_no_step_does_more_than_a_little(files, monkeypatch):
+    monkeypatch.undo()
+    world, own = large(files)
+    most, outcome = work_of(own.steps())
+    assert most <= MOST_CALLS and len(outcome.config.keys) == 1800
+    most, version = work_of(next_steps(None, outcome))
+    assert most <= MOST_CALLS
+    for bad in ("", "key k-7 customer c-7 plan a", "key new customer c-9 plan none", "}", "quota z burst 1", "plan b"
+                " quota q\nkey new customer c-9 plan b", "route GET /n class v pool z\npool z embedded 1"):
+        world.lines["d/000.conf"] = [*world.lines["d/000.conf"], bad, "route GET /new class v pool p"]
+        most, outcome = work_of(own.steps())
+        assert most <= MOST_CALLS and (outcome.config is None) == bool(bad and "quota z" not in bad), outcome.texts
+        if outcome.config is not None:
+            most, version = work_of(next_steps(version, outcome))
+            assert most <= MOST_CALLS
+        del world.lines["d/000.conf"][-2:]
+
+
+def test_only_files_that_changed_are_read_into_records(monkeypatch):
+    made = []
+    whole = reading.record
+    monkeypatch.setattr(reading, "record", lambda data, digest, file, *more: made.append(file) or whole(
+        data, digest, file, *more))
+    world, own = large(20)
+
+    def records():
+        made.clear()
+        return at_once(own.steps()), len(made)
+    assert records()[1] == 21
+    assert records()[1] == 0
+    world.lines["d/007.conf"].append("route GET /new class v pool p")
+    assert records()[1] == 1
+    first = world.lines["main.conf"]
+    world.lines["main.conf"] = ["langage 2"]
+    assert records()[0].config is None
+    world.lines["main.conf"] = first  # a fault that hides all other files has none of them read again
+    outcome, count = records()
+    assert outcome.config is not None and count == 1
+    del world.lines["d/007.conf"], world.lines["d/008.conf"]
+    assert records()[1] == 0 and len(own._numbers) == len(own._records) == 19
+
+
+def on_disk(folder):
+    (folder / "d").mkdir()
+    (folder / "main.conf").write_text("\n".join([*HEAD, 'include "d/*.conf"', ""]))
+    (folder / "d/a.conf").write_text("route GET /x class v pool p\n")
+    return Reading(str(folder / "main.conf"))
+
+
+def test_a_file_that_changes_while_it_is_read_is_read_again_and_then_refused(tmp_path):
+    own = on_disk(tmp_path)
+    assert at_once(own.steps()).config is not None
+
+    def with_changes(most):
+        steps, done = own.steps(), 0
+        while True:
+            try:
+                next(steps)
+            except StopIteration as ended:
+                return ended.value
+            frame = steps.gi_frame.f_locals.get("turn")
+            if done < most and frame is not None and len(frame.files) == 2:
+                done += 1
+                (tmp_path / "d/a.conf").write_text(f"route GET /x{done} class v pool p\n")
+    outcome = with_changes(2)
+    assert [route.pattern.path for route in outcome.config.routes] == ["/x2"]
+    outcome = with_changes(1000)
+    assert outcome.config is None and "a.conf' changed while it was read, 3 times - let writing come" in \
+        outcome.errors[0]
+    assert at_once(own.steps()).config is not None
+
+
+def test_a_file_that_comes_while_files_are_read_is_not_missed(tmp_path):
+    own, steps = on_disk(tmp_path), None
+    steps = own.steps()
+    for count in range(1000):
+        try:
+            next(steps)
+        except StopIteration as ended:
+            assert len(ended.value.config.routes) == 2
+            return
+        if count == 3:
+            (tmp_path / "d/b.conf").write_text("route GET /y class v pool p\n")
+    raise AssertionError("no end")
+
+
+def test_files_that_vanish_and_folders_that_cannot_be_read(tmp_path, monkeypatch):
+    own = on_disk(tmp_path)
+    with open(tmp_path / "main.conf", "a") as file:
+        file.write("include d/a.conf\n")
+    assert "is included twice" in at_once(own.steps()).errors[0]
+    (tmp_path / "d/a.conf").rename(tmp_path / "d/a.other")
+    outcome = at_once(own.steps())
+    assert "d/a.conf' can't be read: No such file" in outcome.errors[0] and "no file matches" in outcome.texts[1]
+    (tmp_path / "d/a.other").rename(tmp_path / "d/a.conf")
+    listed = os.listdir
+
+    def listdir(path):
+        if str(path).endswith("/d"):
+            raise PermissionError(errno.EACCES, "Permission denied", path)
+        return listed(path)
+    monkeypatch.setattr(os, "listdir", listdir)
+    assert f"main.conf:9:9: error: folder '{tmp_path}/d' can't be read: Permission denied - mend the folder's rights" \
+        in at_once(own.steps()).errors[0]
+
+
+def test_links_that_are_turned_as_a_whole_cost_nothing_where_bytes_are_as_before(tmp_path, monkeypatch):
+    for name in ("one", "two"):
+        (tmp_path / name / "d").mkdir(parents=True)
+        (tmp_path / name / "main.conf").write_text("\n".join([*HEAD, 'include "d/*.conf"', ""]))
+        (tmp_path / name / "d/a.conf").write_text("route GET /x class v pool p\n")
+    (tmp_path / "now").symlink_to(tmp_path / "one")
+    own = Reading(str(tmp_path / "now/main.conf"))
+    first = at_once(own.steps())
+    (tmp_path / "next").symlink_to(tmp_path / "two")
+    os.replace(tmp_path / "next", tmp_path / "now")
+    monkeypatch.setattr(reading, "record", None)
+    second = at_once(own.steps())
+    assert second.config is not None and second.digest == first.digest and second.parts[0] is first.parts[0]
