Readings: thousands of problems are counted, and only those that are told are looked up

A plan that goes from under 17,600 keys would have had all files read again with the places of all words: seconds and tens of MB for 1,000 lines that are shown. Only those that can be shown are looked up; the rest is counted, with the number that a fresh load says.

--- a/anisefront/config/checker.py
+++ b/anisefront/config/checker.py
@@ -67,12 +67,12 @@
     return any(problem.severity is Severity.ERROR for problem in problems)
 
 
-def arranged(problems: Iterable[Problem], notes: bool = True) -> list[Problem]:
-    """Problems in the order of their places, each once, at most so many."""
+def arranged(problems: Iterable[Problem], notes: bool = True, more: int = 0) -> list[Problem]:
+    """Problems in the order of their places, each once, at most so many; `more` are known to be and not at hand."""
     out = sorted({problem for problem in problems if notes or problem.severity is not Severity.NOTE},
                  key=lambda problem: (problem.place, -problem.severity, problem.what))
-    if len(out) > MOST_PROBLEMS:
-        more = len(out) - MOST_PROBLEMS
+    if len(out) + more > MOST_PROBLEMS:
+        more += len(out) - MOST_PROBLEMS
         out = out[:MOST_PROBLEMS]
         out.append(Problem(out[-1].place, f"{more} more problems are not shown", "mend these first"))
     return out
--- a/anisefront/config/reading.py
+++ b/anisefront/config/reading.py
@@ -9,19 +9,19 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable, Generator, Iterator, Mapping
+from collections.abc import Callable, Generator, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 from itertools import chain
 from typing import Any
 
 from anisefront.config import checker, meaning, messages, model
 from anisefront.config.across import Across
-from anisefront.config.checker import Names, references
 from anisefront.config.lexer import Place, Problem, Severity, Word, fault
 from anisefront.config.loader import MOST_LINES, Disk, Files, Find, Globals, Load, Read, Source, Walk
+from anisefront.config.checker import MOST_PROBLEMS, Names, references
 from anisefront.config.model import Entry, Model
 from anisefront.config.parser import Directive, Document
-from anisefront.config.record import Part, Record, entries, lines_of, record
+from anisefront.config.record import Part, Record, Wanted, entries, lines_of, record
 from anisefront.config.types import Config
 from anisefront.core.routing import Route
 from anisefront.core.tables import parts_changed
@@ -118,7 +118,7 @@
         self._running: dict[int, int] = {0: 0}  # numbers of files in this reading
         self._problems: list[Problem] = []  # places name files by their numbers until the end
         self._digest = hashlib.sha256()
-        self._entries: dict[int, list[tuple[list[Entry], list[Entry]]]] = {}
+        self._more = 0  # problems that are known to be, beyond those that are told
         self._lost = False
         self.order: list[Part] = []
         # What was known of definitions and values before is the best guess until all files are read.
@@ -250,17 +250,24 @@
     def _doubled(self) -> Generator[None, None, None]:
         """Keys that stand twice."""
         texts = {*self._across.doubled, *(word.text for part in self.order for _, word in part.faulty_keys)}
-        first: dict[str, Word] = {}
+        first: dict[str, Word | None] = {}  # None for one whose place is not looked up
+        told = 0
         for part in self.order if texts else ():
-            found = [(at - 0.5, word) for at, word in part.faulty_keys]
-            for at in (yield from _places(part.texts, texts.__contains__)):
-                _, keys = yield from self._of(part)
-                found.append((at, keys[at].places["key"]))
-            for _, word in sorted(found, key=lambda each: each[0]):
-                if word.text in first:
-                    self._problems.append(checker.twice("key", word, first[word.text]))
+            places = yield from _places(part.texts, texts.__contains__)
+            looked = yield from self._of(part, (), places[:MOST_PROBLEMS] if told < MOST_PROBLEMS else ())
+            found = [(at - 0.5, word.text, word) for at, word in part.faulty_keys]
+            found += ((at, part.texts[at], looked.keys[at].places["key"] if at in looked.keys else None)
+                      for at in places)
+            for count, (_, text, word) in enumerate(sorted(found, key=lambda each: each[0])):
+                if count % PARTS == PARTS - 1:
+                    yield
+                if text not in first:
+                    first[text] = word
+                elif word is None or first[text] is None:
+                    self._more += 1
                 else:
-                    first[word.text] = word
+                    told += 1
+                    self._problems.append(checker.twice("key", word, first[text]))
 
     def _references(self, names: Names) -> Generator[None, None, None]:
         """Names that are not there."""
@@ -272,20 +279,27 @@
                 self._problems += references(entry, names.of)
         plans, classes, pools = ({name for name in used if name not in names.of[kind]} for kind, used in
                                  (("plan", uses.plans), ("class", uses.classes), ("pool", uses.pools)))
-        for part in self.order if plans or classes or pools else ():
+        told, more = 0, sum(uses.plans[name] for name in plans) + sum(uses.classes[name] for name in classes) \
+            + sum(uses.pools[name] for name in pools)
+        for part in self.order if more else ():
             routes = yield from _places(part.routes, lambda route: route.class_name in classes or route.pool in pools)
             keys = yield from _places(part.keys, lambda key: key.plan in plans)
-            if routes or keys:
-                of_routes, of_keys = yield from self._of(part)
-                for entry in chain((of_routes[at] for at in routes), (of_keys[at] for at in keys)):
-                    yield
-                    self._problems += references(entry, names.of)
+            looked = yield from self._of(part, routes[:MOST_PROBLEMS], keys[:MOST_PROBLEMS])
+            for entry in chain(looked.routes.values(), looked.keys.values()):
+                yield
+                found = list(references(entry, names.of))
+                self._problems += found
+                told += len(found)
+            if told >= MOST_PROBLEMS:
+                break
+        self._more += more - told
 
-    def _of(self, part: Part) -> Generator[None, None, tuple[list[Entry], list[Entry]]]:
-        """The entries of a part's routes and of its keys, with the places of their words: its file is read again."""
-        if part.file not in self._entries:
-            self._entries[part.file] = yield from entries(self._by_number[part.file].data, part.file, self._known)
-        return self._entries[part.file][part.number]
+    def _of(self, part: Part, routes: Sequence[int], keys: Sequence[int]) -> Generator[None, None, Wanted]:
+        """The entries of some of a part's routes and keys, with the places of their words: its file is read again."""
+        wanted = Wanted(part, routes, keys)
+        if routes or keys:
+            yield from entries(self._by_number[part.file].data, part.file, self._known, wanted)
+        return wanted
 
     def _meaning(self, names: Names, parts: tuple[tuple[Route, ...], ...]) -> Generator[None, None, Config | None]:
         """The settings, where lines are right by themselves; None where they contradict each other."""
@@ -299,8 +313,8 @@
             for part in self.order:
                 found = yield from _places(part.routes, lambda route: route.pool == other)
                 if found:
-                    routes, _ = yield from self._of(part)
-                    problems.append(model.pools_fault(routes[found[0]].place("pool"), across.uses))
+                    looked = yield from self._of(part, found[:1], ())
+                    problems.append(model.pools_fault(looked.routes[found[0]].place("pool"), across.uses))
                     break
         config = model.build(rest, across.uses, tuple(chain.from_iterable(parts)), across.keys.table(), problems)
         yield
@@ -319,9 +333,9 @@
         found: list[Entry] = []
         for part in self.order:
             places = yield from _places(part.keys, lambda key: key.customer in self._across.split)
-            if places:
-                _, keys = yield from self._of(part)
-                found += (keys[at] for at in places)
+            if len(found) < 2 * MOST_PROBLEMS:
+                looked = yield from self._of(part, (), places[:2 * MOST_PROBLEMS])
+                found += looked.keys.values()
         self._problems += meaning.owners(found)
 
     # ---- what is told -----------------------------------------------------------------------------------------
@@ -330,7 +344,8 @@
         """The problems with files by their numbers in this reading, and their texts."""
         def now(place: Place) -> Place:
             return Place(self._running[place.file], place.line, place.column)
-        problems = checker.arranged((replace(each, place=now(each.place)) for each in self._problems), notes=False)
+        problems = checker.arranged((replace(each, place=now(each.place)) for each in self._problems), False,
+                                    self._more)
         if not problems:
             return (), ()
         yield
--- a/anisefront/config/record.py
+++ b/anisefront/config/record.py
@@ -88,12 +88,20 @@
 def record(data: bytes, digest: bytes, file: int, known: Globals,
            before: Record | None = None) -> Generator[None, None, Record]:
     """A file's record, in steps. Keys that are as in the record before are the same objects."""
-    return (yield from _Maker(file, known, False, before).run(data, digest))[0]
+    return (yield from _Maker(file, known, before).run(data, digest))
 
 
-def entries(data: bytes, file: int, known: Globals) -> Generator[None, None, list[tuple[list[Entry], list[Entry]]]]:
-    """The entries of routes and of keys, part by part, with the places of all their words: for messages."""
-    return (yield from _Maker(file, known, True).run(data, b""))[1]
+class Wanted:
+    """Routes and keys of one part, by their numbers in it, of which messages need the places of all words."""
+
+    def __init__(self, part: Part, routes: Iterable[int], keys: Iterable[int]) -> None:
+        self.part, self.routes, self.keys = part.number, dict[int, Entry](), dict[int, Entry]()
+        self.of_routes, self.of_keys = frozenset(routes), frozenset(keys)
+
+
+def entries(data: bytes, file: int, known: Globals, wanted: Wanted) -> Generator[None, None, None]:
+    """Read a file again for what is wanted of it, which is put there."""
+    yield from _Maker(file, known, wanted=wanted).run(data, b"")
 
 
 def lines_of(data: bytes) -> Iterator[str]:
@@ -108,8 +116,8 @@
 
 
 class _Maker:
-    def __init__(self, file: int, known: Globals, keep: bool, before: Record | None = None) -> None:
-        self._file, self._known, self._keep = file, known, keep
+    def __init__(self, file: int, known: Globals, before: Record | None = None, wanted: Wanted | None = None) -> None:
+        self._file, self._known, self._wanted = file, known, wanted
         self._keys: dict[str, tuple[str, Key]] = {}
         for part in before.items if before is not None else ():
             if isinstance(part, Part):
@@ -117,18 +125,16 @@
 
     def _begin(self) -> None:
         self._items: list[Part | Directive] = []
-        self._kept: list[tuple[list[Entry], list[Entry]]] = []
         self._expansion = Expansion(self._known)
         self._part: _OpenPart | None = None
 
-    def run(self, data: bytes, digest: bytes) -> \
-            Generator[None, None, tuple[Record, list[tuple[list[Entry], list[Entry]]]]]:
-        """The record and, where they are kept, the entries."""
+    def run(self, data: bytes, digest: bytes) -> Generator[None, None, Record]:
+        """The record."""
         problems = yield from self._clean(data)
         if problems is None:
             problems = yield from self._faulty(data)
         self._end_part()
-        return Record(digest, tuple(self._items), tuple(problems), self._expansion, self._known), self._kept
+        return Record(digest, tuple(self._items), tuple(problems), self._expansion, self._known)
 
     def _clean(self, data: bytes) -> Generator[None, None, list[Problem] | None]:
         """The usual way: each directive is forgotten once it is read. None where the file has a fault of form: mending
@@ -193,12 +199,13 @@
     def _open_part(self, first: Directive) -> _OpenPart:
         if self._part is None:
             number = sum(isinstance(each, Part) for each in self._items)
-            self._part = _OpenPart(self._file, number, self._keep, first, self._expansion, self._keys)
+            wanted = self._wanted if self._wanted is not None and self._wanted.part == number else None
+            self._part = _OpenPart(self._file, number, wanted, first, self._expansion, self._keys)
         return self._part
 
     def _plain(self, line: str, number: int) -> bool:
         """Take a plain route or key without tokens; false where the line is none, and must be read by the usual way."""
-        if self._keep or len(line) > MOST_LINE:
+        if self._wanted is not None or len(line) > MOST_LINE:
             return False
         if (found := _KEY.match(line)) is not None:
             indent, text, customer, plan = found.groups()
@@ -222,16 +229,15 @@
     def _end_part(self) -> None:
         if self._part is not None:
             self._items.append(self._part.closed(self._expansion))
-            self._kept.append((self._part.kept_routes, self._part.kept_keys))
             self._part = None
 
 
 class _OpenPart:
     """A part while its lines are taken in."""
 
-    def __init__(self, file: int, number: int, keep: bool, first: Directive, expansion: Expansion,
+    def __init__(self, file: int, number: int, wanted: Wanted | None, first: Directive, expansion: Expansion,
                  keys_before: Mapping[str, tuple[str, Key]]) -> None:
-        self._keep, self._part, self._keys_before = keep, Part(file, number), keys_before
+        self._wanted, self._part, self._keys_before = wanted, Part(file, number), keys_before
         self._lines_before, self._known_before = expansion.lines, len(expansion.undeclared)
         self._part.first = first if first.name.text == "language" else Directive(first.name)
         self._problems: list[Problem] = []
@@ -244,8 +250,6 @@
         self._entries: list[Entry] = []
         self._named: list[Named] = []
         self._faulty_keys: list[tuple[int, Word]] = []
-        self.kept_routes: list[Entry] = []
-        self.kept_keys: list[Entry] = []
 
     def take(self, directive: Directive, expansion: Expansion) -> Generator[None, None, None]:
         """Take one line in."""
@@ -270,13 +274,13 @@
             elif named is not None and named.first is not None:
                 self._faulty_keys.append((len(self._keys), named.first))
         elif entry.name == "route":
+            if self._wanted is not None and len(self._routes) in self._wanted.of_routes:
+                self._wanted.routes[len(self._routes)] = entry
             self.route(entry.word, route(entry))
-            if self._keep:
-                self.kept_routes.append(entry)
         elif entry.name == "key":
+            if self._wanted is not None and len(self._keys) in self._wanted.of_keys:
+                self._wanted.keys[len(self._keys)] = entry
             self.key(entry.word, entry.arguments["key"], key(entry))
-            if self._keep:
-                self.kept_keys.append(entry)
         else:
             self._entries.append(entry)
             self._named.append(named)
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -351,6 +351,7 @@
 def test_each_shortcut_made_wrong_is_found(monkeypatch, name):
     GUARDS[name](monkeypatch)
     with pytest.raises((AssertionError, KeyError)):
+        play([("put", "d/b.conf", 0, "use viw [/x v]"), ("drop", "a.conf", 2)])
         for seed in range(150):
             chance = random.Random(seed)
             play([drawn(chance) for _ in range(12)])
@@ -512,3 +513,21 @@
     monkeypatch.setattr(reading, "record", None)
     second = at_once(own.steps())
     assert second.config is not None and second.digest == first.digest and second.parts[0] is first.parts[0]
+
+
+@pytest.mark.parametrize(("line", "what", "count"), [
+    ("plan b quota q", "there is no plan 'a'", 1801), ("", "stands twice, first in line", 1800)])
+def test_thousands_of_problems_are_counted_and_the_first_are_told(line, what, count, monkeypatch):
+    monkeypatch.undo()
+    world, own = large(12)
+    assert at_once(own.steps()).config is not None
+    if line:
+        world.lines["main.conf"] = [line if each == "plan a quota q" else each for each in world.lines["main.conf"]]
+    else:
+        world.lines.update({path.replace("d/", "d/1"): [each for each in lines if each.startswith("key")]
+                            for path, lines in world.lines.items() if path != "main.conf"})
+    outcome = at_once(own.steps())
+    fresh = checker.check(loader.load("main.conf", world.read, world.find), {}, notes=False)
+    assert outcome.problems == tuple(fresh.problems) and len(outcome.texts) == 1001
+    assert f"{count - 1000} more problems" in outcome.problems[-1].what
+    assert sum(what in problem.what for problem in outcome.problems) == 1000
