--- a/anisefront/config/loader.py
+++ b/anisefront/config/loader.py
@@ -170,6 +170,7 @@
                     return pattern
             except OSError:
                 return pattern
+        yield
         return ""
 
 
@@ -279,6 +280,7 @@
                                         'such as include "routes/*.conf"', code="include"))
             return
         pattern = os.path.join(os.path.dirname(path), words[0].text)
+        yield
         try:
             found = self._files.find(pattern)
         except OSError as problem:
--- a/anisefront/config/reading.py
+++ b/anisefront/config/reading.py
@@ -151,6 +151,7 @@
         digest, place = whole.digest(), None if asked is None else asked.place
         known = records.get(path)
         if known is None or known.digest != digest:
+            yield
             known = yield from record(data, digest, number, self._guess, known)
             records[path] = known
         file = _File(path, number, data, known, place)
@@ -224,8 +225,8 @@
                 if name not in undeclared:
                     undeclared.add(name)
                     problems.append(problem)
-            if lines < MOST_LINES <= lines + part.lines and not part.expansion:
-                problems.append(fault(part.first.name, f"lines come to more than {MOST_LINES}", "",
+            if lines < MOST_LINES <= lines + part.lines and part.lines < MOST_LINES:  # else it was said of the part
+                problems.append(fault(part.first.name, f"definitions come to more than {MOST_LINES} lines", "",
                                       code="definition"))
             lines += part.lines
         self._lost = bool(problems)
@@ -329,7 +330,7 @@
         return None if checker.faulty(problems) else config
 
     def _split(self) -> Generator[None, None, None]:
-        """Customers on two plans."""
+        """Customers on two plans; beyond twice as many keys as problems are shown, the rest is not counted."""
         found: list[Entry] = []
         for part in self.order:
             places = yield from _places(part.keys, lambda key: key.customer in self._across.split)
--- a/benchmarks/settings.py
+++ b/benchmarks/settings.py
@@ -8,6 +8,7 @@
 
 import gc
 import json
+import resource
 import statistics
 import subprocess
 import sys
@@ -61,6 +62,11 @@
     return int(Path("/proc/self/statm").read_text().split()[1]) * 4096 / 2**20
 
 
+def peak_mb() -> float:
+    """The most that the process has held in memory, in MiB."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+
+
 def before(path: Path, changes: int) -> dict[str, object]:
     """The whole way: loader.load, checker.check, Router."""
     from anisefront.config import checker, loader
@@ -80,7 +86,7 @@
         router, cost = whole()
         costs.append(cost)
     assert router.map("GET", "h", f"/changing/{changes - 1}", {"x-api-key": "any"}).class_name == "view"
-    return {**out, "change_cpu_ms": costs, "held_after_mb": held_mb()}
+    return {**out, "change_cpu_ms": costs, "held_after_mb": held_mb(), "peak_mb": peak_mb()}
 
 
 def after(path: Path, changes: int) -> dict[str, object]:
@@ -128,7 +134,7 @@
     began = time.perf_counter()
     gc.collect()
     return {**out, "change_cpu_ms": costs, "longest_step_ms": longest, "longest_step_cpu_ms": longest_cpu,
-            "steps": counts, "held_after_mb": held,
+            "steps": counts, "held_after_mb": held, "peak_mb": peak_mb(),
             "full_collection_ms": (time.perf_counter() - began) * 1000}
 
 
@@ -164,6 +170,7 @@
           f"later {old['held_after_mb']:.1f}; after {new['imported_mb']:.1f} -> {new['held_mb']:.1f} MiB, "
           f"first change {held[0]:.1f}, tenth {held[min(9, len(held) - 1)]:.1f}, last {held[-1]:.1f} "
           f"({(held[-1] / new['held_mb'] - 1) * 100:+.1f}% of the start)")
+    print(f"the most that was held: before {old['peak_mb']:.1f} MiB, after {new['peak_mb']:.1f}")
     print(f"a full collection of what came since the start: {new['full_collection_ms']:.1f} ms")
 
 
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -531,3 +531,30 @@
     assert outcome.problems == tuple(fresh.problems) and len(outcome.texts) == 1001
     assert f"{count - 1000} more problems" in outcome.problems[-1].what
     assert sum(what in problem.what for problem in outcome.problems) == 1000
+
+
+@pytest.mark.parametrize("end", ["\n", "\r\n"])
+def test_a_file_is_read_in_pieces_as_it_is_read_whole(monkeypatch, end):
+    chance, letters = random.Random(3), ["a", "é", "\u20ac", "\U0001f40d", "\n", end, "\u2028", " ", "\ufeff"]
+    for size in range(40):
+        data = "".join(chance.choice(letters) for _ in range(size)).encode()
+        for piece in (0, 1, 3, 7, 1000):
+            monkeypatch.setattr(record, "PIECE", piece)
+            for whole in (data, b"\xef\xbb\xbf" + data):
+                assert list(record.lines_of(whole)) == loader.decode(whole, 0)[0].split("\n")
+
+
+def test_lines_are_capped_over_all_files(monkeypatch):
+    monkeypatch.setattr(reading, "MOST_LINES", 60)
+    monkeypatch.setattr(loader, "MOST_LINES", 60)
+    world, own = World(), None
+    world.lines["d/b.conf"] = [f"route GET /b{n} class v pool p" for n in range(20)]
+    own = Reading("main.conf", {}, world.read, world.find)
+    assert at_once(own.steps()).config is not None
+    world.lines["d/c.conf"] = [f"route GET /c{n} class v pool p" for n in range(30)]
+    outcome = at_once(own.steps())
+    assert outcome.config is None and "definitions come to more than 60 lines" in outcome.errors[0]
+    world.lines["d/c.conf"] = ["define a {\n use b\n use b\n}", "define b {\n use c\n use c\n}",
+                               "define c {\n use d\n use d\n}", "define d {\n use e\n use e\n}", "define e {\n}",
+                               "use a", "use a", "use a"]
+    assert "definitions come to more than 60 lines" in at_once(own.steps()).errors[0]
