--- a/anisefront/config/record.py
+++ b/anisefront/config/record.py
@@ -25,6 +25,7 @@
 _KEY = re.compile(rf"([ \t]*)key[ \t]+{_WORD}[ \t]+customer[ \t]+{_WORD}[ \t]+plan[ \t]+{_NAME}[ \t]*\r?\Z")
 _ROUTE = re.compile(rf"([ \t]*)route[ \t]+(\*|[A-Z][A-Z-]{{0,31}})[ \t]+{_WORD}[ \t]+class[ \t]+{_NAME}[ \t]+pool[ \t]+"
                     rf"{_NAME}(?:[ \t]+host[ \t]+{_WORD})?[ \t]*\r?\Z")
+BEFORE = 256  # keys of before that are gone through in one step
 PIECE = 1 << 15  # bytes that are decoded at once, and those to the end of their line
 
 
@@ -119,9 +120,7 @@
     def __init__(self, file: int, known: Globals, before: Record | None = None, wanted: Wanted | None = None) -> None:
         self._file, self._known, self._wanted = file, known, wanted
         self._keys: dict[str, tuple[str, Key]] = {}
-        for part in before.items if before is not None else ():
-            if isinstance(part, Part):
-                self._keys.update(zip(part.texts, zip(part.texts, part.keys, strict=True), strict=True))
+        self._before = [] if before is None else [each for each in before.items if isinstance(each, Part)]
 
     def _begin(self) -> None:
         self._items: list[Part | Directive] = []
@@ -130,6 +129,11 @@
 
     def run(self, data: bytes, digest: bytes) -> Generator[None, None, Record]:
         """The record."""
+        for part in self._before:
+            for at, known in enumerate(zip(part.texts, part.keys, strict=True)):
+                if at % BEFORE == 0:
+                    yield
+                self._keys[known[0]] = known
         problems = yield from self._clean(data)
         if problems is None:
             problems = yield from self._faulty(data)
--- a/anisefront/core/versions.py
+++ b/anisefront/core/versions.py
@@ -98,7 +98,16 @@
 def _routes(removed: Iterable[Part], added: Iterable[Part]) -> Generator[None, None, Changed]:
     old = yield from _by_place(removed)
     new = yield from _by_place(added)
-    return _changed(old, new)
+    came, other = [], []
+    for number, (name, route) in enumerate(new.items()):
+        if number % ENTRIES == ENTRIES - 1:
+            yield
+        before = old.pop(name, None)
+        if before is None:
+            came.append(name)
+        elif before != route:
+            other.append(name)
+    return Changed(tuple(came), tuple(other), tuple(old))
 
 
 def _by_place(parts: Iterable[Part]) -> Generator[None, None, dict[str, Route]]:
