--- a/anisefront/config/loader.py
+++ b/anisefront/config/loader.py
@@ -159,7 +159,7 @@
     def changed(self) -> Generator[None, None, str]:
         """The path of a file or the pattern of an include that is not as it was when it was read; "" for none."""
         for number, (path, mark) in enumerate(self._marks.items()):
-            if number % 64 == 63:
+            if number % (4 * FILES) == 0:
                 yield
             try:
                 if _mark(os.stat(path)) != mark:
@@ -173,6 +173,7 @@
                     return pattern
             except OSError:
                 return pattern
+        yield
         return ""
 
 
@@ -282,6 +283,7 @@
                                         'such as include "routes/*.conf"', code="include"))
             return
         pattern = os.path.join(os.path.dirname(path), words[0].text)
+        yield
         try:
             found = self._files.find(pattern)
         except OSError as problem:
--- a/anisefront/config/reading.py
+++ b/anisefront/config/reading.py
@@ -9,18 +9,19 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable, Generator, Iterator, Mapping
+from collections.abc import Callable, Generator, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 from itertools import chain
+from typing import Any
 
 from anisefront.config import checker, meaning, messages, model
 from anisefront.config.across import Across
-from anisefront.config.checker import Names, references
 from anisefront.config.lexer import Place, Problem, Severity, Word, fault
 from anisefront.config.loader import MOST_LINES, Disk, Files, Find, Globals, Load, Read, Source, Walk
+from anisefront.config.checker import MOST_PROBLEMS, Names, references
 from anisefront.config.model import Entry, Model
 from anisefront.config.parser import Directive, Document
-from anisefront.config.record import Part, Record, entries, lines_of, record
+from anisefront.config.record import Part, Record, Wanted, entries, lines_of, record
 from anisefront.config.types import Config
 from anisefront.core.routing import Route
 from anisefront.core.tables import parts_changed
@@ -117,7 +118,7 @@
         self._running: dict[int, int] = {0: 0}  # numbers of files in this reading
         self._problems: list[Problem] = []  # places name files by their numbers until the end
         self._digest = hashlib.sha256()
-        self._entries: dict[int, list[tuple[list[Entry], list[Entry]]]] = {}
+        self._more = 0  # problems that are known to be, beyond those that are told
         self._lost = False
         self.order: list[Part] = []
         # What was known of definitions and values before is the best guess until all files are read.
@@ -150,7 +151,8 @@
         digest, place = whole.digest(), None if asked is None else asked.place
         known = records.get(path)
         if known is None or known.digest != digest:
-            known = yield from record(data, digest, number, self._guess)
+            yield
+            known = yield from record(data, digest, number, self._guess, known)
             records[path] = known
         file = _File(path, number, data, known, place)
         at = (0, 0, 0) if place is None else (self._running[place.file] + 1, place.line, place.column)
@@ -176,7 +178,7 @@
             if number % PARTS == PARTS - 1:
                 yield
             if not file.record.holds(known):
-                again = yield from record(file.data, file.record.digest, file.number, known)
+                again = yield from record(file.data, file.record.digest, file.number, known, file.record)
                 instead.update((id(old), new) for old, new in zip(file.record.items, again.items, strict=True)
                                if isinstance(old, Part))
                 file.record = self._reading._records[file.path] = again
@@ -223,8 +225,8 @@
                 if name not in undeclared:
                     undeclared.add(name)
                     problems.append(problem)
-            if lines < MOST_LINES <= lines + part.lines and not part.expansion:
-                problems.append(fault(part.first.name, f"lines come to more than {MOST_LINES}", "",
+            if lines < MOST_LINES <= lines + part.lines and part.lines < MOST_LINES:  # else it was said of the part
+                problems.append(fault(part.first.name, f"definitions come to more than {MOST_LINES} lines", "",
                                       code="definition"))
             lines += part.lines
         self._lost = bool(problems)
@@ -249,20 +251,24 @@
     def _doubled(self) -> Generator[None, None, None]:
         """Keys that stand twice."""
         texts = {*self._across.doubled, *(word.text for part in self.order for _, word in part.faulty_keys)}
-        first: dict[str, Word] = {}
+        first: dict[str, Word | None] = {}  # None for one whose place is not looked up
+        told = 0
         for part in self.order if texts else ():
-            found = [(at - 0.5, word) for at, word in part.faulty_keys]
-            for at, text in enumerate(part.texts):
-                if at % PARTS == PARTS - 1:
+            places = yield from _places(part.texts, texts.__contains__)
+            looked = yield from self._of(part, (), places[:MOST_PROBLEMS] if told < MOST_PROBLEMS else ())
+            found = [(at - 0.5, word.text, word) for at, word in part.faulty_keys]
+            found += ((at, part.texts[at], looked.keys[at].places["key"] if at in looked.keys else None)
+                      for at in places)
+            for count, (_, text, word) in enumerate(sorted(found, key=lambda each: each[0])):
+                if count % PARTS == PARTS - 1:
                     yield
-                if text in texts:
-                    _, keys = yield from self._of(part)
-                    found.append((at, keys[at].places["key"]))
-            for _, word in sorted(found, key=lambda each: each[0]):
-                if word.text in first:
-                    self._problems.append(checker.twice("key", word, first[word.text]))
+                if text not in first:
+                    first[text] = word
+                elif word is None or first[text] is None:
+                    self._more += 1
                 else:
-                    first[word.text] = word
+                    told += 1
+                    self._problems.append(checker.twice("key", word, first[text]))
 
     def _references(self, names: Names) -> Generator[None, None, None]:
         """Names that are not there."""
@@ -274,20 +280,27 @@
                 self._problems += references(entry, names.of)
         plans, classes, pools = ({name for name in used if name not in names.of[kind]} for kind, used in
                                  (("plan", uses.plans), ("class", uses.classes), ("pool", uses.pools)))
-        for part in self.order if plans or classes or pools else ():
-            yield
-            hit = any(key.plan in plans for key in part.keys) or \
-                any(route.class_name in classes or route.pool in pools for route in part.routes)
-            for count, entry in enumerate(chain(*(yield from self._of(part)) if hit else ()), 1):
-                if count % PARTS == 0:
-                    yield
-                self._problems += references(entry, names.of)
+        told, more = 0, sum(uses.plans[name] for name in plans) + sum(uses.classes[name] for name in classes) \
+            + sum(uses.pools[name] for name in pools)
+        for part in self.order if more else ():
+            routes = yield from _places(part.routes, lambda route: route.class_name in classes or route.pool in pools)
+            keys = yield from _places(part.keys, lambda key: key.plan in plans)
+            looked = yield from self._of(part, routes[:MOST_PROBLEMS], keys[:MOST_PROBLEMS])
+            for entry in chain(looked.routes.values(), looked.keys.values()):
+                yield
+                found = list(references(entry, names.of))
+                self._problems += found
+                told += len(found)
+            if told >= MOST_PROBLEMS:
+                break
+        self._more += more - told
 
-    def _of(self, part: Part) -> Generator[None, None, tuple[list[Entry], list[Entry]]]:
-        """The entries of a part's routes and of its keys, with the places of their words: its file is read again."""
-        if part.file not in self._entries:
-            self._entries[part.file] = yield from entries(self._by_number[part.file].data, part.file, self._known)
-        return self._entries[part.file][part.number]
+    def _of(self, part: Part, routes: Sequence[int], keys: Sequence[int]) -> Generator[None, None, Wanted]:
+        """The entries of some of a part's routes and keys, with the places of their words: its file is read again."""
+        wanted = Wanted(part, routes, keys)
+        if routes or keys:
+            yield from entries(self._by_number[part.file].data, part.file, self._known, wanted)
+        return wanted
 
     def _meaning(self, names: Names, parts: tuple[tuple[Route, ...], ...]) -> Generator[None, None, Config | None]:
         """The settings, where lines are right by themselves; None where they contradict each other."""
@@ -298,10 +311,12 @@
         yield
         other = model.second_pool(across.uses)
         if other:
-            part, at = next((part, at) for part in self.order for at, route in enumerate(part.routes)
-                            if route.pool == other)
-            routes, _ = yield from self._of(part)
-            problems.append(model.pools_fault(routes[at].place("pool"), across.uses))
+            for part in self.order:
+                found = yield from _places(part.routes, lambda route: route.pool == other)
+                if found:
+                    looked = yield from self._of(part, found[:1], ())
+                    problems.append(model.pools_fault(looked.routes[found[0]].place("pool"), across.uses))
+                    break
         config = model.build(rest, across.uses, tuple(chain.from_iterable(parts)), across.keys.table(), problems)
         yield
         if config is None or other:
@@ -315,14 +330,13 @@
         return None if checker.faulty(problems) else config
 
     def _split(self) -> Generator[None, None, None]:
-        """Customers on two plans."""
+        """Customers on two plans; beyond twice as many keys as problems are shown, the rest is not counted."""
         found: list[Entry] = []
         for part in self.order:
-            yield
-            at = [number for number, key in enumerate(part.keys) if key.customer in self._across.split]
-            if at:
-                _, keys = yield from self._of(part)
-                found += (keys[number] for number in at)
+            places = yield from _places(part.keys, lambda key: key.customer in self._across.split)
+            if len(found) < 2 * MOST_PROBLEMS:
+                looked = yield from self._of(part, (), places[:2 * MOST_PROBLEMS])
+                found += looked.keys.values()
         self._problems += meaning.owners(found)
 
     # ---- what is told -----------------------------------------------------------------------------------------
@@ -331,7 +345,8 @@
         """The problems with files by their numbers in this reading, and their texts."""
         def now(place: Place) -> Place:
             return Place(self._running[place.file], place.line, place.column)
-        problems = checker.arranged((replace(each, place=now(each.place)) for each in self._problems), notes=False)
+        problems = checker.arranged((replace(each, place=now(each.place)) for each in self._problems), False,
+                                    self._more)
         if not problems:
             return (), ()
         yield
@@ -345,6 +360,17 @@
         return tuple(problems), tuple(texts)
 
 
+def _places(values: tuple[Any, ...], wanted: Callable[[Any], bool]) -> Generator[None, None, list[int]]:
+    """Where the values that are wanted stand, in steps."""
+    out = []
+    for at, value in enumerate(values):
+        if at % (4 * PARTS) == 0:
+            yield
+        if wanted(value):
+            out.append(at)
+    return out
+
+
 class _Shown(Load):
     """A load that knows those of its lines that are shown."""
 
--- a/anisefront/config/record.py
+++ b/anisefront/config/record.py
@@ -18,13 +18,14 @@
 from anisefront.config.values import HOST, PATH, Unfit
 from anisefront.core.routing import Key, Route
 
-LINES = 8  # of a file that are read in one step; one line may be long, and one directive may go over many
-PLAIN = 8  # plain lines that count as one
+LINES = 4  # of a file that are read in one step; one line may be long, and one directive may go over many
+PLAIN = 12  # plain lines that count as one
 # The lines of which a large installation has thousands, where each word is plain: their meaning is plain as well.
 _WORD, _NAME = r"([!%&'()*+\-./0-9:<=>?@A-Z^_`a-z|~]{1,4096})", r"([A-Za-z][A-Za-z0-9._-]{0,63})"
 _KEY = re.compile(rf"([ \t]*)key[ \t]+{_WORD}[ \t]+customer[ \t]+{_WORD}[ \t]+plan[ \t]+{_NAME}[ \t]*\r?\Z")
 _ROUTE = re.compile(rf"([ \t]*)route[ \t]+(\*|[A-Z][A-Z-]{{0,31}})[ \t]+{_WORD}[ \t]+class[ \t]+{_NAME}[ \t]+pool[ \t]+"
                     rf"{_NAME}(?:[ \t]+host[ \t]+{_WORD})?[ \t]*\r?\Z")
+BEFORE = 256  # keys of before that are gone through in one step
 PIECE = 1 << 15  # bytes that are decoded at once, and those to the end of their line
 
 
@@ -85,14 +86,23 @@
                 and (self.names is None or self.names == tuple(known.definitions)))
 
 
-def record(data: bytes, digest: bytes, file: int, known: Globals) -> Generator[None, None, Record]:
-    """A file's record, in steps."""
-    return (yield from _Maker(file, known, False).run(data, digest))[0]
+def record(data: bytes, digest: bytes, file: int, known: Globals,
+           before: Record | None = None) -> Generator[None, None, Record]:
+    """A file's record, in steps. Keys that are as in the record before are the same objects."""
+    return (yield from _Maker(file, known, before).run(data, digest))
 
 
-def entries(data: bytes, file: int, known: Globals) -> Generator[None, None, list[tuple[list[Entry], list[Entry]]]]:
-    """The entries of routes and of keys, part by part, with the places of all their words: for messages."""
-    return (yield from _Maker(file, known, True).run(data, b""))[1]
+class Wanted:
+    """Routes and keys of one part, by their numbers in it, of which messages need the places of all words."""
+
+    def __init__(self, part: Part, routes: Iterable[int], keys: Iterable[int]) -> None:
+        self.part, self.routes, self.keys = part.number, dict[int, Entry](), dict[int, Entry]()
+        self.of_routes, self.of_keys = frozenset(routes), frozenset(keys)
+
+
+def entries(data: bytes, file: int, known: Globals, wanted: Wanted) -> Generator[None, None, None]:
+    """Read a file again for what is wanted of it, which is put there."""
+    yield from _Maker(file, known, wanted=wanted).run(data, b"")
 
 
 def lines_of(data: bytes) -> Iterator[str]:
@@ -107,23 +117,28 @@
 
 
 class _Maker:
-    def __init__(self, file: int, known: Globals, keep: bool) -> None:
-        self._file, self._known, self._keep = file, known, keep
+    def __init__(self, file: int, known: Globals, before: Record | None = None, wanted: Wanted | None = None) -> None:
+        self._file, self._known, self._wanted = file, known, wanted
+        self._keys: dict[str, tuple[str, Key]] = {}
+        self._before = [] if before is None else [each for each in before.items if isinstance(each, Part)]
 
     def _begin(self) -> None:
         self._items: list[Part | Directive] = []
-        self._kept: list[tuple[list[Entry], list[Entry]]] = []
         self._expansion = Expansion(self._known)
         self._part: _OpenPart | None = None
 
-    def run(self, data: bytes, digest: bytes) -> \
-            Generator[None, None, tuple[Record, list[tuple[list[Entry], list[Entry]]]]]:
-        """The record and, where they are kept, the entries."""
+    def run(self, data: bytes, digest: bytes) -> Generator[None, None, Record]:
+        """The record."""
+        for part in self._before:
+            for at, known in enumerate(zip(part.texts, part.keys, strict=True)):
+                if at % BEFORE == 0:
+                    yield
+                self._keys[known[0]] = known
         problems = yield from self._clean(data)
         if problems is None:
             problems = yield from self._faulty(data)
         self._end_part()
-        return Record(digest, tuple(self._items), tuple(problems), self._expansion, self._known), self._kept
+        return Record(digest, tuple(self._items), tuple(problems), self._expansion, self._known)
 
     def _clean(self, data: bytes) -> Generator[None, None, list[Problem] | None]:
         """The usual way: each directive is forgotten once it is read. None where the file has a fault of form: mending
@@ -187,13 +202,14 @@
 
     def _open_part(self, first: Directive) -> _OpenPart:
         if self._part is None:
-            self._part = _OpenPart(self._file, sum(isinstance(each, Part) for each in self._items), self._keep, first,
-                                   self._expansion)
+            number = sum(isinstance(each, Part) for each in self._items)
+            wanted = self._wanted if self._wanted is not None and self._wanted.part == number else None
+            self._part = _OpenPart(self._file, number, wanted, first, self._expansion, self._keys)
         return self._part
 
     def _plain(self, line: str, number: int) -> bool:
         """Take a plain route or key without tokens; false where the line is none, and must be read by the usual way."""
-        if self._keep or len(line) > MOST_LINE:
+        if self._wanted is not None or len(line) > MOST_LINE:
             return False
         if (found := _KEY.match(line)) is not None:
             indent, text, customer, plan = found.groups()
@@ -217,15 +233,15 @@
     def _end_part(self) -> None:
         if self._part is not None:
             self._items.append(self._part.closed(self._expansion))
-            self._kept.append((self._part.kept_routes, self._part.kept_keys))
             self._part = None
 
 
 class _OpenPart:
     """A part while its lines are taken in."""
 
-    def __init__(self, file: int, number: int, keep: bool, first: Directive, expansion: Expansion) -> None:
-        self._keep, self._part = keep, Part(file, number)
+    def __init__(self, file: int, number: int, wanted: Wanted | None, first: Directive, expansion: Expansion,
+                 keys_before: Mapping[str, tuple[str, Key]]) -> None:
+        self._wanted, self._part, self._keys_before = wanted, Part(file, number), keys_before
         self._lines_before, self._known_before = expansion.lines, len(expansion.undeclared)
         self._part.first = first if first.name.text == "language" else Directive(first.name)
         self._problems: list[Problem] = []
@@ -238,8 +254,6 @@
         self._entries: list[Entry] = []
         self._named: list[Named] = []
         self._faulty_keys: list[tuple[int, Word]] = []
-        self.kept_routes: list[Entry] = []
-        self.kept_keys: list[Entry] = []
 
     def take(self, directive: Directive, expansion: Expansion) -> Generator[None, None, None]:
         """Take one line in."""
@@ -264,13 +278,13 @@
             elif named is not None and named.first is not None:
                 self._faulty_keys.append((len(self._keys), named.first))
         elif entry.name == "route":
+            if self._wanted is not None and len(self._routes) in self._wanted.of_routes:
+                self._wanted.routes[len(self._routes)] = entry
             self.route(entry.word, route(entry))
-            if self._keep:
-                self.kept_routes.append(entry)
         elif entry.name == "key":
+            if self._wanted is not None and len(self._keys) in self._wanted.of_keys:
+                self._wanted.keys[len(self._keys)] = entry
             self.key(entry.word, entry.arguments["key"], key(entry))
-            if self._keep:
-                self.kept_keys.append(entry)
         else:
             self._entries.append(entry)
             self._named.append(named)
@@ -281,7 +295,9 @@
         self._part.route_places.extend(word.place)
 
     def key(self, word: Word, text: str, key: Key) -> None:
-        """Take a key in."""
+        """Take a key in. Danger: the table of keys has the objects of before; others like them would be held twice."""
+        if (known := self._keys_before.get(text)) is not None and known[1] == key:
+            text, key = known
         self._texts.append(text)
         self._keys.append(key)
         self._part.key_places.extend(word.place)
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -2,8 +2,10 @@
 
 import errno
 import fnmatch
+import os
 import random
 import re
+import sys
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -349,6 +351,210 @@
 def test_each_shortcut_made_wrong_is_found(monkeypatch, name):
     GUARDS[name](monkeypatch)
     with pytest.raises((AssertionError, KeyError)):
+        play([("put", "d/b.conf", 0, "use viw [/x v]"), ("drop", "a.conf", 2)])
         for seed in range(150):
             chance = random.Random(seed)
             play([drawn(chance) for _ in range(12)])
+
+
+# ---- steps, and files on disk --------------------------------------------------------------------------------------
+
+
+def work_of(steps):
+    """The most calls of one step, and what the steps come to."""
+    calls, most = [0], 0
+
+    def count(frame, event, argument):
+        calls[0] += event in ("call", "c_call")
+    while True:
+        calls[0] = 0
+        sys.setprofile(count)
+        try:
+            next(steps)
+        except StopIteration as ended:
+            return max(most, calls[0]), ended.value
+        finally:
+            sys.setprofile(None)
+        most = max(most, calls[0])
+
+
+MOST_CALLS = 2000  # of one step; a plain file of 2,000 lines takes some hundred thousand
+
+
+def large(files):
+    """An installation of 1,800 keys and 300 routes, in so many files that are included."""
+    world = World()
+    lines = [f"key k-{n} customer c-{n} plan a" for n in range(1500)] + \
+        [f'key "k {n}" customer c-{n} plan a' for n in range(300)] + \
+        [f"route GET /a-{n}/:x class v pool p" + (" when [q=1]" if n % 3 else "") for n in range(300)]
+    world.lines = {"main.conf": [*HEAD, 'include "d/*.conf"']}
+    for n in range(files):
+        world.lines[f"d/{n:03}.conf"] = lines[n::files]
+    return world, Reading("main.conf", {}, world.read, world.find)
+
+
+@pytest.mark.parametrize("files", [1, 150])
+def test_no_step_does_more_than_a_little(files, monkeypatch):
+    monkeypatch.undo()
+    world, own = large(files)
+    most, outcome = work_of(own.steps())
+    assert most <= MOST_CALLS and len(outcome.config.keys) == 1800
+    most, version = work_of(next_steps(None, outcome))
+    assert most <= MOST_CALLS
+    for bad in ("", "key k-7 customer c-7 plan a", "key new customer c-9 plan none", "}", "quota z burst 1", "plan b"
+                " quota q\nkey new customer c-9 plan b", "route GET /n class v pool z\npool z embedded 1"):
+        world.lines["d/000.conf"] = [*world.lines["d/000.conf"], bad, "route GET /new class v pool p"]
+        most, outcome = work_of(own.steps())
+        assert most <= MOST_CALLS and (outcome.config is None) == bool(bad and "quota z" not in bad), outcome.texts
+        if outcome.config is not None:
+            most, version = work_of(next_steps(version, outcome))
+            assert most <= MOST_CALLS
+        del world.lines["d/000.conf"][-2:]
+
+
+def test_only_files_that_changed_are_read_into_records(monkeypatch):
+    made = []
+    whole = reading.record
+    monkeypatch.setattr(reading, "record", lambda data, digest, file, *more: made.append(file) or whole(
+        data, digest, file, *more))
+    world, own = large(20)
+
+    def records():
+        made.clear()
+        return at_once(own.steps()), len(made)
+    assert records()[1] == 21
+    assert records()[1] == 0
+    world.lines["d/007.conf"].append("route GET /new class v pool p")
+    assert records()[1] == 1
+    first = world.lines["main.conf"]
+    world.lines["main.conf"] = ["langage 2"]
+    assert records()[0].config is None
+    world.lines["main.conf"] = first  # a fault that hides all other files has none of them read again
+    outcome, count = records()
+    assert outcome.config is not None and count == 1
+    del world.lines["d/007.conf"], world.lines["d/008.conf"]
+    assert records()[1] == 0 and len(own._numbers) == len(own._records) == 19
+
+
+def on_disk(folder):
+    (folder / "d").mkdir()
+    (folder / "main.conf").write_text("\n".join([*HEAD, 'include "d/*.conf"', ""]))
+    (folder / "d/a.conf").write_text("route GET /x class v pool p\n")
+    return Reading(str(folder / "main.conf"))
+
+
+def test_a_file_that_changes_while_it_is_read_is_read_again_and_then_refused(tmp_path):
+    own = on_disk(tmp_path)
+    assert at_once(own.steps()).config is not None
+
+    def with_changes(most):
+        steps, done = own.steps(), 0
+        while True:
+            try:
+                next(steps)
+            except StopIteration as ended:
+                return ended.value
+            frame = steps.gi_frame.f_locals.get("turn")
+            if done < most and frame is not None and len(frame.files) == 2:
+                done += 1
+                (tmp_path / "d/a.conf").write_text(f"route GET /x{done} class v pool p\n")
+    outcome = with_changes(2)
+    assert [route.pattern.path for route in outcome.config.routes] == ["/x2"]
+    outcome = with_changes(1000)
+    assert outcome.config is None and "a.conf' changed while it was read, 3 times - let writing come" in \
+        outcome.errors[0]
+    assert at_once(own.steps()).config is not None
+
+
+def test_a_file_that_comes_while_files_are_read_is_not_missed(tmp_path):
+    own, steps = on_disk(tmp_path), None
+    steps = own.steps()
+    for count in range(1000):
+        try:
+            next(steps)
+        except StopIteration as ended:
+            assert len(ended.value.config.routes) == 2
+            return
+        if count == 3:
+            (tmp_path / "d/b.conf").write_text("route GET /y class v pool p\n")
+    raise AssertionError("no end")
+
+
+def test_files_that_vanish_and_folders_that_cannot_be_read(tmp_path, monkeypatch):
+    own = on_disk(tmp_path)
+    with open(tmp_path / "main.conf", "a") as file:
+        file.write("include d/a.conf\n")
+    assert "is included twice" in at_once(own.steps()).errors[0]
+    (tmp_path / "d/a.conf").rename(tmp_path / "d/a.other")
+    outcome = at_once(own.steps())
+    assert "d/a.conf' can't be read: No such file" in outcome.errors[0] and "no file matches" in outcome.texts[1]
+    (tmp_path / "d/a.other").rename(tmp_path / "d/a.conf")
+    listed = os.listdir
+
+    def listdir(path):
+        if str(path).endswith("/d"):
+            raise PermissionError(errno.EACCES, "Permission denied", path)
+        return listed(path)
+    monkeypatch.setattr(os, "listdir", listdir)
+    assert f"main.conf:9:9: error: folder '{tmp_path}/d' can't be read: Permission denied - mend the folder's rights" \
+        in at_once(own.steps()).errors[0]
+
+
+def test_links_that_are_turned_as_a_whole_cost_nothing_where_bytes_are_as_before(tmp_path, monkeypatch):
+    for name in ("one", "two"):
+        (tmp_path / name / "d").mkdir(parents=True)
+        (tmp_path / name / "main.conf").write_text("\n".join([*HEAD, 'include "d/*.conf"', ""]))
+        (tmp_path / name / "d/a.conf").write_text("route GET /x class v pool p\n")
+    (tmp_path / "now").symlink_to(tmp_path / "one")
+    own = Reading(str(tmp_path / "now/main.conf"))
+    first = at_once(own.steps())
+    (tmp_path / "next").symlink_to(tmp_path / "two")
+    os.replace(tmp_path / "next", tmp_path / "now")
+    monkeypatch.setattr(reading, "record", None)
+    second = at_once(own.steps())
+    assert second.config is not None and second.digest == first.digest and second.parts[0] is first.parts[0]
+
+
+@pytest.mark.parametrize(("line", "what", "count"), [
+    ("plan b quota q", "there is no plan 'a'", 1801), ("", "stands twice, first in line", 1800)])
+def test_thousands_of_problems_are_counted_and_the_first_are_told(line, what, count, monkeypatch):
+    monkeypatch.undo()
+    world, own = large(12)
+    assert at_once(own.steps()).config is not None
+    if line:
+        world.lines["main.conf"] = [line if each == "plan a quota q" else each for each in world.lines["main.conf"]]
+    else:
+        world.lines.update({path.replace("d/", "d/1"): [each for each in lines if each.startswith("key")]
+                            for path, lines in world.lines.items() if path != "main.conf"})
+    outcome = at_once(own.steps())
+    fresh = checker.check(loader.load("main.conf", world.read, world.find), {}, notes=False)
+    assert outcome.problems == tuple(fresh.problems) and len(outcome.texts) == 1001
+    assert f"{count - 1000} more problems" in outcome.problems[-1].what
+    assert sum(what in problem.what for problem in outcome.problems) == 1000
+
+
+@pytest.mark.parametrize("end", ["\n", "\r\n"])
+def test_a_file_is_read_in_pieces_as_it_is_read_whole(monkeypatch, end):
+    chance, letters = random.Random(3), ["a", "é", "\u20ac", "\U0001f40d", "\n", end, "\u2028", " ", "\ufeff"]
+    for size in range(40):
+        data = "".join(chance.choice(letters) for _ in range(size)).encode()
+        for piece in (0, 1, 3, 7, 1000):
+            monkeypatch.setattr(record, "PIECE", piece)
+            for whole in (data, b"\xef\xbb\xbf" + data):
+                assert list(record.lines_of(whole)) == loader.decode(whole, 0)[0].split("\n")
+
+
+def test_lines_are_capped_over_all_files(monkeypatch):
+    monkeypatch.setattr(reading, "MOST_LINES", 60)
+    monkeypatch.setattr(loader, "MOST_LINES", 60)
+    world, own = World(), None
+    world.lines["d/b.conf"] = [f"route GET /b{n} class v pool p" for n in range(20)]
+    own = Reading("main.conf", {}, world.read, world.find)
+    assert at_once(own.steps()).config is not None
+    world.lines["d/c.conf"] = [f"route GET /c{n} class v pool p" for n in range(30)]
+    outcome = at_once(own.steps())
+    assert outcome.config is None and "definitions come to more than 60 lines" in outcome.errors[0]
+    world.lines["d/c.conf"] = ["define a {\n use b\n use b\n}", "define b {\n use c\n use c\n}",
+                               "define c {\n use d\n use d\n}", "define d {\n use e\n use e\n}", "define e {\n}",
+                               "use a", "use a", "use a"]
+    assert "definitions come to more than 60 lines" in at_once(own.steps()).errors[0]
