--- a/benchmarks/scale/change.py
+++ b/benchmarks/scale/change.py
@@ -38,7 +38,8 @@
 
 
 def measure(program: Path, sizes: Sizes = SIZES) -> dict[str, float]:
-    """Start, requests without changes and with one every four seconds, then many changes one after another."""
+    """Start, requests without changes and with one every four seconds, then many changes one after another: as many as
+    there is time for. CPU of the many is with what asking for their state costs."""
     with Fleet(sizes, processes=1, senders=1, program=program) as fleet:
         values = {"start_s": fleet.start_s[0], "rss_start_mb": rss_mb(fleet.reals[0].pid)}
         fleet.settle()
