--- /dev/null
+++ b/anisefront/config/reading.py
@@ -0,0 +1,406 @@
+"""The file of settings and what it includes, read again and again: a reading costs what changed, in steps.
+
+A gatekeeper keeps one Reading for its life. All files are read anew each time, since a time stamp proves nothing; those
+whose bytes are as before are not lexed, parsed, expanded or checked again (record.py), and what lines of several files
+have to do with each other is looked at where a change can touch it (across.py). What comes out is what
+`checker.check(loader.load(path), environment, notes=False)` gives. It puts nothing in force.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Generator, Iterator, Mapping, Sequence
+from dataclasses import dataclass, replace
+from itertools import chain
+from typing import Any
+
+from anisefront.config import checker, meaning, messages, model
+from anisefront.config.across import Across
+from anisefront.config.lexer import Place, Problem, Severity, Word, fault
+from anisefront.config.loader import MOST_LINES, Disk, Files, Find, Globals, Load, Read, Source, Walk
+from anisefront.config.checker import MOST_PROBLEMS, Names, references
+from anisefront.config.model import Entry, Model
+from anisefront.config.parser import Directive, Document
+from anisefront.config.record import Part, Record, Wanted, entries, lines_of, record
+from anisefront.config.types import Config
+from anisefront.core.routing import Route
+from anisefront.core.tables import parts_changed
+
+MOST_TRIES = 3  # of one reading, while files change under it
+PARTS = 64  # that are gone through in one step
+PIECE = 1 << 18  # bytes that are hashed at once
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What one reading came to. Notes are left out: they are for a person, by `config check --notes`."""
+
+    config: Config | None  # None where an error was found
+    problems: tuple[Problem, ...]  # errors and warnings, in the order of their places
+    texts: tuple[str, ...]  # the same as a person reads them, errors first
+    digest: str  # of the bytes of all files in the order in which they count, and of where each was included
+    parts: tuple[tuple[Route, ...], ...] = ()  # config.routes in pieces, for core/versions.py
+
+    @property
+    def errors(self) -> tuple[str, ...]:
+        """The texts of the errors; empty where the settings can be taken."""
+        count = sum(problem.severity is Severity.ERROR for problem in self.problems)
+        return self.texts[:count]
+
+
+@dataclass(slots=True)
+class _File:
+    """A file of one reading."""
+
+    path: str
+    number: int  # by which places name it, for as long as its path is known
+    data: bytes
+    record: Record
+    asked_by: Place | None
+
+
+class Reading:
+    """`environment` holds what `env` may name. `read` and `find` (a glob) may be others, for texts in no file."""
+
+    def __init__(self, path: str, environment: Mapping[str, str] | None = None, read: Read | None = None,
+                 find: Find | None = None) -> None:
+        self.path, self._environment = path, {} if environment is None else environment
+        self._files: Callable[[], Files] = Disk if read is None else lambda: Files(read, find)
+        self._running: Generator[None, None, Outcome] | None = None
+        self._last, self._numbers = 0, dict[str, int]()  # of paths, from 1; none is given again
+        self._records: dict[str, Record] = {}  # by path: of the files of the last reading, and of the last good one
+        self._good: dict[str, Record] = {}
+        self._known: Globals | None = None
+        self._across, self._order, self._half_done = Across(), list[Part](), False
+
+    def steps(self) -> Generator[None, None, Outcome]:
+        """Read all files anew; the outcome is what the generator returns. A reading before it that was not run to its
+        end is given up."""
+        if self._running is not None:
+            self._running.close()
+        self._running = self._steps()
+        return self._running
+
+    def _steps(self) -> Generator[None, None, Outcome]:
+        for _ in range(MOST_TRIES):
+            turn, files = _Turn(self), self._files()
+            yield from turn.read(files)
+            changed = yield from files.changed()
+            if not changed:
+                break
+        else:
+            what = f"{changed!r} changed while it was read, {MOST_TRIES} times"
+            problem = Problem(Place(0, 1, 1), what, "let writing come to its end, then ask again", code="include")
+            text = messages.text(Load([Source(self.path, "", Document([], []))]), problem)
+            return Outcome(None, (problem,), (text,), "")
+        yield from turn.put_in()
+        yield from self._take(turn.order)
+        return (yield from turn.outcome())
+
+    def _take(self, order: list[Part]) -> Generator[None, None, None]:
+        """Bring what is kept across files to the parts of this reading."""
+        if self._half_done:
+            self._across, self._order = Across(), []
+        self._half_done = True
+        removed, added = parts_changed(self._order, order)
+        yield
+        yield from self._across.take(removed, added)
+        self._order, self._half_done = order, False
+
+
+class _Turn:
+    """One reading: its files with their bytes, which are gone when it is over."""
+
+    def __init__(self, reading: Reading) -> None:
+        self._reading, self._across = reading, reading._across
+        self.files: list[_File] = []
+        self._by_number: dict[int, _File] = {}
+        self._running: dict[int, int] = {0: 0}  # numbers of files in this reading
+        self._problems: list[Problem] = []  # places name files by their numbers until the end
+        self._digest = hashlib.sha256()
+        self._more = 0  # problems that are known to be, beyond those that are told
+        self._lost = False
+        self.order: list[Part] = []
+        # What was known of definitions and values before is the best guess until all files are read.
+        self._gathered = Globals(reading._environment)
+        self._guess = reading._known or self._gathered
+
+    # ---- files -----------------------------------------------------------------------------------------------
+
+    def read(self, files: Files) -> Generator[None, None, None]:
+        """Read all files, and make the records of those that are not as before."""
+        walk = Walk(files, self._take, self._where, self._problems)
+        yield from walk.file(self._reading.path, None, ())
+        self.order = walk.out
+
+    def _where(self, place: Place) -> str:
+        file = self._by_number.get(place.file)
+        return f"{file.path if file else '?'}:{place.line}:{place.column}"
+
+    def _take(self, path: str, real: str, data: bytes,
+              asked: Word | None) -> Generator[None, None, tuple[Part | Directive, ...]]:
+        numbers, records = self._reading._numbers, self._reading._records
+        if path not in numbers:
+            self._reading._last += 1
+            numbers[path] = self._reading._last
+        number = numbers[path]
+        whole = hashlib.sha256(data[:PIECE])
+        for at in range(PIECE, len(data), PIECE):
+            yield
+            whole.update(data[at:at + PIECE])
+        digest, place = whole.digest(), None if asked is None else asked.place
+        known = records.get(path)
+        if known is None or known.digest != digest:
+            yield
+            known = yield from record(data, digest, number, self._guess, known)
+            records[path] = known
+        file = _File(path, number, data, known, place)
+        at = (0, 0, 0) if place is None else (self._running[place.file] + 1, place.line, place.column)
+        self._digest.update(b"%d %d %d " % at + digest)
+        self._running[number] = len(self.files)
+        self.files.append(file)
+        self._by_number[number] = file
+        for item in known.items:
+            if isinstance(item, Part):
+                self._gathered.add(item.globals)
+        return known.items
+
+    def put_in(self) -> Generator[None, None, None]:
+        """Make those records anew that went by other definitions or values than there are."""
+        known = Globals(self._reading._environment)
+        for number, part in enumerate(self.order):
+            if number % PARTS == PARTS - 1:
+                yield
+            known.add(part.globals)
+        self._known, instead = known, dict[int, Part]()
+        yield
+        for number, file in enumerate(self.files):
+            if number % PARTS == PARTS - 1:
+                yield
+            if not file.record.holds(known):
+                again = yield from record(file.data, file.record.digest, file.number, known, file.record)
+                instead.update((id(old), new) for old, new in zip(file.record.items, again.items, strict=True)
+                               if isinstance(old, Part))
+                file.record = self._reading._records[file.path] = again
+        if instead:
+            self.order = [instead.get(id(part), part) for part in self.order]
+        self._reading._known = known
+
+    # ---- what is wrong ----------------------------------------------------------------------------------------
+
+    def outcome(self) -> Generator[None, None, Outcome]:
+        """What the files come to."""
+        self._across, config = self._reading._across, None
+        parts = tuple(part.routes for part in self.order if part.routes)
+        for file in self.files:
+            self._problems += file.record.problems
+        if checker.version(next((part.first for part in self.order), None), self._problems):
+            names = yield from self._form()
+            yield
+            if not checker.faulty(self._problems):
+                config = yield from self._meaning(names, parts)
+        self._keep(config is not None)
+        problems, texts = yield from self._told()
+        return Outcome(config, problems, texts, self._digest.hexdigest(), () if config is None else parts)
+
+    def _keep(self, good: bool) -> None:
+        """Forget the records of files that are neither in this reading nor in the last good one: a fault in the first
+        file, which hides all others for a while, must not have them all read again."""
+        reading, now = self._reading, {file.path: file.record for file in self.files}
+        if good:
+            reading._good = now
+        reading._records = {**reading._good, **now}
+        if len(reading._numbers) > len(reading._records):
+            reading._numbers = {path: number for path, number in reading._numbers.items() if path in reading._records}
+
+    def _form(self) -> Generator[None, None, Names]:
+        """Faults of lines by themselves, of definitions, of names."""
+        names, problems, undeclared, lines = Names(), self._problems, set[str](), 0
+        problems += self._known.problems
+        for number, part in enumerate(self.order):
+            if number % PARTS == PARTS - 1:
+                yield
+            problems += part.expansion
+            for name, problem in part.undeclared:
+                if name not in undeclared:
+                    undeclared.add(name)
+                    problems.append(problem)
+            if lines < MOST_LINES <= lines + part.lines and part.lines < MOST_LINES:  # else it was said of the part
+                problems.append(fault(part.first.name, f"definitions come to more than {MOST_LINES} lines", "",
+                                      code="definition"))
+            lines += part.lines
+        self._lost = bool(problems)
+        for number, part in enumerate(self.order):
+            if number % PARTS == PARTS - 1:
+                yield
+            problems += part.problems
+            problems += part.languages[1:] if number == 0 else part.languages
+            self._lost = self._lost or part.lost
+            for count, named in enumerate(part.named, 1):
+                if count % PARTS == 0:
+                    yield
+                if (problem := names.add(named)) is not None:
+                    problems.append(problem)
+        yield from self._doubled()
+        yield from self._references(names)
+        if not self._lost:
+            stood = {"route": self._across.uses.classes, "key": self._across.keys}
+            problems += names.missing({name for name, there in stood.items() if there})
+        return names
+
+    def _doubled(self) -> Generator[None, None, None]:
+        """Keys that stand twice."""
+        texts = {*self._across.doubled, *(word.text for part in self.order for _, word in part.faulty_keys)}
+        first: dict[str, Word | None] = {}  # None for one whose place is not looked up
+        told = 0
+        for part in self.order if texts else ():
+            places = yield from _places(part.texts, texts.__contains__)
+            looked = yield from self._of(part, (), places[:MOST_PROBLEMS] if told < MOST_PROBLEMS else ())
+            found = [(at - 0.5, word.text, word) for at, word in part.faulty_keys]
+            found += ((at, part.texts[at], looked.keys[at].places["key"] if at in looked.keys else None)
+                      for at in places)
+            for count, (_, text, word) in enumerate(sorted(found, key=lambda each: each[0])):
+                if count % PARTS == PARTS - 1:
+                    yield
+                if text not in first:
+                    first[text] = word
+                elif word is None or first[text] is None:
+                    self._more += 1
+                else:
+                    told += 1
+                    self._problems.append(checker.twice("key", word, first[text]))
+
+    def _references(self, names: Names) -> Generator[None, None, None]:
+        """Names that are not there."""
+        uses = self._across.uses
+        for number, part in enumerate(self.order):
+            if number % PARTS == PARTS - 1:
+                yield
+            for entry in part.entries:
+                self._problems += references(entry, names.of)
+        plans, classes, pools = ({name for name in used if name not in names.of[kind]} for kind, used in
+                                 (("plan", uses.plans), ("class", uses.classes), ("pool", uses.pools)))
+        told, more = 0, sum(uses.plans[name] for name in plans) + sum(uses.classes[name] for name in classes) \
+            + sum(uses.pools[name] for name in pools)
+        for part in self.order if more else ():
+            routes = yield from _places(part.routes, lambda route: route.class_name in classes or route.pool in pools)
+            keys = yield from _places(part.keys, lambda key: key.plan in plans)
+            looked = yield from self._of(part, routes[:MOST_PROBLEMS], keys[:MOST_PROBLEMS])
+            for entry in chain(looked.routes.values(), looked.keys.values()):
+                yield
+                found = list(references(entry, names.of))
+                self._problems += found
+                told += len(found)
+            if told >= MOST_PROBLEMS:
+                break
+        self._more += more - told
+
+    def _of(self, part: Part, routes: Sequence[int], keys: Sequence[int]) -> Generator[None, None, Wanted]:
+        """The entries of some of a part's routes and keys, with the places of their words: its file is read again."""
+        wanted = Wanted(part, routes, keys)
+        if routes or keys:
+            yield from entries(self._by_number[part.file].data, part.file, self._known, wanted)
+        return wanted
+
+    def _meaning(self, names: Names, parts: tuple[tuple[Route, ...], ...]) -> Generator[None, None, Config | None]:
+        """The settings, where lines are right by themselves; None where they contradict each other."""
+        across, problems, rest = self._across, self._problems, Model()
+        for part in self.order:
+            for entry in part.entries:
+                rest.add(entry)
+        yield
+        other = model.second_pool(across.uses)
+        if other:
+            for part in self.order:
+                found = yield from _places(part.routes, lambda route: route.pool == other)
+                if found:
+                    looked = yield from self._of(part, found[:1], ())
+                    problems.append(model.pools_fault(looked.routes[found[0]].place("pool"), across.uses))
+                    break
+        config = model.build(rest, across.uses, tuple(chain.from_iterable(parts)), across.keys.table(), problems)
+        yield
+        if config is None or other:
+            return None
+        problems += meaning.examine(rest, config, across.uses)
+        yield
+        if across.split:
+            yield from self._split()
+        yield from across.look({part: number for number, part in enumerate(self.order)})
+        problems += chain.from_iterable(across.found.values())
+        return None if checker.faulty(problems) else config
+
+    def _split(self) -> Generator[None, None, None]:
+        """Customers on two plans; beyond twice as many keys as problems are shown, the rest is not counted."""
+        found: list[Entry] = []
+        for part in self.order:
+            places = yield from _places(part.keys, lambda key: key.customer in self._across.split)
+            if len(found) < 2 * MOST_PROBLEMS:
+                looked = yield from self._of(part, (), places[:2 * MOST_PROBLEMS])
+                found += looked.keys.values()
+        self._problems += meaning.owners(found)
+
+    # ---- what is told -----------------------------------------------------------------------------------------
+
+    def _told(self) -> Generator[None, None, tuple[tuple[Problem, ...], tuple[str, ...]]]:
+        """The problems with files by their numbers in this reading, and their texts."""
+        def now(place: Place) -> Place:
+            return Place(self._running[place.file], place.line, place.column)
+        problems = checker.arranged((replace(each, place=now(each.place)) for each in self._problems), False,
+                                    self._more)
+        if not problems:
+            return (), ()
+        yield
+        load = _Shown([Source(file.path, "", Document([], []), None if file.asked_by is None else now(file.asked_by))
+                       for file in self.files] or [Source("settings", "", Document([], []))])
+        yield from load.look_up(problems, self.files)
+        texts = []
+        for problem in sorted(problems, key=lambda each: -each.severity):
+            yield
+            texts.append(messages.text(load, problem))
+        return tuple(problems), tuple(texts)
+
+
+def _places(values: tuple[Any, ...], wanted: Callable[[Any], bool]) -> Generator[None, None, list[int]]:
+    """Where the values that are wanted stand, in steps."""
+    out = []
+    for at, value in enumerate(values):
+        if at % (4 * PARTS) == 0:
+            yield
+        if wanted(value):
+            out.append(at)
+    return out
+
+
+class _Shown(Load):
+    """A load that knows those of its lines that are shown."""
+
+    __slots__ = ("_lines",)
+
+    def line(self, place: Place) -> str:
+        """The text of a line."""
+        return self._lines.get(place[:2], "")
+
+    def look_up(self, problems: list[Problem], files: list[_File]) -> Generator[None, None, None]:
+        """Find the lines of problems."""
+        self._lines: dict[tuple[int, int], str] = {}
+        wanted: dict[int, set[int]] = {}
+        for problem in problems:
+            wanted.setdefault(problem.place.file, set()).add(problem.place.line)
+        for file, lines in wanted.items():
+            last = max(lines)
+            for number, line in enumerate(_shown_lines(files[file].data) if files else (), 1):
+                if number % PARTS == 0:
+                    yield
+                if number in lines:
+                    self._lines[file, number] = line.removesuffix("\r")
+                if number >= last:
+                    break
+
+
+def _shown_lines(data: bytes) -> Iterator[str]:
+    if data.startswith((b"\xff\xfe", b"\xfe\xff")):
+        return
+    try:
+        yield from lines_of(data)
+    except UnicodeDecodeError:
+        yield from data.removeprefix(b"\xef\xbb\xbf").decode("utf-8", "replace").split("\n")
