--- a/Makefile
+++ b/Makefile
@@ -58,5 +58,6 @@
 
 # The planned size, one axis at a time and whole: benchmarks/results/scale.json. Under fifteen minutes, most of a machine
 # of eight cores, under half of its memory; a part by name: python -m benchmarks.scale routes.
+# --before: the last revision whose changes of settings read all files anew, beside today's.
 scale: .venv/made
-	$(RUN) -m benchmarks.scale
+	$(RUN) -m benchmarks.scale --before 8cf8140
