Readings: no bytes of files are held; what is read once more must have its digest

A file that has other bytes when a message or another definition has it read once more makes the whole reading begin anew, three times at most.

--- a/anisefront/config/reading.py
+++ b/anisefront/config/reading.py
@@ -54,11 +54,14 @@
 
     path: str
     number: int  # by which places name it, for as long as its path is known
-    data: bytes
     record: Record
     asked_by: Place | None
 
 
+class _Moved(Exception):
+    """A file has not the bytes any more that this reading read; its path."""
+
+
 class Reading:
     """`environment` holds what `env` may name. `read` and `find` (a glob) may be others, for texts in no file."""
 
@@ -82,20 +85,23 @@
         return self._running
 
     def _steps(self) -> Generator[None, None, Outcome]:
+        changed = ""
         for _ in range(MOST_TRIES):
-            turn, files = _Turn(self), self._files()
-            yield from turn.read(files)
-            changed = yield from files.changed()
-            if not changed:
-                break
-        else:
-            what = f"{changed!r} changed while it was read, {MOST_TRIES} times"
-            problem = Problem(Place(0, 1, 1), what, "let writing come to its end, then ask again", code="include")
-            text = messages.text(Load([Source(self.path, "", Document([], []))]), problem)
-            return Outcome(None, (problem,), (text,), "")
-        yield from turn.put_in()
-        yield from self._take(turn.order)
-        return (yield from turn.outcome())
+            files = self._files()
+            turn = _Turn(self, files)
+            try:
+                yield from turn.read()
+                changed = yield from files.changed()
+                if not changed:
+                    yield from turn.put_in()
+                    yield from self._take(turn.order)
+                    return (yield from turn.outcome())
+            except _Moved as moved:
+                changed = str(moved)
+        what = f"{changed!r} changed while it was read, {MOST_TRIES} times"
+        problem = Problem(Place(0, 1, 1), what, "let writing come to its end, then ask again", code="include")
+        text = messages.text(Load([Source(self.path, "", Document([], []))]), problem)
+        return Outcome(None, (problem,), (text,), "")
 
     def _take(self, order: list[Part]) -> Generator[None, None, None]:
         """Bring what is kept across files to the parts of this reading."""
@@ -109,10 +115,11 @@
 
 
 class _Turn:
-    """One reading: its files with their bytes, which are gone when it is over."""
+    """One reading. Bytes of files are not held: for a message, or where definitions have changed, a file is read once
+    more, and must have the digest that it had."""
 
-    def __init__(self, reading: Reading) -> None:
-        self._reading, self._across = reading, reading._across
+    def __init__(self, reading: Reading, files: Files) -> None:
+        self._reading, self._across, self._disk = reading, reading._across, files
         self.files: list[_File] = []
         self._by_number: dict[int, _File] = {}
         self._running: dict[int, int] = {0: 0}  # numbers of files in this reading
@@ -127,9 +134,9 @@
 
     # ---- files -----------------------------------------------------------------------------------------------
 
-    def read(self, files: Files) -> Generator[None, None, None]:
+    def read(self) -> Generator[None, None, None]:
         """Read all files, and make the records of those that are not as before."""
-        walk = Walk(files, self._take, self._where, self._problems)
+        walk = Walk(self._disk, self._take, self._where, self._problems)
         yield from walk.file(self._reading.path, None, ())
         self.order = walk.out
 
@@ -144,17 +151,13 @@
             self._reading._last += 1
             numbers[path] = self._reading._last
         number = numbers[path]
-        whole = hashlib.sha256(data[:PIECE])
-        for at in range(PIECE, len(data), PIECE):
-            yield
-            whole.update(data[at:at + PIECE])
-        digest, place = whole.digest(), None if asked is None else asked.place
+        digest, place = (yield from _digest(data)), None if asked is None else asked.place
         known = records.get(path)
         if known is None or known.digest != digest:
             yield
             known = yield from record(data, digest, number, self._guess, known)
             records[path] = known
-        file = _File(path, number, data, known, place)
+        file = _File(path, number, known, place)
         at = (0, 0, 0) if place is None else (self._running[place.file] + 1, place.line, place.column)
         self._digest.update(b"%d %d %d " % at + digest)
         self._running[number] = len(self.files)
@@ -165,6 +168,16 @@
                 self._gathered.add(item.globals)
         return known.items
 
+    def _data(self, file: _File) -> Generator[None, None, bytes]:
+        """The bytes of a file, once more."""
+        try:
+            data = yield from self._disk.read(file.path)
+        except OSError as problem:
+            raise _Moved(file.path) from problem
+        if (yield from _digest(data)) != file.record.digest:
+            raise _Moved(file.path)
+        return data
+
     def put_in(self) -> Generator[None, None, None]:
         """Make those records anew that went by other definitions or values than there are."""
         known = Globals(self._reading._environment)
@@ -178,7 +191,8 @@
             if number % PARTS == PARTS - 1:
                 yield
             if not file.record.holds(known):
-                again = yield from record(file.data, file.record.digest, file.number, known, file.record)
+                data = yield from self._data(file)
+                again = yield from record(data, file.record.digest, file.number, known, file.record)
                 instead.update((id(old), new) for old, new in zip(file.record.items, again.items, strict=True)
                                if isinstance(old, Part))
                 file.record = self._reading._records[file.path] = again
@@ -299,7 +313,8 @@
         """The entries of some of a part's routes and keys, with the places of their words: its file is read again."""
         wanted = Wanted(part, routes, keys)
         if routes or keys:
-            yield from entries(self._by_number[part.file].data, part.file, self._known, wanted)
+            data = yield from self._data(self._by_number[part.file])
+            yield from entries(data, part.file, self._known, wanted)
         return wanted
 
     def _meaning(self, names: Names, parts: tuple[tuple[Route, ...], ...]) -> Generator[None, None, Config | None]:
@@ -352,7 +367,12 @@
         yield
         load = _Shown([Source(file.path, "", Document([], []), None if file.asked_by is None else now(file.asked_by))
                        for file in self.files] or [Source("settings", "", Document([], []))])
-        yield from load.look_up(problems, self.files)
+        wanted: dict[int, set[int]] = {}
+        for problem in problems:
+            wanted.setdefault(problem.place.file, set()).add(problem.place.line)
+        for number, lines in wanted.items():
+            if number < len(self.files):
+                yield from load.look_up(number, lines, (yield from self._data(self.files[number])))
         texts = []
         for problem in sorted(problems, key=lambda each: -each.severity):
             yield
@@ -360,6 +380,15 @@
         return tuple(problems), tuple(texts)
 
 
+def _digest(data: bytes) -> Generator[None, None, bytes]:
+    """The digest of a file's bytes, in steps."""
+    whole = hashlib.sha256(data[:PIECE])
+    for at in range(PIECE, len(data), PIECE):
+        yield
+        whole.update(data[at:at + PIECE])
+    return whole.digest()
+
+
 def _places(values: tuple[Any, ...], wanted: Callable[[Any], bool]) -> Generator[None, None, list[int]]:
     """Where the values that are wanted stand, in steps."""
     out = []
@@ -374,27 +403,24 @@
 class _Shown(Load):
     """A load that knows those of its lines that are shown."""
 
-    __slots__ = ("_lines",)
+    def __init__(self, sources: list[Source]) -> None:
+        super().__init__(sources)
+        self._lines: dict[tuple[int, int], str] = {}
 
     def line(self, place: Place) -> str:
         """The text of a line."""
         return self._lines.get(place[:2], "")
 
-    def look_up(self, problems: list[Problem], files: list[_File]) -> Generator[None, None, None]:
-        """Find the lines of problems."""
-        self._lines: dict[tuple[int, int], str] = {}
-        wanted: dict[int, set[int]] = {}
-        for problem in problems:
-            wanted.setdefault(problem.place.file, set()).add(problem.place.line)
-        for file, lines in wanted.items():
-            last = max(lines)
-            for number, line in enumerate(_shown_lines(files[file].data) if files else (), 1):
-                if number % PARTS == 0:
-                    yield
-                if number in lines:
-                    self._lines[file, number] = line.removesuffix("\r")
-                if number >= last:
-                    break
+    def look_up(self, file: int, lines: set[int], data: bytes) -> Generator[None, None, None]:
+        """Find lines of a file."""
+        last = max(lines)
+        for number, line in enumerate(_shown_lines(data), 1):
+            if number % PARTS == 0:
+                yield
+            if number in lines:
+                self._lines[file, number] = line.removesuffix("\r")
+            if number >= last:
+                return
 
 
 def _shown_lines(data: bytes) -> Iterator[str]:
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -309,8 +309,8 @@
 def numbers_of_one_reading(patch):
     whole = reading._Turn.__init__
 
-    def begin(self, own):
-        whole(self, own)
+    def begin(self, own, files):
+        whole(self, own, files)
         own._numbers, own._last = {}, 0
     patch.setattr(reading._Turn, "__init__", begin)
 
@@ -466,6 +466,41 @@
     assert at_once(own.steps()).config is not None
 
 
+def with_texts(*texts):
+    """A reading of which one file has another text each time that it is read; the last stays."""
+    world, left = World(), list(texts)
+
+    def read(path):
+        if path != "d/b.conf":
+            return world.read(path)
+        return (left.pop(0) if len(left) > 1 else left[0]).encode()
+    return world, left, Reading("main.conf", {}, read, world.find)
+
+
+def paths(outcome):
+    return [route.pattern.path for route in outcome.config.routes]
+
+
+def test_a_message_shows_lines_of_the_bytes_that_were_judged():
+    _, left, own = with_texts("nonsense", "route GET /y class v pool p")
+    assert "/y" in paths(at_once(own.steps())) and len(left) == 1
+    _, left, own = with_texts(*(f"nonsense # {n}" for n in range(7)))
+    outcome = at_once(own.steps())
+    assert outcome.config is None and "'d/b.conf' changed while it was read, 3 times" in outcome.errors[0]
+    assert "nonsense # 6" in at_once(own.steps()).errors[0]
+
+
+def test_what_is_put_in_anew_is_of_the_bytes_that_were_read():
+    world, left, own = with_texts("use view [/y w]")
+    assert "/y" in paths(at_once(own.steps()))
+    world.lines["a.conf"][2] = world.lines["a.conf"][2].replace("GET", "PUT")
+    left[:] = ["use view [/y w]", "route GET /z class v pool p"]
+    after = paths(at_once(own.steps()))
+    assert "/z" in after and "/y" not in after and len(left) == 1
+    left[:] = ["use view [/y w]"]
+    assert "/y" in paths(at_once(own.steps()))
+
+
 def test_a_file_that_comes_while_files_are_read_is_not_missed(tmp_path):
     own, steps = on_disk(tmp_path), None
     steps = own.steps()
