Config: a warning hides no line that is missing; beside one the check raised

Only an error keeps them from being named now: beside an error nothing is built. The test's draws are the same every time now, which they were not.

--- a/anisefront/config/checker.py
+++ b/anisefront/config/checker.py
@@ -183,7 +183,7 @@
     def run(self, lines: list[Directive]) -> Model:
         """All entries that can be read; what is wrong goes to the problems."""
         model, reader = Model(), LineReader(self._problems)
-        lost = any(problem.severity is not Severity.NOTE for problem in self._problems)
+        lost = faulty(self._problems)  # a warning hides no line: without an error all that must stand does
         for line in lines:
             entry, named = reader.read(line)
             if entry is not None:
--- a/anisefront/config/reading.py
+++ b/anisefront/config/reading.py
@@ -243,7 +243,7 @@
                 problems.append(fault(part.first.name, f"definitions come to more than {MOST_LINES} lines", "",
                                       code="definition"))
             lines += part.lines
-        self._lost = bool(problems)
+        self._lost = checker.faulty(problems)
         for number, part in enumerate(self.order):
             if number % PARTS == PARTS - 1:
                 yield
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -85,6 +85,14 @@
     assert errors(checked_files(tmp_path, main=GOOD.encode("utf-16"))) == ["the file is UTF-16"]
 
 
+@pytest.mark.parametrize("line", ["gatekeeper 0 of 2 zone room-a\n", "customers header x-api-key plan stall\n"])
+@pytest.mark.parametrize("warned", ['include "none-*.conf"\n', "# nothing\n", "define unused {\n}\n",
+                                    "class vi\u0435w aim 1s deadline 2s repeat safe\n"])
+def test_a_warning_hides_no_line_that_is_missing(line, warned):
+    """Found by drawn changes: beside a warning a missing line was not named, and the check raised."""
+    assert any(f"there is no {line.split()[0]!r} line" in what for what in errors(found(GOOD.replace(line, warned))))
+
+
 def test_hostile_sizes():
     assert errors(found(GOOD + "x" * 10_000_000)) == ["a line of 10000000 characters, at most 65536"]
     deep = errors(found(GOOD + "a {\n" * 10_000 + "}\n" * 10_000))
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -227,7 +227,8 @@
         monkeypatch.setattr(module, name, 2)
 
 
-CHANGES = st.lists(st.randoms(use_true_random=True).map(drawn), min_size=1, max_size=12)
+SEEDS = st.binary(min_size=8, max_size=8)  # integers would be drawn small and alike
+CHANGES = st.lists(SEEDS.map(lambda seed: drawn(random.Random(seed))), min_size=1, max_size=12)
 
 
 @settings(max_examples=120, deadline=None, suppress_health_check=list(HealthCheck))
