--- a/tests/fuzz_config.py
+++ b/tests/fuzz_config.py
@@ -1,8 +1,8 @@
 """A coverage-guided fuzz of the settings language, bounded in time: `make fuzz`, or this file with SECONDS and SEED.
 
 Texts that reach lines not reached before are kept and changed further. What must hold of each: nothing raises, the
-check ends soon, and what the formatter writes parses the same and is written the same again. Finds are printed, and
-become cases of tests/test_config_corpus.py.
+check ends soon, a reading in steps says the same, and what the formatter writes parses the same and is written the same
+again. Finds are printed, and become cases of tests/test_config_corpus.py.
 """
 
 import pathlib
@@ -14,10 +14,13 @@
 
 from test_config_corpus import CASES, GOOD, WARNINGS, found  # noqa: E402
 
-from anisefront.config import formatter  # noqa: E402
+from anisefront.config import checker, formatter, loader  # noqa: E402
 from anisefront.config.parser import parse  # noqa: E402
+from anisefront.config.reading import Reading  # noqa: E402
+from anisefront.core.versions import at_once  # noqa: E402
 
-FILES = {"lexer.py", "parser.py", "checker.py", "values.py", "loader.py", "meaning.py", "model.py", "formatter.py"}
+FILES = {"lexer.py", "parser.py", "checker.py", "values.py", "loader.py", "meaning.py", "model.py", "formatter.py",
+         "record.py", "across.py", "reading.py"}
 PIECES = ["{", "}", "[", "]", '"', "\\", "\\\n", "#", ";", ",", "${", "${a}", "*", ":", "/", "=", "%", "\n", "\t", " ",
           "0", "-1", "1e9", "define x [a] {\n", "use x [1]\n", "env A default b\n", "language 2\n", "include x\n",
           "route GET /", "when [a=1]", "host *.a", "\ufeff", "\u0430", "\0", "é", "9" * 30, "s", "/s", "ms"]
@@ -29,6 +32,15 @@
     checked = found(text)
     assert time.perf_counter() - began < 5, "the check takes too long"
     assert (checked.config is None) == any(problem.severity == 2 for problem in checked.problems)
+    own = {"f.conf": text.encode()}
+
+    def read(path):
+        if path not in own:
+            raise FileNotFoundError(2, "No such file or directory", path)
+        return own[path]
+    fresh = checker.check(loader.load("f.conf", read, lambda pattern: []), {}, notes=False)
+    outcome = at_once(Reading("f.conf", {}, read, lambda pattern: []).steps())
+    assert outcome.problems == tuple(fresh.problems) and (outcome.config is None) == (fresh.config is None)
     document, problems = parse(text)
     if not problems:
         once = formatter.write(document)
