--- a/anisefront/config/reading.py
+++ b/anisefront/config/reading.py
@@ -151,7 +151,8 @@
             self._reading._last += 1
             numbers[path] = self._reading._last
         number = numbers[path]
-        digest, place = (yield from _digest(data)), None if asked is None else asked.place
+        digest = hashlib.sha256(data).digest() if len(data) <= PIECE else (yield from _digest(data))
+        place = None if asked is None else asked.place
         known = records.get(path)
         if known is None or known.digest != digest:
             yield
@@ -163,9 +164,10 @@
         self._running[number] = len(self.files)
         self.files.append(file)
         self._by_number[number] = file
-        for item in known.items:
-            if isinstance(item, Part):
-                self._gathered.add(item.globals)
+        if self._guess is self._gathered:
+            for item in known.items:
+                if isinstance(item, Part):
+                    self._gathered.add(item.globals)
         return known.items
 
     def _data(self, file: _File) -> Generator[None, None, bytes]:
