--- a/benchmarks/scale/roles.py
+++ b/benchmarks/scale/roles.py
@@ -88,8 +88,8 @@
          "reading: `fleet/roster.py`, ten looks a second; on the platform `node/watch.py`; bringing it to all: "
          + MISSING),
     Role("who tells settings", "all settings, as files", "each change to each gatekeeper, and its word that it is in "
-         "force", "reading: `config/loader.py`, `daemon/reload.py` at SIGHUP; bringing it to all, and knowing who has "
-         "which version: " + MISSING),
+         "force", "reading what changed: `config/reading.py`, `core/versions.py`, `daemon/reloader.py` at SIGHUP; "
+         "bringing it to all, and knowing who has which version: " + MISSING),
     Role("the machines of control", f"settings and list for {short(PLAN.gatekeepers / CONTROL_MACHINES)} gatekeepers "
          "each", "see what carries a change", MISSING + ": nothing in the program runs on them"),
     Role("worker", "its connections", "requests, and the load that its answers tell",
@@ -186,6 +186,14 @@
      "a round is as many periods"),
     ("stores are filled to the moment of a change of settings", "`policy/control.py`, `Quota.change`",
      "tenants at home here, each change of settings", "few tenants have their home at one gatekeeper"),
+    ("all files are read and hashed", "`config/reading.py`", "files, each change of settings",
+     "a time stamp proves nothing; in slices between turns, tens of microseconds a file"),
+    ("the parts of all files are gone through", "`config/reading.py`, `core/tables.py`", "files, each change of settings",
+     "some ms in slices; what they hold is not looked at"),
+    ("all routes are put into one tuple", "`config/reading.py`", "routes, each change of settings",
+     "a pointer each, under a millisecond"),
+    ("all objects are walked for cycles", "`daemon/collector.py`", "settings, once a day",
+     "what changes leave goes by reference counts; one walk a day finds the rest"),
     ("quiet tenants are looked at in turn", "`policy/control.py`, `Quota.forget`", "tenants known here, each 100 ms",
      "a part of all, bounded"),
     ("idle connections are swept", "`carriers/pool.py`, `_sweep`", "workers with open connections, each sweep",
