--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -231,8 +231,8 @@
     client = node.client()
     for number in range(1, 21):
         assert ask(client, number) == b"value for %016x" % number
-    # Not rude: each of its commands can be read and used. It comes when all before it were looked at: of those that come
-    # in one look, beyond the caps on descriptors, some are closed unread, as the page has it.
+    # Not rude: each of its commands can be read and used. It comes when all before it were looked at: of those that
+    # come in one look, beyond the caps on descriptors, some are closed unread, as the page has it.
     many = socket.create_connection(("127.0.0.1", node.port))
     many.settimeout(3)
     many.sendall(resp.command([b"PING"]) * 300)
