--- a/benchmarks/scale/services.py
+++ b/benchmarks/scale/services.py
@@ -164,8 +164,8 @@
         took.append((time.perf_counter() - began) * 1e6)
         now = driver.idle(now, now + 1)
     return {"held_mb": held, "idle_cpu_ms_s": idle * 1000 / IDLE_S, "idle_turns_s": idle_turns / IDLE_S,
-               "turn_us": idle * 1e6 / idle_turns, "request_p50_us": quantile(took, 0.5),
-               "request_p99_us": quantile(took, 0.99)}
+            "turn_us": idle * 1e6 / idle_turns, "request_p50_us": quantile(took, 0.5),
+            "request_p99_us": quantile(took, 0.99)}
 
 
 if __name__ == "__main__":
--- a/benchmarks/settings.py
+++ b/benchmarks/settings.py
@@ -1,4 +1,4 @@
-"""`python -m benchmarks.settings`: what a change of settings costs at 5,800 routes and 22,000 keys in 472 files.
+"""`python -m benchmarks.settings`: what a change of settings costs at 5,800 routes and 22,000 keys in 472 included files.
 
 Before (the whole load, check and router) and after (Reading and next_steps) in one run, in processes of their own so
 that memory is each one's. `measure()` gives the raw numbers.
@@ -16,45 +16,12 @@
 import time
 from pathlib import Path
 
-HEAD = """language 2
-gatekeeper 0 of 1
-listen grpc 127.0.0.1:0
-pool stalls roster "/etc/stalls.json"
-class view aim 1s deadline 5s repeat safe
-class order aim 1s deadline 5s repeat keyed window 5s
-quota small rate 6/s burst 12
-quota large rate 40/s burst 60
-plan stall quota small
-plan market quota large
-customers header x-api-key plan stall
-include "services/*.conf"
-"""
+from benchmarks.changes import Layout
 
 
-def make(folder: Path, files: int = 472, routes: int = 5800, keys: int = 22_000) -> Path:
-    """An installation in so many files, the first of them included: the path of its settings file."""
-    texts: list[list[str]] = [[] for _ in range(files - 1)]
-    for number in range(routes):
-        file, kind = number % len(texts), number % 10
-        path = f"/service-{file}/area-{number}" + ("/:stall" if kind < 4 else "/*" if kind == 9 else "/list")
-        more = f" host h{file % 50}.example" if kind == 5 else " when [x-client=tablet]" if kind == 6 else ""
-        texts[file].append(f"route {'GET' if number % 3 else 'POST'} {path} "
-                           f"class {'view' if number % 3 else 'order'} pool stalls{more}\n")
-    for number in range(keys):
-        texts[number % len(texts)].append(f"key k-{number:06}-{number * 7919 % 99991:05} customer tenant-{number:05} "
-                                          f"plan {'stall' if number % 5 else 'market'}\n")
-    (folder / "services").mkdir()
-    for number, lines in enumerate(texts):
-        (folder / f"services/s{number:03}.conf").write_text("".join(lines))
-    (folder / "main.conf").write_text(HEAD)
-    return folder / "main.conf"
-
-
-def one_line(folder: Path, number: int) -> None:
-    """Change one line in one of the files: a route of its own, another each time."""
-    path = sorted((folder / "services").iterdir())[number % 100]
-    kept = [line for line in path.read_text().splitlines(keepends=True) if "/changing/" not in line]
-    path.write_text("".join(kept) + f"route GET /changing/{number} class view pool stalls\n")
+def one_line(layout: Layout, number: int) -> None:
+    """Change one line in the file of one service: a route of its own, another each time."""
+    layout.change(number % 100, f"route GET /changing/{number} class look pool main")
 
 
 def held_mb() -> float:
@@ -67,7 +34,7 @@
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
 
 
-def before(path: Path, changes: int) -> dict[str, object]:
+def before(layout: Layout, path: Path, changes: int) -> dict[str, object]:
     """The whole way: loader.load, checker.check, Router."""
     from anisefront.config import checker, loader
     from anisefront.core.routing import Router
@@ -82,14 +49,14 @@
     router, out["start_cpu_ms"] = whole()
     out["held_mb"], costs = held_mb(), []
     for number in range(changes):
-        one_line(path.parent, number)
+        one_line(layout, number)
         router, cost = whole()
         costs.append(cost)
-    assert router.map("GET", "h", f"/changing/{changes - 1}", {"x-api-key": "any"}).class_name == "view"
+    assert router.map("GET", "h", f"/changing/{changes - 1}", {"x-api-key": "any"}).class_name == "look"
     return {**out, "change_cpu_ms": costs, "held_after_mb": held_mb(), "peak_mb": peak_mb()}
 
 
-def after(path: Path, changes: int) -> dict[str, object]:
+def after(layout: Layout, path: Path, changes: int) -> dict[str, object]:
     """In steps: Reading and next_steps, the collector of cycles set as daemon/collector.py sets it."""
     from anisefront.config.reading import Reading
     from anisefront.core.versions import next_steps
@@ -117,7 +84,7 @@
     gc.set_threshold(collector.YOUNG, collector.MIDDLE, collector.OLD)
     costs, longest, longest_cpu, counts, held = [], [], [], [], []
     for number in range(changes):
-        one_line(path.parent, number)
+        one_line(layout, number)
         steps_ms.clear()
         steps_cpu_ms.clear()
         began = time.process_time()
@@ -130,7 +97,7 @@
         counts.append(len(steps_ms))
         held.append(held_mb())
     assert version.number == changes + 1
-    assert version.router.map("GET", "h", f"/changing/{changes - 1}", {"x-api-key": "any"}).class_name == "view"
+    assert version.router.map("GET", "h", f"/changing/{changes - 1}", {"x-api-key": "any"}).class_name == "look"
     began = time.perf_counter()
     gc.collect()
     return {**out, "change_cpu_ms": costs, "longest_step_ms": longest, "longest_step_cpu_ms": longest_cpu,
@@ -143,7 +110,6 @@
     out = {}
     for name, count in (("before", whole), ("after", changes)):
         with tempfile.TemporaryDirectory() as folder:
-            make(Path(folder))
             done = subprocess.run([sys.executable, "-m", "benchmarks.settings", name, folder, str(count)],
                                   stdout=subprocess.PIPE, check=True, timeout=600)
             out[name] = json.loads(done.stdout)
@@ -154,7 +120,8 @@
     """Print both ways side by side."""
     if len(sys.argv) == 4:
         way = {"before": before, "after": after}[sys.argv[1]]
-        print(json.dumps(way(Path(sys.argv[2]) / "main.conf", int(sys.argv[3]))))
+        layout = Layout(Path(sys.argv[2]))
+        print(json.dumps(way(layout, layout.write(), int(sys.argv[3]))))
         return
     found = measure(int(sys.argv[1]) if len(sys.argv) > 1 else 1000)
     old, new = found["before"], found["after"]
