serve: what clients had sent when the drain ended is answered, not reset

Cause: with nothing open the drain ended in its first turn and closed the listener; connections that the system had let in and we had not were reset, and after calls that came one by one a look takes in one. Forced by a test: twenty calls sent while it is stopped, told to end, woken: three times of three failed without the mend, six of six passed with it. Ruled out: a second run, keepers. Change: who had come is let in first, then three turns read what they sent; it is refused as draining.

--- a/anisefront/daemon/gatekeeper.py
+++ b/anisefront/daemon/gatekeeper.py
@@ -48,6 +48,8 @@
 MEASURE_MS = 1000.0
 PEER_BUFFER = 4 << 20  # bytes of datagrams that the system may hold for us; it may allow less
 LATE_LOG_MS = 100.0  # a loop so late is a client's matter; less is counted only
+BACKLOG = 1024  # connections that the system lets in before we do
+LAST_LOOKS = 3  # turns of the loop at the drain's end in which what had come is read
 ROSTER_S = 0.1  # how often the roster file is looked at
 MEMBERS_MARK, KEEPING_MARK = bytes((membership.MARK,)), bytes((keeping.MARK,))
 SERVICES = ("envoy.service.auth.v3.Authorization", "envoy.service.accesslog.v3.AccessLogService")
@@ -166,7 +168,7 @@
             self._watch_roster()
         for name, address, factory in (("grpc", config.grpc, self.grpc), ("jsonrpc", config.jsonrpc, self.jsonrpc)):
             if address is not None:
-                port = self.reactor.listenTCP(address.port, factory, backlog=1024, interface=address.host)
+                port = self.reactor.listenTCP(address.port, factory, backlog=BACKLOG, interface=address.host)
                 self._ports.append(port)
                 where[name] = f"{address.host}:{port.getHost().port}"
         if self.peer_port is not None:
@@ -346,6 +348,27 @@
         if self.ledger.entries and self.clock() < self._drain_end:
             self.reactor.callLater(0.02, self._wait_for_end)
             return
+        self._stop_listening()
+        self._look_once_more(LAST_LOOKS)
+
+    def _stop_listening(self) -> None:
+        """Danger: who was let in by the system and not by us is reset with the listener; so they come in first, all:
+        of itself one look takes no more in than the look before."""
+        for port in self._ports:
+            port.numberAccepts = BACKLOG
+            port.doRead()
+            port.stopListening()
+
+    def _look_once_more(self, looks: int) -> None:
+        """Danger: what clients had sent before we end lies unread in our sockets: without an answer they would see a
+        reset and not know whether it ran. Each of these turns reads it, and it is refused."""
+        if looks:
+            self.reactor.callLater(0.01, self._look_once_more, looks - 1)
+        else:
+            self._leave()
+
+    def _leave(self) -> None:
+        """The end of the drain: all is answered or handed over, and others are told that we go."""
         self.log.info("drained", left_open=self.ledger.open)
         if self.keepers is not None:
             self.keepers.leave()
@@ -356,6 +379,4 @@
         if self.recorder is not None:
             self.recorder.flush()
         self.grpc.leave()
-        for port in self._ports:
-            port.stopListening()
         self.reactor.callLater(0.05, self._drained.callback, None)  # the last answers are being written
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -188,6 +188,29 @@
         assert ended.returncode == 1 and "port taken" in ended.stderr and "ready" not in ended.stdout
 
 
+def test_calls_that_lay_unread_when_the_drain_began_have_an_answer():
+    """Twenty clients have sent their calls while it stood still; then it is told to end, and wakes."""
+    running = Running(ROOT / "examples/loopback.conf")
+    links = []
+    try:
+        running.state()  # one connection in a look: the next takes in no more
+        running.process.send_signal(signal.SIGSTOP)
+        for number in range(20):
+            links.append(socket.create_connection(running.where["jsonrpc"].split(":"), 5))
+            links[-1].sendall(json.dumps({"jsonrpc": "2.0", "id": number, "method": "call", "params": {
+                "method": "GET", "path": "/stock-view", "headers": {"x-api-key": "me"}}}).encode() + b"\n")
+        running.process.send_signal(signal.SIGTERM)
+        running.process.send_signal(signal.SIGCONT)
+        answers = [json.loads(link.makefile().readline()) for link in links]
+        assert all(answer.get("result", {}).get("status") == 200
+                   or answer["error"]["data"]["reason"] == "draining" for answer in answers)
+        assert running.process.wait(10) == 0
+    finally:
+        for link in links:
+            link.close()
+        running.stop()
+
+
 def test_a_drain_that_ends_with_a_call_open_answers_it(tmp_path):
     """A worker that never answers, and a drain shorter than the request's time."""
     with socket.create_server(("127.0.0.1", 0)) as worker, socket.socket(type=socket.SOCK_DGRAM) as spare:
