--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -6,6 +6,7 @@
 
 import math
 import re
+import statistics
 from collections.abc import Callable, Iterable, Sequence
 from functools import partial
 from pathlib import Path
@@ -172,6 +173,13 @@
     return None if cost is None else cost * 1000 * -math.expm1(-starts * WARM_UP_S)
 
 
+def bare_p99_ms(found: Results) -> float | None:
+    """What a check takes where nothing is decided: the client's and the machine's part."""
+    seen = [row.values["bare_p99_ms"] for axis in found.axes.values() for row in axis.rows
+            if "bare_p99_ms" in row.values]
+    return statistics.median(seen) if seen else None
+
+
 def warming_line(found: Results) -> results.Fit | None:
     """Share of a core while one worker warms up, by the line through what was measured."""
     rows = found.micro.get("warming", [])
@@ -247,6 +255,8 @@
     ("", "added to a request, p50", "ms", _fits("added_p50_ms"), None),
     ("", "added, p99", "ms", _fits("added_p99_ms"), ADDED.most),
     ("", "added, p99.9", "ms", _fits("added_p999_ms"), None),
+    ("", "a bare server's check by such a client beside it, p99, the middle of all rows", "ms",
+     _plain(lambda found, _: bare_p99_ms(found)), None),
     ("", "start", "s", _fits("start_s"), START_S.most),
     ("home of quotas", "messages, in and out", "a second", _fits("quotas_in_msgs_s", "quotas_out_msgs_s"), None),
     ("", "bytes, in and out", "bytes/s", _fits(*_QUOTAS), TRAFFIC.most),
