Requests of one identity keep their backup while it is only late: none runs twice

Cause: two requests of one identity are recognized at their common backup, and a primary left a backup that had not acknowledged within 150 ms (Primary._retry_append, BackupSelector.candidates). The other instance went on asking that one, which did not know of the request. Traced by identity: no member was wrongly taken for dead. In schedules without processes where only time passes, 69 of 1,500 ran both. Change: such requests have epochs of their own, whose backup follows from the members alone; entries that are not acknowledged go through other instances too (two new peer messages; the others keep their bytes). A backup that is too far behind rejects, where another was chosen before. Retries no longer outlast a lease. Why it works: while instances know of the same members, both requests meet at one backup, whoever is late.

--- a/anisefront/cluster/backup_selection.py
+++ b/anisefront/cluster/backup_selection.py
@@ -61,8 +61,7 @@
     def candidates(self, now_ms: float, slot: int, has_identity: bool) -> list[Replica]:
         """Return the possible backups of a slot, the preferred one first.
 
-        Two requests of one identity at two instances must meet at one backup, or both would run. So the zone is
-        considered only where there is no identity.
+        The zone is considered only where there is no identity.
         """
         ranking = self.ranking(slot, "" if has_identity else self._local.zone, self._local.number)
         if not self._unresponsive_until_ms:
@@ -70,6 +69,20 @@
         responsive = [member for member in ranking if self._unresponsive_until_ms.get(member.number, 0.0) <= now_ms]
         return responsive or ranking
 
+    def meeting_place(self, slot: int) -> Replica | None:
+        """Return the backup at which requests of one identity at several instances meet; None without another instance.
+
+        It follows from the live members alone. If late acknowledgements counted, two primaries would choose two
+        backups, neither would know of the other's request, and both requests would run.
+        """
+        ranking = self.ranking(slot, "", self._local.number)
+        return ranking[0] if ranking else None
+
+    def relay_to(self, backup: Replica, turn: int) -> Replica:
+        """Return an instance between this one and a backup, at each turn the next; there must be a third instance."""
+        ranking = self.ranking(self._local.number, backup.zone, backup.number)
+        return ranking[turn % len(ranking)]
+
     def witness_for(self, backup: Replica) -> Replica | None:
         """Return the witness over a backup, in another zone where there is one; None without a third instance."""
         ranking = self.ranking(self._local.number, backup.zone, backup.number)
--- a/anisefront/cluster/epoch_log.py
+++ b/anisefront/cluster/epoch_log.py
@@ -28,6 +28,7 @@
     """What one incarnation of a backup is sent, with one witness over it.
 
     Attributes:
+        is_pinned: Whether its requests stay with the backup while that is a member, however late it is.
         requests: Numbers of the requests that this epoch replicates.
         entries: Entries that are not acknowledged.
         deferred: Entries of idempotent requests of which the backup was not notified yet.
@@ -40,11 +41,13 @@
         releasing: Whether the primary gives up the backup; without a witness nothing ends this state.
         heartbeat_scheduled: Whether `heartbeat_ms` is set.
         heartbeat_unacknowledged: Whether a heartbeat awaits its acknowledgement.
+        relayed_count: How often the entries were sent through another instance since the last acknowledgement.
     """
 
     epoch: int
     backup: Replica
     witness: Replica | None
+    is_pinned: bool = False
     requests: set[int] = field(default_factory=set)
     entries: deque[EncodedEntry] = field(default_factory=deque)
     deferred: dict[int, list[LogEntry]] = field(default_factory=dict)
@@ -59,6 +62,7 @@
     heartbeat_scheduled: bool = False
     heartbeat_ms: float = 0.0
     heartbeat_unacknowledged: bool = False
+    relayed_count: int = 0
 
     @property
     def awaits_ack(self) -> bool:
@@ -101,6 +105,7 @@
     def restart_retries(self, now_ms: float) -> None:
         """Measure the retry interval and the backup's timeout from now."""
         self.waiting_since_ms = now_ms
+        self.relayed_count = 0
         self.retry_interval_ms = RETRY_MS
         self.retry_ms = now_ms + RETRY_MS
 
--- a/anisefront/cluster/epoch_sender.py
+++ b/anisefront/cluster/epoch_sender.py
@@ -9,7 +9,8 @@
 from anisefront.cluster.backup_selection import Replica
 from anisefront.cluster.epoch_log import EncodedEntry, EpochLog
 from anisefront.cluster.replication_actions import SendMessage
-from anisefront.cluster.replication_messages import Accepted, Append, LogEntry, Message
+from anisefront.cluster.replication_codec import encode
+from anisefront.cluster.replication_messages import Accepted, Append, LogEntry, Message, RelayRequest
 
 HEARTBEAT_LEASE_FRACTION = 0.25  # of a lease: interval of heartbeats while a backup stores something
 DEFERRAL_MS = 20.0  # idempotent requests are appended so late: most have completed by then and cost no message
@@ -24,7 +25,8 @@
         self.lease_ms = lease_ms
         self.logs: dict[int, EpochLog] = {}  # by epoch
         self._messages: list[SendMessage] = []
-        self._current: dict[int, int] = {}  # epoch that takes new requests, by number of the backup
+        # Epoch that takes new requests, by number of the backup and whether they are pinned to it.
+        self._current: dict[tuple[int, bool], int] = {}
         self._open_epochs: dict[int, list[int]] = {}  # by number of the backup, the oldest first
         self._unsent: dict[int, None] = {}  # epochs with new entries, in the order of the first of these
         self._schedule: list[tuple[float, int]] = []  # when to look at an epoch
@@ -42,27 +44,27 @@
 
     # ---- epochs ----------------------------------------------------------------------------------
 
-    def open(self, backup: Replica, witness: Replica | None) -> EpochLog:
+    def open(self, backup: Replica, witness: Replica | None, is_pinned: bool = False) -> EpochLog:
         """Open an epoch that takes the new requests of a backup; its witness learns of it only in a conflict."""
         self._last_epoch += 1
-        log = EpochLog(self._last_epoch, backup, witness)
+        log = EpochLog(self._last_epoch, backup, witness, is_pinned)
         self.logs[log.epoch] = log
-        self._current[backup.number] = log.epoch
+        self._current[backup.number, is_pinned] = log.epoch
         self._open_epochs.setdefault(backup.number, []).append(log.epoch)
         return log
 
-    def current(self, backup: int) -> EpochLog | None:
+    def current(self, backup: int, is_pinned: bool = False) -> EpochLog | None:
         """Return the epoch that takes the new requests of a backup."""
-        return self.logs.get(self._current.get(backup, 0))
+        return self.logs.get(self._current.get((backup, is_pinned), 0))
 
     def is_current(self, log: EpochLog) -> bool:
         """Return whether an epoch takes new requests."""
-        return self._current.get(log.backup.number) == log.epoch
+        return self._current.get((log.backup.number, log.is_pinned)) == log.epoch
 
     def retire(self, log: EpochLog) -> None:
         """Let new requests of this backup go to another epoch."""
         if self.is_current(log):
-            del self._current[log.backup.number]
+            del self._current[log.backup.number, log.is_pinned]
 
     def close(self, log: EpochLog) -> None:
         """Remove an epoch."""
@@ -111,23 +113,26 @@
         """Send the entries that have not been sent; without any, the message is a heartbeat."""
         self._send_entries(now_ms, log, max(log.first_sequence, log.last_sent_sequence + 1))
 
-    def resend(self, now_ms: float, log: EpochLog) -> None:
-        """Send all unacknowledged entries."""
-        self._send_entries(now_ms, log, log.first_sequence)
+    def resend(self, now_ms: float, log: EpochLog, relay: int | None = None) -> None:
+        """Send all unacknowledged entries, through another instance too if one is given."""
+        self._send_entries(now_ms, log, log.first_sequence, relay)
 
-    def _send_entries(self, now_ms: float, log: EpochLog, first_sequence: int) -> None:
+    def _send_entries(self, now_ms: float, log: EpochLog, first_sequence: int, relay: int | None = None) -> None:
         if not log.awaits_ack:
             # Counted from the last message instead, a lost entry would never be retried while others follow it.
             log.restart_retries(now_ms)
             self.schedule(log, log.retry_ms)
         for batch_sequence, batch in log.batches(first_sequence):
-            self._send_append(log, batch_sequence, batch)
+            append = self._make_append(log, batch_sequence, batch)
+            self.send(log.backup.number, append)
+            if relay is not None:
+                self.send(relay, RelayRequest(log.backup.number, encode(append)))
         log.last_sent_sequence = max(log.last_sent_sequence, log.next_sequence - 1)
         log.last_sent_ms = now_ms
 
-    def _send_append(self, log: EpochLog, first_sequence: int, batch: list[EncodedEntry]) -> None:
+    def _make_append(self, log: EpochLog, first_sequence: int, batch: list[EncodedEntry]) -> Append:
         witness = log.witness or _NO_WITNESS
-        message = Append(
+        return Append(
             epoch=log.epoch,
             backup_incarnation=log.backup.incarnation,
             witness=witness.number,
@@ -137,7 +142,6 @@
             entries=tuple(encoded.entry for encoded in batch),
             encoded_entries=b"".join(encoded.data for encoded in batch),
         )
-        self.send(log.backup.number, message)
 
     # ---- schedule --------------------------------------------------------------------------------
 
--- a/anisefront/cluster/local_requests.py
+++ b/anisefront/cluster/local_requests.py
@@ -43,6 +43,11 @@
         """Whether a client's retry of it can be recognized."""
         return self.accepted.identity != NO_IDENTITY
 
+    @property
+    def is_pinned(self) -> bool:
+        """Whether another request of its identity must meet it at its backup, or both would run."""
+        return self.has_identity and self.accepted.requires_ack
+
 
 class LocalRequests:
     """The replicated requests of one primary, by number, and the actions that follow from the replies of backups."""
--- a/anisefront/cluster/primary.py
+++ b/anisefront/cluster/primary.py
@@ -8,6 +8,10 @@
       |                                    `-------EpochDecision, claimed---> lost: the backup owns its requests
       `--EpochFenced--> lost
 
+Requests with an identity that must not run twice are pinned: another request of their identity, at another primary, is
+recognized at the backup only. So they have epochs of their own, which are released when the backup is not alive and
+never because it is slow. While it does not acknowledge, their entries go through other instances too.
+
 Safety rests on three orders: an attempt after the backup's acknowledgement, another backup after the witness's
 decision, and at the witness the first who asked. Times decide only when to retry or to look for another backup.
 """
@@ -19,7 +23,7 @@
 
 from anisefront.cluster.backup_selection import BackupSelector, Replica, placement_hash, slot_of
 from anisefront.cluster.epoch_log import RETRY_MS, EpochLog
-from anisefront.cluster.epoch_sender import EpochSender
+from anisefront.cluster.epoch_sender import HEARTBEAT_LEASE_FRACTION, EpochSender
 from anisefront.cluster.local_requests import LocalRequest, LocalRequests
 from anisefront.cluster.replication_actions import Action
 from anisefront.cluster.replication_messages import (
@@ -38,8 +42,9 @@
     ReleaseEpoch,
 )
 
-MAX_RETRY_MS = 480.0  # without another instance to choose, retries back off up to this interval
-BACKUP_TIMEOUT_MS = 150.0  # without an acknowledgement, after which another backup is selected
+MAX_RETRY_MS = 480.0  # up to which retries back off that can't lead to another backup
+# Without an acknowledgement, after which another backup is selected, or pinned requests' entries are relayed.
+BACKUP_TIMEOUT_MS = 150.0
 
 
 class Primary:
@@ -50,6 +55,8 @@
         self.local = local
         self.counts: Counter[str] = Counter()
         self._selector = BackupSelector(local)
+        # A retry renews the lease at its backup, which a longer interval would let expire.
+        self._max_retry_ms = min(MAX_RETRY_MS, lease_ms * HEARTBEAT_LEASE_FRACTION)
         self._sender = EpochSender(lease_ms)
         self._requests = LocalRequests(self._sender, self.counts)
 
@@ -67,14 +74,23 @@
         """Replicate a request; returns False where no backup is available."""
         has_identity = accepted.identity != NO_IDENTITY
         slot = slot_of(accepted.identity if has_identity else b"%d" % accepted.request)
-        log = self._choose_log(now_ms, slot, has_identity)
-        if log is None:
+        local = LocalRequest(accepted, slot, now_ms + accepted.remaining_ms)
+        log = self._choose_log(now_ms, local)
+        if log is None or (local.is_pinned and not log.has_capacity):
             return False
-        deadline_ms = now_ms + accepted.remaining_ms
-        self._requests.add(LocalRequest(accepted, slot, deadline_ms, log.epoch))
+        local.epoch = log.epoch
+        self._requests.add(local)
         self._sender.add_request(now_ms, log, accepted)
         return True
 
+    def may_run_unprotected(self, accepted: Accepted) -> bool:
+        """Return whether a request that `accept` did not replicate may run all the same.
+
+        One of an identity may not while there are other instances: its backup may know another of this identity.
+        """
+        is_pinned = accepted.requires_ack and accepted.identity != NO_IDENTITY
+        return not is_pinned or not self._selector.has_alternative_to(self.local.number)
+
     def start_attempt(self, now_ms: float, request: int, attempt: int, endpoint: str) -> bool:
         """Return whether an attempt may start at once.
 
@@ -186,15 +202,22 @@
             self.counts["keepers_returned_to"] += 1
             self._sender.resend(now_ms, log)
 
-    def _choose_log(self, now_ms: float, slot: int, has_identity: bool) -> EpochLog | None:
-        for backup in self._selector.candidates(now_ms, slot, has_identity):
-            log = self._sender.current(backup.number)
-            if log is None:
-                log = self._sender.open(backup, self._selector.witness_for(backup))
+    def _choose_log(self, now_ms: float, local: LocalRequest) -> EpochLog | None:
+        if local.is_pinned:
+            backup = self._selector.meeting_place(local.slot)
+            return None if backup is None else self._current_log(backup, is_pinned=True)
+        for backup in self._selector.candidates(now_ms, local.slot, local.has_identity):
+            log = self._current_log(backup, is_pinned=False)
             if log.has_capacity:
                 return log
         return None
 
+    def _current_log(self, backup: Replica, is_pinned: bool) -> EpochLog:
+        log = self._sender.current(backup.number, is_pinned)
+        if log is not None:
+            return log
+        return self._sender.open(backup, self._selector.witness_for(backup), is_pinned)
+
     def _release(self, now_ms: float, log: EpochLog) -> None:
         """Move the requests of an unresponsive backup, once the witness excludes that it takes them over."""
         if log.releasing:
@@ -225,7 +248,7 @@
         if local.rejection_pending:  # no backup knows of it any more
             self._requests.deliver_rejection(request)
             return
-        log = self._choose_log(now_ms, local.slot, local.has_identity)
+        log = self._choose_log(now_ms, local)
         if log is None:
             local.epoch = 0
             self.counts["unprotected_since"] += 1
@@ -317,19 +340,27 @@
             self._retry_append(now_ms, log)
 
     def _retry_append(self, now_ms: float, log: EpochLog) -> None:
-        """Resend unacknowledged entries, or choose another backup after the timeout."""
+        """Resend unacknowledged entries; after the timeout choose another backup, or relay those that are pinned."""
         has_alternative = self._selector.has_alternative_to(log.backup.number)
-        if has_alternative and now_ms - log.waiting_since_ms >= BACKUP_TIMEOUT_MS:
+        has_timed_out = has_alternative and now_ms - log.waiting_since_ms >= BACKUP_TIMEOUT_MS
+        if has_timed_out and not log.is_pinned:
             self._selector.mark_unresponsive(now_ms, log.backup.number)
             self._release(now_ms, log)
             return
-        if not has_alternative:
-            log.retry_interval_ms = min(MAX_RETRY_MS, 2 * log.retry_interval_ms)
+        if has_timed_out or not has_alternative:
+            log.retry_interval_ms = min(self._max_retry_ms, 2 * log.retry_interval_ms)
         self.counts["fed_again"] += 1
         log.retry_ms = now_ms + log.retry_interval_ms
-        self._sender.resend(now_ms, log)
+        self._sender.resend(now_ms, log, self._next_relay(log) if has_timed_out else None)
         self._sender.schedule(log, log.retry_ms)
 
+    def _next_relay(self, log: EpochLog) -> int:
+        """Return the instance through which entries are sent now; each retry takes another."""
+        self.counts["relayed"] += 1
+        relay = self._selector.relay_to(log.backup, log.relayed_count)
+        log.relayed_count += 1
+        return relay.number
+
     @property
     def next_timer_ms(self) -> float:
         """Time at which `handle_timers` is to be called at the latest; infinite without one."""
--- a/anisefront/cluster/replication_codec.py
+++ b/anisefront/cluster/replication_codec.py
@@ -24,6 +24,8 @@
     Outcome,
     OutcomeQuery,
     OutcomeReply,
+    RelayedMessage,
+    RelayRequest,
     ReleaseEpoch,
 )
 
@@ -37,6 +39,10 @@
 _APPEND = struct.Struct(">IQhQIIB")
 _OUTCOME_REPLY_KIND = 8
 _OUTCOME_REPLY = struct.Struct(">8sB")
+_RELAY_REQUEST_KIND = 12
+_RELAY_REQUEST = struct.Struct(">HH")
+_RELAYED_MESSAGE_KIND = 13
+_RELAYED_MESSAGE = struct.Struct(">HQH")
 _FIXED_SIZE: dict[type, tuple[int, struct.Struct]] = {
     AppendAck: (2, struct.Struct(">II")),
     EpochFenced: (3, struct.Struct(">I")),
@@ -110,6 +116,12 @@
     return data[offset : offset + length]
 
 
+def _remaining(data: bytes, offset: int, length: int) -> bytes:
+    if len(data) != offset + length:
+        raise ValueError("a message of another length than it says")
+    return data[offset:]
+
+
 def encode(message: Message) -> bytes:
     """Encode a message."""
     if isinstance(message, Append):
@@ -117,6 +129,12 @@
     if isinstance(message, OutcomeReply):
         head = _HEADER.pack(MARK, _OUTCOME_REPLY_KIND) + _OUTCOME_REPLY.pack(message.identity, message.outcome)
         return head + message.response
+    if isinstance(message, RelayRequest):
+        head = _RELAY_REQUEST.pack(message.receiver, len(message.data))
+        return _HEADER.pack(MARK, _RELAY_REQUEST_KIND) + head + message.data
+    if isinstance(message, RelayedMessage):
+        head = _RELAYED_MESSAGE.pack(message.origin, message.origin_incarnation, len(message.data))
+        return _HEADER.pack(MARK, _RELAYED_MESSAGE_KIND) + head + message.data
     kind, form = _FIXED_SIZE[type(message)]
     return _HEADER.pack(MARK, kind) + form.pack(*(getattr(message, name) for name in message.__slots__))
 
@@ -146,6 +164,12 @@
             return OutcomeReply(identity, Outcome(outcome), data[_HEADER.size + _OUTCOME_REPLY.size :])
         if kind == _APPEND_KIND:
             return _decode_append(data)
+        if kind == _RELAY_REQUEST_KIND:
+            receiver, length = _RELAY_REQUEST.unpack_from(data, _HEADER.size)
+            return RelayRequest(receiver, _remaining(data, _HEADER.size + _RELAY_REQUEST.size, length))
+        if kind == _RELAYED_MESSAGE_KIND:
+            origin, incarnation, length = _RELAYED_MESSAGE.unpack_from(data, _HEADER.size)
+            return RelayedMessage(origin, incarnation, _remaining(data, _HEADER.size + _RELAYED_MESSAGE.size, length))
         message_type, form = _FIXED_SIZE_BY_KIND[kind]
         return message_type(*form.unpack(data[_HEADER.size :]))
     except (struct.error, ValueError, KeyError, IndexError, UnicodeDecodeError):
--- a/anisefront/cluster/replication_messages.py
+++ b/anisefront/cluster/replication_messages.py
@@ -10,6 +10,8 @@
 primary <--OutcomeReply--        backup    the outcome of the other request
 primary --OutcomeQuery-->        backup    asks for that outcome, as a lost reply is not repeated by itself
 primary <--BackupFull--          backup    no capacity for this request: it continues without a backup
+any     --RelayRequest-->        any       asks an instance to pass a message on to one that can't be reached directly
+any     <--RelayedMessage--      any       a message that was passed on for another instance
 """
 
 from __future__ import annotations
@@ -171,6 +173,23 @@
     claimed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RelayRequest:
+    """Asks for a message, in its encoded form, to be passed on to another instance."""
+
+    receiver: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedMessage:
+    """A message, in its encoded form, that was passed on for one process incarnation of another instance."""
+
+    origin: int
+    origin_incarnation: int
+    data: bytes
+
+
 Message = (
     Append
     | AppendAck
@@ -182,4 +201,6 @@
     | ReleaseEpoch
     | ClaimEpoch
     | EpochDecision
+    | RelayRequest
+    | RelayedMessage
 )
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -16,12 +16,22 @@
 from anisefront.cluster.member_state import MemberChange, MemberStatus
 from anisefront.cluster.membership import Membership
 from anisefront.cluster.primary import Primary
-from anisefront.cluster.replication_codec import MAX_RECORD_BYTES, decode, encode
-from anisefront.cluster.replication_messages import NO_IDENTITY, Accepted, Outcome, OutcomeQuery, OutcomeReply
+from anisefront.cluster.replication_codec import MAX_RECORD_BYTES, decode
+from anisefront.cluster.replication_messages import (
+    NO_IDENTITY,
+    Accepted,
+    Message,
+    Outcome,
+    OutcomeQuery,
+    OutcomeReply,
+    RelayedMessage,
+    RelayRequest,
+)
 from anisefront.cluster.witness import Witness
 from anisefront.config.types import Config
 from anisefront.daemon.deferred_timer import DeferredTimer
 from anisefront.daemon.duplicate_requests import DuplicateRequests
+from anisefront.daemon.message_relay import MessageRelay
 from anisefront.daemon.request_records import RequestRecord, content_digest
 from anisefront.daemon.request_takeover import RequestTakeover
 from anisefront.gateway.pending_request import PendingRequest
@@ -31,6 +41,7 @@
 from anisefront.upstream.delegated_requests import DelegatedRequests
 from anisefront.upstream.direct_requests import DirectRequest, DirectRequests, FinalResponse
 
+NO_BACKUP = "no_keeper"  # end of the counter of requests for which no backup is available
 STALL_MS = 50.0  # a timer that is so late means a process stall: the sockets are read first
 
 
@@ -60,8 +71,8 @@
         """
         settings = config.settings
         self._clock = clock
-        self._send = send
         self._membership = membership
+        self._relay = MessageRelay(send, membership)
         self.primary = Primary(Replica(settings.number, incarnation, settings.zone), config.lease_ms)
         self.backup = Backup(settings.number, incarnation, config.lease_ms, config.most_records)
         self.backup.is_local_duplicate = self._is_local_duplicate
@@ -116,7 +127,8 @@
             self.counts["protected"] += 1
             return True
         self.counts[f"unprotected_{reason}"] += 1
-        if entry.arrival.class_name in self._protected_only:
+        is_required = reason == NO_BACKUP and not self.primary.may_run_unprotected(accepted)
+        if is_required or entry.arrival.class_name in self._protected_only:
             self.duplicates.remove(accepted.request)
             return False
         return True
@@ -136,7 +148,7 @@
         """Return why a request is not replicated; None where it is."""
         if len(accepted.record) > MAX_RECORD_BYTES:
             return "too_large"
-        return None if self.primary.accept(now_ms, accepted) else "no_keeper"
+        return None if self.primary.accept(now_ms, accepted) else NO_BACKUP
 
     def may_release_attempt(self, request: int, attempt: int, worker: str) -> bool:
         """Return whether an attempt may start now."""
@@ -249,7 +261,26 @@
         message = decode(data)
         if message is None:
             self.counts["unreadable"] += 1
-        elif isinstance(message, OutcomeReply):
+        elif isinstance(message, RelayRequest):
+            self._relay.pass_on(sender, incarnation, message)
+        elif isinstance(message, RelayedMessage):
+            self._receive_relayed(sender, message)
+        else:
+            self._receive_message(sender, incarnation, message)
+
+    def _receive_relayed(self, relay: int, relayed: RelayedMessage) -> None:
+        received = self._relay.unpack(relayed)
+        if received is None:
+            self.counts["unreadable"] += 1
+            return
+        self._relay.begin_reply(received.sender, relay)
+        try:
+            self._receive_message(*received)
+        finally:
+            self._relay.end_reply()
+
+    def _receive_message(self, sender: int, incarnation: int, message: Message) -> None:
+        if isinstance(message, OutcomeReply):
             self.duplicates.on_reply(message)
         elif isinstance(message, OutcomeQuery):
             is_replicated_here = message.identity in self.backup.by_identity
@@ -289,7 +320,7 @@
         has_effects = False
         for action in actions.in_execution_order(pending):
             if isinstance(action, actions.SendMessage):
-                self._send(action.receiver, encode(action.message))
+                self._relay.send(action.receiver, action.message)
             else:
                 has_effects = True
                 self._carry_out(action)
--- a/tests/replication_net.py
+++ b/tests/replication_net.py
@@ -18,7 +18,7 @@
     in_execution_order,
 )
 from anisefront.cluster.replication_codec import decode, encode
-from anisefront.cluster.replication_messages import NO_IDENTITY, Accepted
+from anisefront.cluster.replication_messages import NO_IDENTITY, Accepted, RelayedMessage, RelayRequest
 
 TICK, WAIT = 200.0, 40.0  # past every patience at once; time to ask again only
 
@@ -68,9 +68,12 @@
         self.primary = code.Primary(code.Replica(number, life))
         self.backup, self.witness = code.Backup(number, life, max_requests=max_requests), code.Witness(life)
         self.named = 0  # our request that has the name
+        self.taken = set()  # names of requests taken over, which `daemon/request_takeover.py` retains
         self.backup.is_local_duplicate = self.is_duplicate
 
     def is_duplicate(self, name, sender):
+        if name in self.taken:
+            return True
         return bool(self.named) and not self.primary.yields_to(self.named, sender)
 
 
@@ -143,6 +146,14 @@
         if node is None or self.seen[receiver].get(sender, 0) > life:
             return  # sealed messages of an earlier life are refused once the next has been heard of
         message = decode(data)
+        if isinstance(message, RelayRequest):
+            passed_on = encode(RelayedMessage(sender, life, message.data))
+            self.net.append((receiver, node.life, message.receiver, passed_on))
+            return
+        if isinstance(message, RelayedMessage):
+            sender, life, message = message.origin, message.origin_incarnation, decode(message.data)
+            if self.seen[receiver].get(sender, 0) > life:
+                return
         node.primary.receive(self.now, sender, life, message)
         node.backup.receive(self.now, sender, life, message)
         node.witness.receive(sender, life, message)
@@ -222,8 +233,11 @@
                     self.net.append(sent)
             case StartAttempt(request) | DeliverRejection(request):
                 self._ran(self.names[number, life, request])
-            case TakeOver(primary, incarnation, replica) if not replica.attempts:
-                self._ran(self.names[primary, incarnation, replica.request])
+            case TakeOver(primary, incarnation, replica):
+                if replica.identity != NO_IDENTITY:
+                    self.nodes[number].taken.add(replica.identity)
+                if not replica.attempts:
+                    self._ran(self.names[primary, incarnation, replica.request])
 
     def _ran(self, name):
         self.runs[name] = self.runs.get(name, 0) + 1
@@ -281,11 +295,28 @@
     )
     for request in range(1, requests + 1):
         world.take(rng.randrange(count), request, f"r{request}")
+    _play(world, rng, steps)
+    return world
+
+
+def schedule_of_one_identity(code, seed, faults, count=4, steps=60):
+    """One random order of steps of two requests of one identity at two gateways; an AssertionError where both ran.
+
+    `faults`: the most of each kind."""
+    rng = random.Random(seed)
+    world = World(code, count, {kind: rng.randrange(most + 1) for kind, most in faults.items()})
+    identity = b"%08d" % (seed % 16)
+    for request, number in enumerate(rng.sample(range(count), 2), 1):
+        world.take(number, request, "the one", identity)
+    _play(world, rng, steps)
+    return world
+
+
+def _play(world, rng, steps):
     for _ in range(steps):
         steps_now = world.steps()
         if not steps_now:
-            break
+            return
         kinds = sorted({step[0] for step in steps_now})
         kind = rng.choice(kinds + ["deliver"] * 3) if "deliver" in kinds else rng.choice(kinds)
         world.do(rng.choice([step for step in steps_now if step[0] == kind]))
-    return world
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -5,7 +5,7 @@
 
 import pytest
 from replication_mutations import CUTS, DECLINED, LATE
-from replication_net import World, done, explore, fresh, messages, schedule
+from replication_net import World, done, explore, fresh, messages, schedule, schedule_of_one_identity
 
 from anisefront.cluster.backup import Backup
 from anisefront.cluster.backup_selection import Replica
@@ -26,6 +26,8 @@
     Completed,
     EpochDecision,
     EpochFenced,
+    RelayedMessage,
+    RelayRequest,
     ReleaseEpoch,
 )
 from anisefront.cluster.witness import Witness
@@ -46,6 +48,8 @@
     ClaimEpoch(4, 2**41, 3, 5),
     EpochDecision(4, 2**41, 3, True),
     EpochDecision(0, 1, 3, False),
+    RelayRequest(4, b"message"),
+    RelayedMessage(4, 2**41, b"message"),
 )
 
 
@@ -110,6 +114,22 @@
     assert sum(sum(schedule(code, seed).runs.values()) for seed in range(800)) > 1200  # and most of it runs
 
 
+@pytest.mark.parametrize("faults", [{"tick": 6}, {"tick": 6, "wait": 6, "lose": 3, "twice": 3}])
+def test_two_of_one_identity_run_once_however_late_instances_are(faults):
+    # Guards against a second effect: a backup that was only late was left for one that knew of no other request.
+    code = fresh()
+    runs = [sum(schedule_of_one_identity(code, seed, faults).runs.values()) for seed in range(1500)]
+    assert sum(runs) > 1200  # and most of them run
+
+
+@pytest.mark.parametrize("faults", [{"doubt": 1}, {"start": 1, "kill": 1, "learn": 3}])
+def test_two_of_one_identity_run_once_while_gateways_disagree_on_who_is_there(faults):
+    # Guards against a second effect: gateways that know of other members choose other backups for one identity.
+    code = fresh()
+    for seed in range(1500):
+        schedule_of_one_identity(code, seed, faults)
+
+
 @pytest.mark.parametrize("name", CUTS)
 def test_each_guard_taken_out_is_found(name):
     code = fresh(*CUTS[name])
@@ -219,6 +239,31 @@
     assert feeds(made, now)[0][0] != slow  # nor is it asked for what comes next
 
 
+def test_a_slow_keeper_of_an_identity_is_asked_through_others_and_not_left():
+    made = origin((1, 2, 3))
+    made.accept(0.0, Accepted(1, True, 10_000, b"identity", b""))
+    made.start_attempt(0.0, 1, 0, "w")
+    [(slow, feed)] = feeds(made)
+    out = [each for now in range(5, 2000, 5) for each in feeds(made, float(now))]
+    assert not [message for _, message in out if isinstance(message, ReleaseEpoch)] and started(made) == []
+    relayed = [(receiver, message) for receiver, message in out if isinstance(message, RelayRequest)]
+    assert {receiver for receiver, _ in relayed} == {1, 2, 3} - {slow}
+    assert {(message.receiver, decode(message.data)) for _, message in relayed} == {(slow, feed)}
+    made.receive(2000.0, slow, 1, AppendAck(feed.epoch, 2))
+    assert started(made) == [(1, 0)]
+
+
+def test_an_identity_is_refused_where_its_keeper_is_too_far_behind():
+    made = origin((1, 2, 3))
+    for request in range(20_000):
+        accepted = Accepted(request, True, 1000, b"identity", b"")
+        if not made.accept(0.0, accepted):
+            break
+    assert request == MAX_UNACKNOWLEDGED and not made.may_run_unprotected(accepted)
+    assert made.may_run_unprotected(replace(accepted, identity=NO_IDENTITY))
+    assert origin(()).may_run_unprotected(accepted)  # nobody else is there to have another of it
+
+
 def test_a_lost_entry_is_fed_again_while_others_follow_it():
     made, keeper = origin((1,)), Backup(1, 1)
     made.accept(0.0, Accepted(1, True, 1000, NO_IDENTITY, b""))
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -151,6 +151,24 @@
     assert hands.workers.came["/pay", "a"] == hands.workers.came["/pay", "b"] == 1
 
 
+def test_a_request_of_one_identity_runs_once_while_its_first_gatekeeper_can_not_reach_the_keeper(hands):
+    # Guards against a second effect: the origin left a keeper that the other gatekeepers went on asking.
+    hands.call(0, "/pay", "a")
+    keeper = hands.keeper()
+    other = others(hands, 0, keeper)[0]
+    hands.fleet.relay.cut = lambda sender, receiver: {sender, receiver} == {0, keeper}
+    names = [f"k{number}" for number in range(12)]
+    first = [hands.call(0, "/pay", name) for name in names]
+    time.sleep(0.6)
+    again = [hands.call(other, "/pay", name) for name in names]
+    time.sleep(0.3)
+    hands.open()
+    assert [call.final() for call in first] == ["served"] * 12
+    assert {call.final() for call in again} <= {"failed", "served"}
+    assert {hands.workers.came["/pay", name] for name in names} == {1}
+    assert hands.count(0, "relayed") >= 1
+
+
 def test_an_origin_cut_off_from_all_sends_nothing_that_may_not_run_again(hands):
     first = hands.call(0, "/pay", "a")
     keeper = hands.keeper()
