A request that yields is ended at a backup that has stored a later copy of it

Cause: a backup rejects a request as a duplicate, then its own request of that identity ends, and a second copy of the same entries, sent again or through another instance, is stored. The primary withdraws its request by replacing entries that the backup has applied already, so the backup is never told of the end. Change: behind the replaced entries the primary appends the end of the request, and before it that attempts which waited for the acknowledgement never started, so that nobody is told that it may have been executed. Test: the two copies in that order; without the change the backup still holds the request.

--- a/anisefront/cluster/local_requests.py
+++ b/anisefront/cluster/local_requests.py
@@ -15,7 +15,14 @@
     StartAttempt,
     YieldToDuplicate,
 )
-from anisefront.cluster.replication_messages import NO_IDENTITY, Accepted, AttemptStarted, Completed, LogEntry
+from anisefront.cluster.replication_messages import (
+    NO_IDENTITY,
+    Accepted,
+    AttemptDiscarded,
+    AttemptStarted,
+    Completed,
+    LogEntry,
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -111,6 +118,7 @@
     def on_duplicate(self, log: EpochLog, request: int) -> None:
         """Yield to another request of this identity; the entries behind this one continue without it."""
         local = self._withdraw(log, request)
+        self._append_end(log, local)
         local.lost = True
         self._counts["names_elsewhere"] += 1
         # Attempts that await their acknowledgement have not started. The response of one that has may still come.
@@ -139,6 +147,13 @@
         self._sender.mark_unsent(log)
         return local
 
+    def _append_end(self, log: EpochLog, local: LocalRequest) -> None:
+        """End a withdrawn request at its backup, which may have stored another copy of its entries since."""
+        request = local.accepted.request
+        for attempt in sorted(local.awaiting_ack):  # they have not started
+            log.append(AttemptDiscarded(request, attempt))
+        log.append(Completed(request))
+
     def lose_epoch(self, log: EpochLog) -> None:
         """Give up an epoch that its backup has claimed; idempotent requests continue here all the same."""
         for request in sorted(log.requests):
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -12,7 +12,7 @@
 from anisefront.cluster.epoch_log import MAX_UNACKNOWLEDGED
 from anisefront.cluster.epoch_sender import DEFERRAL_MS
 from anisefront.cluster.primary import BACKUP_TIMEOUT_MS, Primary
-from anisefront.cluster.replication_actions import ReplicationUnavailable, StartAttempt, TakeOver
+from anisefront.cluster.replication_actions import ReleaseRequest, ReplicationUnavailable, StartAttempt, TakeOver
 from anisefront.cluster.replication_codec import MAX_RECORD_BYTES, decode, encode, encode_entry
 from anisefront.cluster.replication_messages import (
     NO_IDENTITY,
@@ -264,6 +264,25 @@
     assert origin(()).may_run_unprotected(accepted)  # nobody else is there to have another of it
 
 
+def test_a_keeper_that_takes_a_copy_of_what_it_turned_away_hears_that_it_never_ran():
+    # Guards against an identity that stays blocked: the keeper stored a request that its origin had given up.
+    made, keeper = origin((1,)), Backup(1, 1)
+    made.accept(0.0, Accepted(1, True, 60_000, b"identity", b""))
+    made.start_attempt(0.0, 1, 0, "w")
+    [(_, feed)] = feeds(made)
+    keeper.is_local_duplicate = lambda identity, primary: True
+    keeper.receive(0.0, 0, 1, feed)
+    turned_away = messages(keeper)
+    keeper.is_local_duplicate = lambda identity, primary: False  # its own request has ended by now
+    keeper.receive(1.0, 0, 1, feed)
+    for _, message in turned_away:
+        made.receive(2.0, 1, 1, message)
+    for _, message in feeds(made, 3.0):
+        keeper.receive(3.0, 0, 1, message)
+    [released] = [action.replica for action in done(keeper, ReleaseRequest)]
+    assert keeper.request_count == 0 and released.attempts == {} and started(made) == []
+
+
 def test_a_lost_entry_is_fed_again_while_others_follow_it():
     made, keeper = origin((1,)), Backup(1, 1)
     made.accept(0.0, Accepted(1, True, 1000, NO_IDENTITY, b""))
