What a primary has moved to another backup is not called never executed at the former

Cause: a backup that closed a released epoch reported the end of its requests (Backup._drop -> ReleaseRequest): 'never executed' without attempts, 'may have been executed' with them. They had only moved to another backup. Change: the end is not reported; the identity stays blocked there until the request's deadline or until its primary gives it back, so another request of it is rejected as in progress. Test: two epochs and a second primary; without the change the backup reports the request as ended.

--- a/anisefront/cluster/backup.py
+++ b/anisefront/cluster/backup.py
@@ -70,7 +70,8 @@
         self.lease_ms = lease_ms
         self.max_requests = max_requests
         self.request_count = 0
-        self.by_identity: dict[bytes, RequestKey] = {}
+        # Requests that are stored here, or were until their primary gave them to another backup.
+        self._by_identity: dict[bytes, RequestKey] = {}
         # Whether a request of an identity is in flight here, asked for the primary with that number.
         self.is_local_duplicate: Callable[[bytes, int], bool] | None = None
         self.counts: Counter[str] = Counter()
@@ -78,7 +79,7 @@
         self._primaries: dict[tuple[int, int], PrimaryEpochs] = {}  # by number and incarnation
         self._claiming: dict[EpochKey, BackupEpoch] = {}
         self._lease_checks: list[tuple[float, EpochKey]] = []
-        self._expirations: list[tuple[float, RequestKey]] = []
+        self._expirations: list[tuple[float, RequestKey, bytes]] = []  # deadline, key, identity
         self._terminated: dict[int, int] = {}  # incarnations of a primary up to this one have ended
 
     def take_actions(self) -> list[Action]:
@@ -87,6 +88,12 @@
         self._actions = []
         return actions
 
+    def find_primary(self, now_ms: float, identity: bytes) -> int | None:
+        """Return which primary has a request of an identity in flight, as far as this backup knows."""
+        self._release_expired(now_ms)
+        key = self._by_identity.get(identity)
+        return key.primary if key is not None else None
+
     # ---- messages --------------------------------------------------------------------------------
 
     def receive(self, now_ms: float, sender: int, sender_incarnation: int, message: Message) -> None:
@@ -127,6 +134,7 @@
 
     def _append(self, now_ms: float, epoch: BackupEpoch, message: Append) -> None:
         """Apply new entries in sequence, up to the first that can't be applied."""
+        self._release_expired(now_ms)
         for sequence, entry in enumerate(message.entries, message.first_sequence):
             # Out of sequence, an old `Accepted` would follow the `Completed` that ended its request.
             if sequence == epoch.last_sequence + 1:
@@ -161,13 +169,13 @@
                 self._send(epoch.key.primary, BackupFull(epoch.key.epoch, entry.request))
 
     def _is_duplicate(self, epoch_key: EpochKey, accepted: Accepted) -> bool:
-        """Return whether another request of this identity is stored or in flight here.
+        """Return whether another request of this identity is stored, was moved from here, or is in flight here.
 
         A request that its own primary appends in another epoch is the same request.
         """
         if accepted.identity == NO_IDENTITY or not accepted.requires_ack:
             return False
-        stored = self.by_identity.get(accepted.identity)
+        stored = self._by_identity.get(accepted.identity)
         if stored is not None:
             same_primary = (stored.primary, stored.primary_incarnation) == epoch_key[:2]
             return not same_primary or stored.request != accepted.request
@@ -196,9 +204,9 @@
         self.request_count += 1
         key = RequestKey(*epoch.key, accepted.request)
         if accepted.identity != NO_IDENTITY and accepted.requires_ack:
-            self.by_identity[accepted.identity] = key
+            self._by_identity[accepted.identity] = key
         self._schedule_lease_check(now_ms, epoch)
-        heapq.heappush(self._expirations, (deadline_ms, key))
+        heapq.heappush(self._expirations, (deadline_ms, key, accepted.identity))
 
     def _on_decision(self, sender: int, sender_incarnation: int, message: EpochDecision) -> None:
         epoch = self._claiming.get(EpochKey(message.primary, message.primary_incarnation, message.epoch))
@@ -268,10 +276,14 @@
             del epochs.by_number[claimed[0]]
 
     def _drop(self, epoch: BackupEpoch) -> None:
-        """Release all requests of an epoch, and close it."""
+        """Close an epoch that its primary has released.
+
+        Its requests have moved to another backup, so their outcome is not known here, and their identities stay
+        blocked until their deadlines: another request of one would run beside the request that has moved.
+        """
         self._claiming.pop(epoch.key, None)
-        for stored in list(epoch.requests.values()):
-            self._release(epoch, stored)
+        self.request_count -= len(epoch.requests)
+        epoch.requests.clear()
         epochs = self._primaries[epoch.key.primary, epoch.key.primary_incarnation]
         del epochs.by_number[epoch.key.epoch]
         epochs.closed_up_to = max(epochs.closed_up_to, epoch.key.epoch)
@@ -283,8 +295,11 @@
     def _remove(self, epoch: BackupEpoch, stored: ReplicatedRequest) -> None:
         del epoch.requests[stored.request]
         self.request_count -= 1
-        if self.by_identity.get(stored.identity) == RequestKey(*epoch.key, stored.request):
-            del self.by_identity[stored.identity]
+        self._unblock(stored.identity, RequestKey(*epoch.key, stored.request))
+
+    def _unblock(self, identity: bytes, key: RequestKey) -> None:
+        if self._by_identity.get(identity) == key:
+            del self._by_identity[identity]
 
     # ---- timers ----------------------------------------------------------------------------------
 
@@ -299,11 +314,7 @@
         After a process stall the messages that wait in the sockets are to be handled first, or leases would seem
         expired that have been renewed.
         """
-        while self._expirations and self._expirations[0][0] <= now_ms:
-            _, key = heapq.heappop(self._expirations)
-            epoch = self._epochs(key.primary, key.primary_incarnation).get(key.epoch)
-            if epoch is not None and key.request in epoch.requests:
-                self._release(epoch, epoch.requests[key.request])
+        self._release_expired(now_ms)
         while self._lease_checks and self._lease_checks[0][0] <= now_ms:
             _, epoch_key = heapq.heappop(self._lease_checks)
             epoch = self._epochs(epoch_key.primary, epoch_key.primary_incarnation).get(epoch_key.epoch)
@@ -312,6 +323,15 @@
         for epoch in list(self._claiming.values()):
             self._continue_claim(now_ms, epoch)
 
+    def _release_expired(self, now_ms: float) -> None:
+        while self._expirations and self._expirations[0][0] <= now_ms:
+            _, key, identity = heapq.heappop(self._expirations)
+            epoch = self._epochs(key.primary, key.primary_incarnation).get(key.epoch)
+            if epoch is not None and key.request in epoch.requests:
+                self._release(epoch, epoch.requests[key.request])
+            else:
+                self._unblock(identity, key)
+
     def _check_lease(self, now_ms: float, epoch: BackupEpoch) -> None:
         epoch.lease_check_scheduled = False
         if epoch.state is not EpochState.OPEN or not epoch.requests:
--- a/anisefront/cluster/replication_actions.py
+++ b/anisefront/cluster/replication_actions.py
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseRequest:
-    """A request is replicated here no longer, and not owned here: completed, released by its primary, or expired."""
+    """A request is replicated here no longer, and not owned here: completed, or expired."""
 
     replica: ReplicatedRequest
 
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -107,7 +107,10 @@
         return request_key(customer, identity, self._settings.tag_key)
 
     def _is_replicated(self, customer: str, identity: str) -> bool:
-        return self._identity(customer, identity) in self.backup.by_identity
+        return self._is_in_flight_elsewhere(self._identity(customer, identity))
+
+    def _is_in_flight_elsewhere(self, identity: bytes) -> bool:
+        return self.backup.find_primary(self._clock(), identity) is not None
 
     def _idempotency(self, class_name: str) -> Idempotency:
         return self._classes[class_name].idempotency
@@ -200,7 +203,7 @@
         digest = self._identity(customer, identity)
         if self.returning.try_join(digest, content_digest(job), done):
             return True
-        if digest not in self.backup.by_identity or self._idempotency(class_name) is Idempotency.IDEMPOTENT:
+        if self._idempotency(class_name) is Idempotency.IDEMPOTENT or not self._is_in_flight_elsewhere(digest):
             return False
         self.returning.wait_for_outcome(digest, content_digest(job), deadline_at_ms, done, go_on)
         return True
@@ -283,7 +286,7 @@
         if isinstance(message, OutcomeReply):
             self.duplicates.on_reply(message)
         elif isinstance(message, OutcomeQuery):
-            is_replicated_here = message.identity in self.backup.by_identity
+            is_replicated_here = self._is_in_flight_elsewhere(message.identity)
             self.duplicates.on_query(sender, message.identity, is_replicated_here)
         else:
             now_ms = self._clock()
@@ -360,7 +363,9 @@
 
     def _on_released(self, replica: ReplicatedRequest) -> None:
         """Let the requests continue that wait for one which is not stored here any more."""
-        if replica.identity == NO_IDENTITY or not replica.requires_ack or replica.identity in self.backup.by_identity:
+        if replica.identity == NO_IDENTITY or not replica.requires_ack:
+            return
+        if self._is_in_flight_elsewhere(replica.identity):
             return
         outcome = self.takeover.uncertain_outcome(replica) if replica.attempts else Outcome.NEVER_EXECUTED
         self.returning.ended_elsewhere(replica.identity, outcome is Outcome.MAY_HAVE_EXECUTED)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -26,6 +26,7 @@
     Completed,
     EpochDecision,
     EpochFenced,
+    InProgressElsewhere,
     RelayedMessage,
     RelayRequest,
     ReleaseEpoch,
@@ -283,6 +284,24 @@
     assert keeper.request_count == 0 and released.attempts == {} and started(made) == []
 
 
+def test_what_its_origin_has_moved_elsewhere_is_neither_ended_nor_run_beside_it():
+    # Guards against a second effect: those who wait for a request that had moved were told that it never ran.
+    keeper = Backup(1, 1)
+    name = Accepted(7, True, 1000, b"identity", b"")
+    keeper.receive(0.0, 0, 1, Append(1, 1, 2, 1, 1, 1, (name,)))
+    keeper.receive(1.0, 0, 1, Append(2, 1, 2, 1, 2, 1, ()))  # its origin has finished with the first epoch
+    assert keeper.request_count == 0 and done(keeper, ReleaseRequest) == []
+    messages(keeper)
+    keeper.receive(2.0, 3, 1, Append(1, 1, 2, 1, 1, 1, (name,)))
+    assert (3, InProgressElsewhere(1, 7)) in messages(keeper) and keeper.request_count == 0
+    assert keeper.find_primary(999.0, b"identity") == 0
+    keeper.receive(999.0, 0, 1, Append(3, 1, 2, 1, 2, 1, (replace(name, remaining_ms=1),)))  # it moves back
+    assert keeper.request_count == 1
+    keeper.receive(1001.0, 0, 1, Append(4, 1, 2, 1, 4, 1, ()))
+    keeper.receive(1002.0, 3, 1, Append(2, 1, 2, 1, 1, 1, (name,)))  # its time is over
+    assert keeper.request_count == 1 and keeper.find_primary(1002.0, b"identity") == 3
+
+
 def test_a_lost_entry_is_fed_again_while_others_follow_it():
     made, keeper = origin((1,)), Backup(1, 1)
     made.accept(0.0, Accepted(1, True, 1000, NO_IDENTITY, b""))
