Who waits at a backup asks the primary for the response before failing

Cause: the backup learned that the request had completed before the response reached it, or the client came between the two, and it failed all that wait. Clients that wait at a backup asked nobody, so where the request had moved to another backup they waited for their whole deadline. Change: a client that waits at a backup queries the primary, as one whose request yielded queries the backup. When a request that may have been executed completes, its primary is queried once more, and those who wait fail half a second later if no response has come; who asks meanwhile is told the same. Responses are passed on to instances that wait here. Tests: on the text before, five of the six in tests/test_duplicate_requests.py fail for want of the new step (the sixth guards what was there), and the one with processes in tests/test_take_over.py fails as nobody is asked. Tests of takeover and replication pass.

--- a/anisefront/cluster/backup.py
+++ b/anisefront/cluster/backup.py
@@ -290,7 +290,7 @@
 
     def _release(self, epoch: BackupEpoch, stored: ReplicatedRequest) -> None:
         self._remove(epoch, stored)
-        self._actions.append(ReleaseRequest(stored))
+        self._actions.append(ReleaseRequest(epoch.key.primary, stored))
 
     def _remove(self, epoch: BackupEpoch, stored: ReplicatedRequest) -> None:
         del epoch.requests[stored.request]
--- a/anisefront/cluster/replication_actions.py
+++ b/anisefront/cluster/replication_actions.py
@@ -64,8 +64,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseRequest:
-    """A request is replicated here no longer, and not owned here: completed, or expired."""
+    """A request of a primary is replicated here no longer, and not owned here: completed, or expired."""
 
+    primary: int
     replica: ReplicatedRequest
 
 
--- a/anisefront/daemon/duplicate_requests.py
+++ b/anisefront/daemon/duplicate_requests.py
@@ -21,6 +21,7 @@
 MAX_QUERY_INTERVAL_S = 1.0
 MIN_QUERY_JITTER = 0.75  # of the interval, up to 1.25: those rejected at the same time do not query at the same time
 QUERY_JITTER_DIVISOR = 512
+OUTCOME_TIMEOUT_S = 0.5  # for a primary to send the response of a request that has completed
 MAX_OUTCOMES = 10_000  # remembered for those that query again; the oldest are evicted
 
 
@@ -48,6 +49,7 @@
         self._local: dict[int, LocalRequest] = {}
         self._request_numbers: dict[bytes, int] = {}
         self._waiting_instances: dict[bytes, set[int]] = {}
+        self._uncertain: set[bytes] = set()  # completed, and their primaries were queried for the response
         self._outcomes: OrderedDict[bytes, Outcome] = OrderedDict()  # last sent, of identities without a response here
 
     # ---- requests in flight here -----------------------------------------------------------------
@@ -103,7 +105,7 @@
     def on_query(self, sender: int, identity: bytes, is_replicated_here: bool) -> None:
         """Answer an outcome query, now or when the outcome is known; `is_replicated_here`: a request is stored here."""
         self.wait_for(identity, {sender})
-        in_progress = is_replicated_here or identity in self._request_numbers
+        in_progress = is_replicated_here or identity in self._request_numbers or identity in self._uncertain
         answer = self._returning.response_of(identity)
         if answer is not None:
             self.notify(identity, Outcome.RESPONDED, answer)
@@ -112,6 +114,27 @@
         elif not in_progress and identity not in self._returning:
             del self._waiting_instances[identity]  # the outcome is not known: no reply is better than a wrong one
 
+    # ---- requests of others that have completed --------------------------------------------------
+
+    def end_uncertain(self, identity: bytes, primary: int, is_in_flight: Callable[[bytes], bool]) -> None:
+        """End the wait for a request that may have been executed, and of which the response is not known here.
+
+        Its primary may still have the response, so it is queried first. Without a reply all that wait are failed,
+        unless a request of the identity is in flight again.
+        """
+        if not self._returning.is_awaited(identity) and identity not in self._waiting_instances:
+            return
+        self._uncertain.add(identity)
+        self._send(primary, encode(OutcomeQuery(identity)))
+        self._reactor.callLater(OUTCOME_TIMEOUT_S, self._fail_uncertain, identity, is_in_flight)
+
+    def _fail_uncertain(self, identity: bytes, is_in_flight: Callable[[bytes], bool]) -> None:
+        self._uncertain.discard(identity)
+        if is_in_flight(identity):
+            return
+        self._returning.ended_elsewhere(identity, may_have_run=True)
+        self.notify(identity, Outcome.MAY_HAVE_EXECUTED)
+
     # ---- requests here that wait for an outcome --------------------------------------------------
 
     def wait_here(
@@ -121,14 +144,14 @@
         deadline_ms: float,
         on_response: Callable[[FinalResponse], None],
         on_released: Callable[[], None],
-        backup: int | None,
+        informed: int | None,
     ) -> None:
-        """Let a request wait for the outcome of another of its identity, of which `backup` knows."""
+        """Let a request wait for the outcome of another of its identity, of which instance `informed` knows."""
         self._returning.wait_for_outcome(identity, content_digest(job), deadline_ms, on_response, on_released)
-        if backup is not None:
-            self._reactor.callLater(QUERY_INTERVAL_S, self._query, identity, backup, QUERY_INTERVAL_S)
+        if informed is not None:
+            self._reactor.callLater(QUERY_INTERVAL_S, self._query, identity, informed, QUERY_INTERVAL_S)
 
-    def _query(self, identity: bytes, backup: int, interval_s: float) -> None:
+    def _query(self, identity: bytes, informed: int, interval_s: float) -> None:
         """Query an outcome while a request waits for it.
 
         The reply is a single datagram. When an instance fails with thousands of requests in flight many are lost, and
@@ -137,15 +160,16 @@
         if not self._returning.is_awaited(identity):
             return
         self._counts["asked_again"] += 1
-        self._send(backup, encode(OutcomeQuery(identity)))
+        self._send(informed, encode(OutcomeQuery(identity)))
         interval_s = min(MAX_QUERY_INTERVAL_S, 2 * interval_s)
         delay_s = interval_s * (MIN_QUERY_JITTER + identity[0] / QUERY_JITTER_DIVISOR)
-        self._reactor.callLater(delay_s, self._query, identity, backup, interval_s)
+        self._reactor.callLater(delay_s, self._query, identity, informed, interval_s)
 
     def on_reply(self, reply: OutcomeReply) -> None:
         """End the wait of the requests of an identity."""
         answer = decode_response(reply.response) if reply.outcome is Outcome.RESPONDED else None
         if answer is not None:
             self._returning.responded_elsewhere(reply.identity, answer)
+            self.notify(reply.identity, Outcome.RESPONDED, answer)
         else:
             self._returning.ended_elsewhere(reply.identity, reply.outcome is not Outcome.NEVER_EXECUTED)
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -203,9 +203,10 @@
         digest = self._identity(customer, identity)
         if self.returning.try_join(digest, content_digest(job), done):
             return True
-        if self._idempotency(class_name) is Idempotency.IDEMPOTENT or not self._is_in_flight_elsewhere(digest):
+        primary = self.backup.find_primary(self._clock(), digest)
+        if primary is None or self._idempotency(class_name) is Idempotency.IDEMPOTENT:
             return False
-        self.returning.wait_for_outcome(digest, content_digest(job), deadline_at_ms, done, go_on)
+        self.duplicates.wait_here(digest, job, deadline_at_ms, done, go_on, primary)
         return True
 
     def wait_for_outcome(
@@ -343,8 +344,8 @@
                 self._yield_to_duplicate(request, backup)
             case actions.NotifyLater(primary, identity):
                 self.duplicates.add_waiting_instance(identity, primary)
-            case actions.ReleaseRequest(replica):
-                self._on_released(replica)
+            case actions.ReleaseRequest(primary, replica):
+                self._on_released(primary, replica)
             case actions.TakeOver(primary, incarnation, replica):
                 self.takeover.take_over(primary, incarnation, replica)
 
@@ -361,14 +362,17 @@
         entry.handler.yield_to_duplicate(entry.arrival, entry.replica.identity)
         self._duplicate_at = None
 
-    def _on_released(self, replica: ReplicatedRequest) -> None:
+    def _on_released(self, primary: int, replica: ReplicatedRequest) -> None:
         """Let the requests continue that wait for one which is not stored here any more."""
         if replica.identity == NO_IDENTITY or not replica.requires_ack:
             return
         if self._is_in_flight_elsewhere(replica.identity):
             return
         outcome = self.takeover.uncertain_outcome(replica) if replica.attempts else Outcome.NEVER_EXECUTED
-        self.returning.ended_elsewhere(replica.identity, outcome is Outcome.MAY_HAVE_EXECUTED)
+        if outcome is Outcome.MAY_HAVE_EXECUTED:
+            self.duplicates.end_uncertain(replica.identity, primary, self._is_in_flight_elsewhere)
+            return
+        self.returning.ended_elsewhere(replica.identity, may_have_run=False)
         self.duplicates.notify(replica.identity, outcome)
 
     # ---- state -----------------------------------------------------------------------------------
--- /dev/null
+++ b/tests/test_duplicate_requests.py
@@ -0,0 +1,92 @@
+"""Requests of one identity at several gateways: what those get that wait for the first of them."""
+
+from collections import Counter
+
+import pytest
+from twisted.internet.task import Clock
+
+from anisefront.cluster.replication_codec import decode
+from anisefront.cluster.replication_messages import Outcome, OutcomeQuery, OutcomeReply
+from anisefront.daemon.duplicate_requests import OUTCOME_TIMEOUT_S, DuplicateRequests
+from anisefront.daemon.request_records import encode_response
+from anisefront.protocols import http1
+from anisefront.upstream.deduplication import Deduplicator
+from anisefront.upstream.direct_requests import DirectRequest, FinalResponse
+
+NAME = b"identity"
+JOB = DirectRequest("POST", "/pay", {}, b"")
+SERVED = FinalResponse(http1.Message("", "", 200, {}, b"paid", True), "w:1", 1)
+FAILED = FinalResponse(reason="ended-elsewhere")
+PRIMARY, OTHER = 1, 2
+
+
+def none_in_flight(identity):
+    return False
+
+
+class Backup:
+    """Duplicates at a backup at which a client waits, and another gateway too."""
+
+    def __init__(self):
+        self.clock, self.sent, self.answers, self.anew = Clock(), [], [], []
+        self.returning = Deduplicator(lambda: self.clock.seconds() * 1000, self.clock)
+        self.duplicates = DuplicateRequests(
+            lambda receiver, data: self.sent.append((receiver, decode(data))), self.clock, self.returning, Counter()
+        )
+
+    def wait(self):
+        self.duplicates.wait_here(NAME, JOB, 8000.0, self.answers.append, lambda: self.anew.append(NAME), PRIMARY)
+        self.duplicates.wait_for(NAME, {OTHER})
+
+
+@pytest.fixture
+def backup():
+    return Backup()
+
+
+def test_the_response_of_a_completed_request_is_asked_for_before_its_waiters_fail(backup):
+    # Guards against "failed" for a request that was served: its end was known here before its response.
+    backup.wait()
+    backup.duplicates.end_uncertain(NAME, PRIMARY, none_in_flight)
+    assert backup.sent == [(PRIMARY, OutcomeQuery(NAME))] and backup.answers == []
+    reply = OutcomeReply(NAME, Outcome.RESPONDED, encode_response(SERVED))
+    backup.duplicates.on_reply(reply)
+    assert [answer.message.body for answer in backup.answers] == [b"paid"]
+    assert backup.sent[1:] == [(OTHER, reply)]
+    backup.clock.advance(OUTCOME_TIMEOUT_S)
+    assert len(backup.answers) == 1 and len(backup.sent) == 2
+
+
+def test_without_a_reply_the_waiters_of_a_completed_request_fail(backup):
+    backup.wait()
+    backup.duplicates.end_uncertain(NAME, PRIMARY, none_in_flight)
+    backup.clock.advance(OUTCOME_TIMEOUT_S)
+    assert backup.answers == [FAILED] and backup.anew == []
+    assert backup.sent[-1] == (OTHER, OutcomeReply(NAME, Outcome.MAY_HAVE_EXECUTED))
+
+
+def test_who_asks_while_the_response_is_asked_for_is_told_of_the_end_too(backup):
+    backup.wait()
+    backup.duplicates.end_uncertain(NAME, PRIMARY, none_in_flight)
+    backup.duplicates.on_query(OTHER, NAME, is_replicated_here=False)
+    backup.clock.advance(OUTCOME_TIMEOUT_S)
+    assert backup.sent[-1] == (OTHER, OutcomeReply(NAME, Outcome.MAY_HAVE_EXECUTED))
+
+
+def test_waiters_of_a_request_that_is_in_flight_again_go_on_waiting(backup):
+    backup.wait()
+    backup.duplicates.end_uncertain(NAME, PRIMARY, lambda identity: True)
+    backup.clock.advance(OUTCOME_TIMEOUT_S)
+    assert backup.answers == [] and backup.anew == []
+
+
+def test_nobody_is_asked_where_nobody_waits(backup):
+    backup.duplicates.end_uncertain(NAME, PRIMARY, none_in_flight)
+    assert backup.sent == []
+
+
+def test_a_client_that_waits_at_a_backup_asks_the_primary(backup):
+    # Guards against a wait until the deadline where the request has moved to another backup since.
+    backup.wait()
+    backup.clock.advance(1.0)
+    assert backup.sent[0] == (PRIMARY, OutcomeQuery(NAME))
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -169,6 +169,17 @@
     assert hands.count(0, "relayed") >= 1
 
 
+def test_a_client_that_waits_at_a_keeper_asks_the_origin_for_its_answer(hands):
+    # Guards against a wait until the deadline, or "failed", where the request has moved to another keeper since.
+    first = hands.call(0, "/pay", "a")
+    keeper = hands.keeper()
+    again = hands.call(keeper, "/pay", "a")
+    until(lambda: hands.count(keeper, "asked_again") >= 1)
+    hands.open()
+    assert first.final() == "served" and again.final() in ("served", "failed")
+    assert hands.workers.came["/pay", "a"] == 1
+
+
 def test_an_origin_cut_off_from_all_sends_nothing_that_may_not_run_again(hands):
     first = hands.call(0, "/pay", "a")
     keeper = hands.keeper()
