A request that gave way without an attempt having left is told as never executed

Cause: the new owner's request and the client's, at another instance, each gave way to the other while both waited for their backups. ReplicationService.request_completed counted attempts that were decided, also those withheld that never left, and told the one that waited that the other may have been executed; it failed, and so did its client. Change: what counts is the attempts that started and are not proved never to have executed, as the primary knows them (those of earlier instances included); an attempt that still waits when its request gives way is none. Why it works: told that the other never ran, the request that waited starts anew and is served. Test: fails on the text before for want of the question; tests of replication, takeover and kill points pass.

--- a/anisefront/cluster/local_requests.py
+++ b/anisefront/cluster/local_requests.py
@@ -121,12 +121,14 @@
         self._append_end(log, local)
         local.lost = True
         self._counts["names_elsewhere"] += 1
-        # Attempts that await their acknowledgement have not started. The response of one that has may still come.
-        if local.attempts.keys() - local.awaiting_ack:
+        for attempt in local.awaiting_ack:
+            del local.attempts[attempt]  # it has not started, and won't
+        local.awaiting_ack.clear()
+        # The response of an attempt that has started may still come.
+        if local.attempts:
             self._actions.append(LoseOwnership(request))
         else:
             self._actions.append(YieldToDuplicate(request, log.backup.number))
-        local.awaiting_ack.clear()
 
     def on_backup_full(self, now_ms: float, log: EpochLog, request: int) -> None:
         """Continue without a backup: it does not know of the request, so no instance takes it over."""
--- a/anisefront/cluster/primary.py
+++ b/anisefront/cluster/primary.py
@@ -159,6 +159,16 @@
         if log is not None and not log.releasing:
             self._sender.append(log, entry, immediately)
 
+    def may_have_executed(self, request: int) -> bool | None:
+        """Return whether an attempt of a request has started that is not proved never to have executed.
+
+        None where the request is not replicated.
+        """
+        local = self._requests.get(request)
+        if local is None:
+            return None
+        return bool(local.attempts.keys() - local.awaiting_ack)
+
     def backup_of(self, request: int) -> int | None:
         """Return the number of the backup of a request."""
         local = self._requests.get(request)
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -167,15 +167,22 @@
 
     def request_completed(self, request: int) -> None:
         """Record that a request has ended."""
+        may_have_executed = self._may_have_executed(request)
         self.primary.complete(self._clock(), request)
         local = self.duplicates.remove(request)
-        entry = self._request_table.requests.get(request)
         if local is None or local.identity in self.returning:
             return
         # The class may have been changed since: the idempotency at acceptance decides.
-        may_have_executed = local.idempotency is Idempotency.NON_IDEMPOTENT and entry.attempts
-        outcome = Outcome.MAY_HAVE_EXECUTED if may_have_executed else Outcome.NEVER_EXECUTED
-        self.duplicates.notify(local.identity, outcome)
+        is_uncertain = may_have_executed and local.idempotency is Idempotency.NON_IDEMPOTENT
+        self.duplicates.notify(local.identity, Outcome.MAY_HAVE_EXECUTED if is_uncertain else Outcome.NEVER_EXECUTED)
+
+    def _may_have_executed(self, request: int) -> bool:
+        entry = self._request_table.requests[request]
+        prior_attempts = entry.arrival.prior_attempts
+        if prior_attempts is not None and prior_attempts.uncertain:
+            return True
+        started_here = self.primary.may_have_executed(request)
+        return entry.attempts > 0 if started_here is None else started_here
 
     def stop(self) -> None:
         """Stop before the process leaves: its backups own what is in flight once they learn that it has left."""
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -12,7 +12,14 @@
 from anisefront.cluster.epoch_log import MAX_UNACKNOWLEDGED
 from anisefront.cluster.epoch_sender import DEFERRAL_MS
 from anisefront.cluster.primary import BACKUP_TIMEOUT_MS, Primary
-from anisefront.cluster.replication_actions import ReleaseRequest, ReplicationUnavailable, StartAttempt, TakeOver
+from anisefront.cluster.replication_actions import (
+    LoseOwnership,
+    ReleaseRequest,
+    ReplicationUnavailable,
+    StartAttempt,
+    TakeOver,
+    YieldToDuplicate,
+)
 from anisefront.cluster.replication_codec import MAX_RECORD_BYTES, decode, encode, encode_entry
 from anisefront.cluster.replication_messages import (
     NO_IDENTITY,
@@ -302,6 +309,21 @@
     assert keeper.request_count == 1 and keeper.find_primary(1002.0, b"identity") == 3
 
 
+@pytest.mark.parametrize("left", [False, True])
+def test_a_request_that_gives_way_may_have_run_only_if_an_attempt_of_it_left(left):
+    # Guards against "failed" for a request that never ran: two gave way to each other, each for the other's sake.
+    made = origin((1,))
+    made.accept(0.0, Accepted(1, True, 60_000, b"identity", b""))
+    made.start_attempt(0.0, 1, 0, "w")
+    [(_, feed)] = feeds(made)
+    if left:
+        made.receive(1.0, 1, 1, AppendAck(feed.epoch, 2))
+        made.start_attempt(1.0, 1, 1, "v")
+    made.receive(2.0, 1, 1, InProgressElsewhere(feed.epoch, 1))
+    assert made.may_have_executed(1) is left and made.may_have_executed(2) is None
+    assert len(done(made, YieldToDuplicate)) == (not left) and len(done(made, LoseOwnership)) == left
+
+
 def test_a_lost_entry_is_fed_again_while_others_follow_it():
     made, keeper = origin((1,)), Backup(1, 1)
     made.accept(0.0, Accepted(1, True, 1000, NO_IDENTITY, b""))
