A backup rejects all duplicates of one message at once

What callers saw: after a kill, requests that had come back at another instance waited for a round trip each: 34 of one epoch were rejected one after the other in 1.3 s beside six busy loops. Cause: Backup._append stopped at the first duplicate of a message; its primary withdrew that one and sent the rest. Change: the other duplicates behind it are rejected in the same go; none is applied or acknowledged, as before. Test: four requests of which three are in flight elsewhere; the text before rejects the first alone. This shortens the time in which a wrong belief matters and does not end the case where a starved fleet takes a member for dead that is not: that stays listed.

--- a/anisefront/cluster/backup.py
+++ b/anisefront/cluster/backup.py
@@ -142,14 +142,22 @@
                     self._decline_remaining(epoch, message.entries[sequence - message.first_sequence :])
                     return
                 if isinstance(entry, Accepted) and self._is_duplicate(epoch.key, entry):
-                    # Acknowledged, its attempts would start beside those of the request in flight.
-                    self.counts["names_in_hand"] += 1
-                    self._actions.append(NotifyLater(epoch.key.primary, entry.identity))
-                    self._send(epoch.key.primary, InProgressElsewhere(message.epoch, entry.request))
+                    self._reject_duplicates(epoch.key, message.entries[sequence - message.first_sequence :])
                     return
                 self._apply(now_ms, epoch, entry)
                 epoch.last_sequence = sequence
 
+    def _reject_duplicates(self, epoch_key: EpochKey, entries: tuple[LogEntry, ...]) -> None:
+        """Reject all duplicates among some entries, so that their primary need not send one after the other.
+
+        None is acknowledged: attempts would start beside those of the requests in flight.
+        """
+        for entry in entries:
+            if isinstance(entry, Accepted) and self._is_duplicate(epoch_key, entry):
+                self.counts["names_in_hand"] += 1
+                self._actions.append(NotifyLater(epoch_key.primary, entry.identity))
+                self._send(epoch_key.primary, InProgressElsewhere(epoch_key.epoch, entry.request))
+
     def _exceeds_capacity(self, epoch: BackupEpoch, entry: LogEntry) -> bool:
         """Return whether a request is not stored for want of capacity.
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -324,6 +324,17 @@
     assert len(done(made, YieldToDuplicate)) == (not left) and len(done(made, LoseOwnership)) == left
 
 
+def test_all_of_one_message_that_are_in_hand_elsewhere_are_turned_away_at_once():
+    # Guards against one round trip for each: hundreds that came back after a loss waited for seconds.
+    keeper = Backup(1, 1)
+    entries = tuple(Accepted(number, True, 9000, b"%08d" % number, b"") for number in range(4))
+    keeper.receive(0.0, 2, 1, Append(1, 1, 3, 1, 1, 1, (entries[0], entries[1], entries[3])))
+    messages(keeper)
+    keeper.receive(1.0, 0, 1, Append(1, 1, 2, 1, 1, 1, entries))
+    turned_away = [message.request for _, message in messages(keeper) if isinstance(message, InProgressElsewhere)]
+    assert turned_away == [0, 1, 3]
+
+
 def test_a_lost_entry_is_fed_again_while_others_follow_it():
     made, keeper = origin((1,)), Backup(1, 1)
     made.accept(0.0, Accepted(1, True, 1000, NO_IDENTITY, b""))
