The scene of one kill judges where a request stood by what workers and clients saw

Requests that came to a worker in between, were on their way to it, or had been answered before the kill (by a starved process whose work had been taken over) counted as queued at the kill, and 'failed' is what a request of a class that may not be repeated must get once it has left. Shown by traces with times: all 37 /pay and /order counted as queued and failed in one play beside six busy loops had been answered 0.54 s before the kill; of 26 /pay in another, five came to a worker 70 to 92 ms before it. Now a request is 'out' if an attempt of the killed process came to a worker at any time (its name is in the attempt's header), 'answered' if its answer came before the kill, and 'held' otherwise. The bound stays 0.99 of what was held, and at least 200 must have been held, so that it can't be hollow. As strict: a takeover that fails what never left fails it (93 /pay held and failed), one that forgets earlier attempts fails it (7 of /pay run twice).

--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -35,7 +35,7 @@
 
     def __init__(self, hands, numbers, seed):
         self._hands, self._left, self._rng = hands, dict.fromkeys(numbers), random.Random(seed)
-        self.ends = {}
+        self.ends, self.ended = {}, {}  # the final answers, and when they came
         self._until = time.monotonic() + TIME_S
         self._thread = threading.Thread(target=self._work, daemon=True)
         self._thread.start()
@@ -60,6 +60,7 @@
                 end = final(answer)
                 if end != "refused":
                     self.ends[answer["id"]] = end
+                    self.ended[answer["id"]] = time.monotonic()
                     del self._left[answer["id"]]
                 if not due:
                     return
@@ -102,7 +103,7 @@
         crowds = [Crowd(hands, range(n, count, LINKS), seed + n) for n in range(LINKS)]
         until(lambda: hands.fleet.up[0].state()["counts"].get("accepted", 0) >= count, 30)
         time.sleep(0.4)  # what was announced is known
-        out = {int(key[1:]) for _, key in hands.workers.came if key[0] == "k"}
+        process = hands.fleet.up[0].state()["life"]
         kept = sum(each["kept_for_others"] for number, each in hands.keepers().items() if number)
         hands.fleet.kill(0)
         killed = time.monotonic()
@@ -110,9 +111,18 @@
         for each in (*crowds, *usual):
             each.join()
         ends = {number: end for crowd in crowds for number, end in crowd.ends.items()}
+        ended = {number: at for crowd in crowds for number, at in crowd.ended.items()}
         runs = hands.workers.runs
+
+        def stood(number):
+            """Where a request was at the kill: answered, "out" if the killed process's attempt had left, or "held"."""
+            if ended.get(number, killed) < killed:
+                return "answered"
+            senders = hands.workers.senders.get((PATHS[number % 3], f"k{number}"), ())
+            return "out" if process in senders else "held"
+
         return {
-            "ends": Counter((PATHS[n % 3], "out" if n in out else "held", ends.get(n, "none")) for n in range(count)),
+            "ends": Counter((PATHS[n % 3], stood(n), ends.get(n, "none")) for n in range(count)),
             "twice": sum(times > 1 for (path, _), times in runs.items() if path == "/pay"),
             "kept": kept,
             "full": sum(hands.count(number, "full") for number in hands.fleet.up),
--- a/tests/hands.py
+++ b/tests/hands.py
@@ -48,6 +48,7 @@
     def __init__(self, count):
         self.runs, self.came, self.gate = Counter(), Counter(), threading.Event()
         self.last = {}  # when the last of each came, by (path, key)
+        self.senders = {}  # which processes' attempts came, by (path, key)
         self.gate.set()
         self.passes = lambda key: False  # whose requests go by a closed gate
         lock = threading.Lock()
@@ -62,6 +63,8 @@
                 with lock:
                     workers.came[self.path, key] += 1
                     workers.last[self.path, key] = time.monotonic()
+                    sender = self.headers.get("x-anisefront-attempt", "").partition(".")[0]
+                    workers.senders.setdefault((self.path, key), set()).add(sender)
                     if self.path != "/order" or not workers.runs[self.path, key]:
                         workers.runs[self.path, key] += 1
                 if not workers.passes(key):
--- a/tests/test_many_in_hand.py
+++ b/tests/test_many_in_hand.py
@@ -13,7 +13,7 @@
         for end in ("served", "failed")
     }
     assert seen["twice"] == 0 and seen["kept"] >= 250 and seen["taken_over"] >= 250
-    assert held["served"] >= 0.99 * sum(held.values()), ends
+    assert sum(held.values()) >= 200 and held["served"] >= 0.99 * sum(held.values()), ends
     assert seen["usual"]["served"] >= 0.95 * sum(seen["usual"].values()) > 0, seen["usual"]
 
 
