A load report with a number beyond floats is ignored instead of losing the response

Cause: float() raises OverflowError on such an integer, which decode_report did not expect; the exception left the connection pool's read, and the response was lost with it. Change: the report is ignored, as every other malformed one.

--- a/anisefront/protocols/orca.py
+++ b/anisefront/protocols/orca.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
 import math
 from collections.abc import Mapping
@@ -31,7 +30,7 @@
         return {}
     try:
         values = _decode(text)
-    except (ValueError, TypeError, binascii.Error, RecursionError):
+    except (ValueError, TypeError, OverflowError, RecursionError):
         # A report is only advice, so a malformed one must not fail the response that carries it.
         return {}
     return {name: value for name, value in values.items() if math.isfinite(value)}
