A JSON-RPC call with a lone surrogate no longer closes its connection

Cause: the response repeats the text, and its encoding as UTF-8 raised UnicodeEncodeError within dataReceived. Change: such a response is written with JSON's escapes, so that the client gets its id back; all other responses keep their bytes.

--- a/anisefront/protocols/jsonrpc.py
+++ b/anisefront/protocols/jsonrpc.py
@@ -131,4 +131,8 @@
 
 def encode_line(response: dict[str, Any] | list[dict[str, Any]]) -> bytes:
     """Encode a response, or the responses to a batch, to one line."""
-    return json.dumps(response, separators=(",", ":"), ensure_ascii=False).encode() + b"\n"
+    try:
+        return json.dumps(response, separators=(",", ":"), ensure_ascii=False).encode() + b"\n"
+    except UnicodeEncodeError:
+        # It repeats a lone surrogate of the call, which JSON can escape and UTF-8 can't represent.
+        return json.dumps(response, separators=(",", ":")).encode() + b"\n"
