Malformed responses and records of peers are rejected field by field

What callers saw: a request that waits for another instance's response waits on for its deadline, since the datagram that should end its wait raised KeyError (by the test); by reading, a record with fields of other types would raise when it is taken over, and the other requests of its epoch would not be continued. Cause: decode_response and decode_record checked the number of fields and neither their types nor their nesting. Change: each field is checked where it is read; a record whose call can't be made is counted as unreadable. Guarded by test_input_that_cannot_be_read_is_rejected_instead_of_raising, listed until its last input is mended.

--- a/anisefront/daemon/request_records.py
+++ b/anisefront/daemon/request_records.py
@@ -5,6 +5,7 @@
 import base64
 import hashlib
 import json
+import math
 from collections.abc import Container
 from dataclasses import dataclass
 from typing import Any
@@ -15,6 +16,7 @@
 
 RECORD_VERSION = 1
 DIGEST_BYTES = 16
+MAX_INTEGER = 2**63  # a larger one is none that an instance writes
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,13 +57,25 @@
         fields = [getattr(self, name) for name in self.__slots__]
         return json.dumps([RECORD_VERSION, *fields], separators=(",", ":")).encode()
 
-    def job(self) -> DirectRequest:
-        """Return the call of a request that our own connection pool executes."""
+    def job(self) -> DirectRequest | None:
+        """Return the call of a request that our own connection pool executes; None where the data are none."""
         data = self.data
-        return DirectRequest(data["method"], data["target"], data["headers"], base64.b64decode(data["body"]))
+        if not all(isinstance(data.get(name), str) for name in ("method", "target", "body")):
+            return None
+        body = _decode_body(data["body"])
+        if body is None or not _is_header_table(data.get("headers")):
+            return None
+        return DirectRequest(data["method"], data["target"], data["headers"], body)
+
+    def delegating_incarnation(self) -> str | None:
+        """Return which process named the attempts of a request that a proxy executes; None where it is not said."""
+        incarnation = self.data.get("life")
+        return incarnation if isinstance(incarnation, str) else None
 
 
 _RECORD_FIELDS = len(RequestRecord.__slots__)
+_RESPONSE_FIELDS = 6
+_MESSAGE_FIELDS = 3  # status, headers, body in base64
 
 
 def decode_record(data: bytes, class_names: Container[str]) -> RequestRecord | None:
@@ -69,14 +83,52 @@
 
     Versions run side by side during a rolling restart: one record must not prevent that others are taken over.
     """
+    document = _load(data)
+    if not isinstance(document, list) or len(document) != 1 + _RECORD_FIELDS or document[0] != RECORD_VERSION:
+        return None
+    record = RequestRecord(*document[1:])
+    if not _is_well_formed(record) or record.class_name not in class_names:
+        return None
+    return record
+
+
+def _load(data: bytes) -> Any:
+    """Return the JSON value of some bytes, None where there is none."""
     try:
-        version, *fields = json.loads(data)
-    except (ValueError, TypeError):
+        return json.loads(data)
+    except (ValueError, RecursionError):
         return None
-    if version != RECORD_VERSION or len(fields) != _RECORD_FIELDS:
+
+
+def _is_well_formed(record: RequestRecord) -> bool:
+    texts = (record.carrier, record.identity, record.customer, record.class_name, record.plan_name)
+    if not all(isinstance(text, str) for text in texts):
+        return False
+    if not _is_finite(record.units) or not isinstance(record.data, dict):
+        return False
+    return _is_integer(record.first_gateway) and _is_integer(record.spread)
+
+
+def _is_header_table(value: Any) -> bool:
+    return isinstance(value, dict) and all(isinstance(text, str) for text in value.values())
+
+
+def _is_integer(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and abs(value) <= MAX_INTEGER
+
+
+def _is_finite(value: Any) -> bool:
+    """Return whether a value is a number that a float can hold; booleans are none."""
+    if isinstance(value, int):
+        return _is_integer(value)
+    return isinstance(value, float) and math.isfinite(value)
+
+
+def _decode_body(text: str) -> bytes | None:
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError:
         return None
-    record = RequestRecord(*fields)
-    return record if record.class_name in class_names else None
 
 
 def encode_response(answer: FinalResponse) -> bytes:
@@ -91,18 +143,30 @@
 
 def decode_response(data: bytes) -> FinalResponse | None:
     """Decode a response; None where the bytes are malformed."""
-    try:
-        served, *rest = json.loads(data)
-        return FinalResponse(None if served is None else _decode_message(served), *rest)
-    except (ValueError, TypeError, IndexError):
+    document = _load(data)
+    if not isinstance(document, list) or len(document) != _RESPONSE_FIELDS:
+        return None
+    served, endpoint, attempts, is_rejected, retry_after_ms, reason = document
+    if not isinstance(endpoint, str) or not isinstance(reason, str) or not isinstance(is_rejected, bool):
+        return None
+    if not _is_integer(attempts) or not _is_finite(retry_after_ms):
         return None
+    message = None
+    if served is not None:
+        message = _decode_message(served)
+        if message is None:
+            return None
+    return FinalResponse(message, endpoint, attempts, is_rejected, retry_after_ms, reason)
 
 
-def _decode_message(served: list[Any]) -> http1.Message:
-    status = served[0]
-    headers = served[1]
-    body = base64.b64decode(served[2])
-    return http1.Message("", "", status, headers, body, True)
+def _decode_message(served: Any) -> http1.Message | None:
+    if not isinstance(served, list) or len(served) != _MESSAGE_FIELDS:
+        return None
+    status, headers, encoded_body = served
+    if not _is_integer(status) or not _is_header_table(headers) or not isinstance(encoded_body, str):
+        return None
+    body = _decode_body(encoded_body)
+    return None if body is None else http1.Message("", "", status, headers, body, True)
 
 
 def content_digest(job: DirectRequest) -> bytes:
--- a/anisefront/daemon/request_takeover.py
+++ b/anisefront/daemon/request_takeover.py
@@ -120,6 +120,9 @@
 
     def _continue_own(self, record: RequestRecord, replica: ReplicatedRequest, prior_attempts: PriorAttempts) -> None:
         job = record.job()
+        if job is None:
+            self._counts["records_unreadable"] += 1
+            return
         identity = replica.identity
         if identity != NO_IDENTITY and not self._returning.add(identity, content_digest(job), replica.deadline_ms):
             return  # its client has retried here before: that request is in flight or has its response
@@ -138,8 +141,12 @@
     def _continue_delegated(
         self, record: RequestRecord, replica: ReplicatedRequest, prior_attempts: PriorAttempts
     ) -> None:
+        incarnation = record.delegating_incarnation()
+        if incarnation is None:
+            self._counts["records_unreadable"] += 1
+            return
         inherited = self._proxied.inherit(
-            record.data["life"],
+            incarnation,
             replica.request,
             record.identity,
             _terms(record, replica),
