Attempt names with numbers that are none, or of thousands of digits, name no attempt

What callers saw: a proxy's check or access log with an attempt name like 'life.1.²', or with a number of over 4,300 digits, would raise ValueError in the handler of its call (the lookup by the test, its callers by reading) instead of being answered as an unknown attempt. Cause: str.isdigit accepts digits that int does not, and int limits the digits it reads; the two indices of attempts each had a check of their own. Change: one function reads the numbers of attempt names: ASCII digits, 19 at most.

--- a/anisefront/upstream/delegated_checks.py
+++ b/anisefront/upstream/delegated_checks.py
@@ -37,6 +37,7 @@
     reason: str = ""
 
 
+MAX_NUMBER_DIGITS = 19  # of a request's or attempt's number in an attempt's name
 MIN_TIMEOUT_MS = 1.0  # of an attempt
 Reply = Callable[[CheckResponse], None]
 
@@ -126,3 +127,10 @@
     incarnation, _, rest = name.partition(".")
     request, _, attempt = rest.partition(".")
     return AttemptName(incarnation, request, attempt)
+
+
+def parse_number(text: str) -> int | None:
+    """Return the number of a request or attempt in a name; None where the text is none."""
+    if len(text) > MAX_NUMBER_DIGITS or not (text.isascii() and text.isdigit()):
+        return None
+    return int(text)
--- a/anisefront/upstream/delegated_index.py
+++ b/anisefront/upstream/delegated_index.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from anisefront.upstream.delegated_checks import DelegatedRequest, split_attempt_name
+from anisefront.upstream.delegated_checks import DelegatedRequest, parse_number, split_attempt_name
 
 
 class DelegatedIndex:
@@ -56,8 +56,6 @@
         parts = split_attempt_name(name)
         if parts.incarnation != self._incarnation:
             return None
-        if not (parts.request.isascii() and parts.request.isdigit() and parts.attempt.isdigit()):
-            return None
-        request = self.by_number.get(int(parts.request))
-        attempt = int(parts.attempt)
-        return request if request is not None and request.attempt == attempt else None
+        number = parse_number(parts.request)
+        request = None if number is None else self.by_number.get(number)
+        return request if request is not None and request.attempt == parse_number(parts.attempt) else None
--- a/anisefront/upstream/inherited_requests.py
+++ b/anisefront/upstream/inherited_requests.py
@@ -13,7 +13,7 @@
 from anisefront.gateway.interfaces import Timers
 from anisefront.gateway.request_terms import RequestTerms
 from anisefront.policy.events import AttemptResult, PriorAttempts
-from anisefront.upstream.delegated_checks import UNKNOWN_ATTEMPT, Reply, split_attempt_name
+from anisefront.upstream.delegated_checks import UNKNOWN_ATTEMPT, Reply, parse_number, split_attempt_name
 
 
 @dataclass(slots=True, eq=False)
@@ -98,9 +98,11 @@
     def find_attempt(self, name: str) -> tuple[InheritedRequest | None, int]:
         """Return the request and the number of the attempt that a proxy names; None and 0 if there is none."""
         parts = split_attempt_name(name)
-        if not (self._by_origin and _is_number(parts.request) and _is_number(parts.attempt)):
+        request = parse_number(parts.request)
+        attempt = parse_number(parts.attempt)
+        if request is None or attempt is None:
             return None, 0
-        return self._by_origin.get((parts.incarnation, int(parts.request))), int(parts.attempt)
+        return self._by_origin.get((parts.incarnation, request)), attempt
 
     def release(self, inherited: InheritedRequest) -> None:
         """Stop waiting for a request's proxy or client."""
@@ -154,7 +156,3 @@
     def _log_missing(self, inherited: InheritedRequest, reply: Reply) -> None:
         if inherited.reply is reply:
             self.readmit(inherited, reply)
-
-
-def _is_number(text: str) -> bool:
-    return text.isascii() and text.isdigit()
