Endpoint lists with odd numbers, ports and states raise the discovery error

What callers would see (by reading; the functions by the test of decoders, which fails on the text before): a change of discovery with a version, weight or time beyond floats, or a status that is a list, raised OverflowError or TypeError past the watch's own error, so the connection to discovery ended with an exception of the event loop instead of being reopened; a port of Unicode digits raised ValueError where the configuration names addresses. Cause: math.isfinite converts to float; a dict lookup hashes; str.isdigit accepts digits that int does not. Change: numbers are compared with the largest float, states are read as text, ports are one to five ASCII digits.

--- a/anisefront/resp_gateway/endpoint_changes.py
+++ b/anisefront/resp_gateway/endpoint_changes.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-import math
+import re
+import sys
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -22,6 +23,7 @@
 MAX_ENDPOINTS = 10_000
 MAX_TEXT_CHARACTERS = 256
 MAX_PORT = 65535
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +61,7 @@
     if not isinstance(text, str):
         return None
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    if not host or not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
         return None
     return host, int(port)
 
@@ -82,9 +84,9 @@
 def _parse_entry(row: object) -> ListedEndpoint:
     if not isinstance(row, dict):
         raise DiscoveryError(f"{row!r} is no entry")
-    status = STATUS_BY_NAME.get(row.get("status"))
+    status = STATUS_BY_NAME.get(_text(row, "status"))
     if status is None:
-        raise DiscoveryError(f"{row.get('status')!r} is not known", "status")
+        raise DiscoveryError(f"{row['status']!r} is not known", "status")
     endpoint = Endpoint(
         _text(row, "name"),
         str(row.get("zone", "")),
@@ -108,7 +110,8 @@
 
 def _number(row: Mapping[str, Any], name: str, default: float) -> float:
     value = row.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not abs(value) <= sys.float_info.max:
         raise DiscoveryError(f"{value!r} is no number", name)
     return value
 
