Configuration documents with numbers beyond floats are refused with their own error

Cause: float() and int() of values that were checked afterwards, or not at all. Change: checked before; a limit that is no finite number counts as not given, as other unusable ones do. Recorded decisions and settings are unchanged.

--- a/anisefront/policy/settings_document.py
+++ b/anisefront/policy/settings_document.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-import math
+import sys
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -31,10 +31,10 @@
 
     def number(self, key: str, default: float | None = None) -> float:
         """Return a finite number."""
-        value = float(self._get(key, (int, float), default))
-        if not math.isfinite(value):
+        value = self._get(key, (int, float), default)
+        if not abs(value) <= sys.float_info.max:
             raise ValueError(f"{self.path}.{key}: cannot read {value!r}")
-        return value
+        return float(value)
 
     def integer(self, key: str, default: float | None = None) -> int:
         """Return a number without its fraction."""
--- a/anisefront/resp_gateway/instance_config.py
+++ b/anisefront/resp_gateway/instance_config.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import sys
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import Any
@@ -102,8 +103,8 @@
 
 def _positive(table: Mapping[str, Any], name: str, default: float) -> float:
     value = table.get(name)
-    usable = isinstance(value, int | float) and not isinstance(value, bool) and value > 0
-    return float(value) if usable else default
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return float(value) if is_number and 0 < value <= sys.float_info.max else default
 
 
 def _address(value: object, field: str) -> Address:
@@ -123,8 +124,9 @@
         settings = read_settings(document.get("settings"))
     except ValueError as error:
         raise InstanceConfigError(str(error), "settings") from error
-    max_customers = max(MIN_CUSTOMERS, int((memory_mb - BASE_MEMORY_MB) * CUSTOMERS_PER_MB))
-    return replace(settings, max_customers=min(settings.max_customers, max_customers))
+    affordable_customers = (memory_mb - BASE_MEMORY_MB) * CUSTOMERS_PER_MB
+    max_customers = int(min(settings.max_customers, max(MIN_CUSTOMERS, affordable_customers)))
+    return replace(settings, max_customers=max_customers)
 
 
 def _peers(document: Mapping[str, Any], settings: Settings) -> list[object]:
