Members exchange all rows for some periods after a partition has healed

Cause: all rows of both sides are news, eight ride on a message, and a member learns only from a ping of a member that takes it for dead, one such ping in five periods, that it has to refute. Change: a member that sees one of many dead members return (a sixteenth of the cluster and more were dead) requests all rows of one other, first of one that returned, in each of log2(n) periods, above 256 members less often.

--- a/anisefront/cluster/membership.py
+++ b/anisefront/cluster/membership.py
@@ -28,6 +28,7 @@
 )
 from anisefront.cluster.membership_timers import MembershipTimers, Timer
 from anisefront.cluster.probes import PendingProbes, Probe, ProbeOrder
+from anisefront.cluster.recovery import Recovery
 from anisefront.cluster.suspicion import MAX_AWARENESS, MAX_CONFIRMATIONS, Suspicion, suspicion_timeout_ms
 
 INDIRECT_PINGS = 3  # members asked to ping on our behalf
@@ -65,6 +66,7 @@
         self._probe_order = ProbeOrder(self._rng)
         self._probes = PendingProbes()
         self._periods = 0
+        self._recovery = Recovery()
         self._suspicions: dict[int, Suspicion] = {}
         self._dissemination = Dissemination()
         self._timers = MembershipTimers()
@@ -158,7 +160,7 @@
         self._periods += 1
         period_ms = self.period_ms * (1 + self.awareness)
         self._timers.set(now_ms + period_ms, Timer.PERIOD)
-        if self._periods % SYNC_PERIODS == 0:
+        if self._recovery.takes_turn(len(self.rows)) or self._periods % SYNC_PERIODS == 0:
             self._request_rows()
         if self._periods % DEAD_PROBE_PERIODS == 0:
             self._ping_dead_or_unknown()
@@ -174,8 +176,11 @@
         return self.rows[number].status <= MemberStatus.SUSPECT
 
     def _request_rows(self) -> None:
-        """Compare all rows with one member: it repairs whatever the dissemination has lost."""
-        others = self._others_alive()
+        """Compare all rows with one member: it repairs whatever the dissemination has lost.
+
+        One that was dead comes first: on its side of a partition that has healed all rows are different.
+        """
+        others = self._recovery.take_returned(self._is_alive) or self._others_alive()
         if others:
             self._send(self._rng.choice(others), MessageKind.JOIN, rows=[self.rows[self.number]])
 
@@ -319,6 +324,9 @@
         if row.status is MemberStatus.SUSPECT:
             self._suspicions[row.number] = Suspicion(row, now_ms, {sender})
             self._timers.set(now_ms + self._suspicion_timeout_ms(0), Timer.SUSPICION, row.number)
+        if known is not None and known.status is MemberStatus.DEAD and row.status is MemberStatus.ALIVE:
+            dead = sum(other.status is MemberStatus.DEAD for other in self.rows.values())
+            self._recovery.member_returned(row.number, dead, len(self.rows))
         if known is None or (known.process_incarnation, known.status) != (row.process_incarnation, row.status):
             self.changes.append(MemberChange(row, known))
 
