Which requests exclude duplicates is said once for each of the two records that are asked

'Has an identity and must not run twice' stood in eight places of replication, three of them new. It is a property of Accepted and of ReplicatedRequest now, by the same name. Two defaults of EpochSender that no caller used are gone.

--- a/anisefront/cluster/backup.py
+++ b/anisefront/cluster/backup.py
@@ -30,7 +30,6 @@
 )
 from anisefront.cluster.replication_actions import Action, NotifyLater, ReleaseRequest, SendMessage, TakeOver
 from anisefront.cluster.replication_messages import (
-    NO_IDENTITY,
     Accepted,
     Append,
     AppendAck,
@@ -181,7 +180,7 @@
 
         A request that its own primary appends in another epoch is the same request.
         """
-        if accepted.identity == NO_IDENTITY or not accepted.requires_ack:
+        if not accepted.excludes_duplicates:
             return False
         stored = self._by_identity.get(accepted.identity)
         if stored is not None:
@@ -211,7 +210,7 @@
         )
         self.request_count += 1
         key = RequestKey(*epoch.key, accepted.request)
-        if accepted.identity != NO_IDENTITY and accepted.requires_ack:
+        if accepted.excludes_duplicates:
             self._by_identity[accepted.identity] = key
         self._schedule_lease_check(now_ms, epoch)
         heapq.heappush(self._expirations, (deadline_ms, key, accepted.identity))
--- a/anisefront/cluster/backup_state.py
+++ b/anisefront/cluster/backup_state.py
@@ -6,6 +6,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from anisefront.cluster.replication_messages import NO_IDENTITY
+
 MAX_CLOSED_EPOCHS = 256  # epochs of one primary incarnation whose end is known one by one; older ones are all closed
 MAX_INCARNATIONS = 4  # incarnations of one primary of which anything is known; older ones are all closed
 
@@ -48,6 +50,11 @@
     record: bytes
     attempts: dict[int, tuple[str, float]] = field(default_factory=dict)
 
+    @property
+    def excludes_duplicates(self) -> bool:
+        """Whether no other request of its identity may run beside it."""
+        return self.requires_ack and self.identity != NO_IDENTITY
+
 
 class EpochState(IntEnum):
     """State of an epoch at its backup."""
--- a/anisefront/cluster/epoch_sender.py
+++ b/anisefront/cluster/epoch_sender.py
@@ -44,7 +44,7 @@
 
     # ---- epochs ----------------------------------------------------------------------------------
 
-    def open(self, backup: Replica, witness: Replica | None, is_pinned: bool = False) -> EpochLog:
+    def open(self, backup: Replica, witness: Replica | None, is_pinned: bool) -> EpochLog:
         """Open an epoch that takes the new requests of a backup; its witness learns of it only in a conflict."""
         self._last_epoch += 1
         log = EpochLog(self._last_epoch, backup, witness, is_pinned)
@@ -53,7 +53,7 @@
         self._open_epochs.setdefault(backup.number, []).append(log.epoch)
         return log
 
-    def current(self, backup: int, is_pinned: bool = False) -> EpochLog | None:
+    def current(self, backup: int, is_pinned: bool) -> EpochLog | None:
         """Return the epoch that takes the new requests of a backup."""
         return self.logs.get(self._current.get((backup, is_pinned), 0))
 
--- a/anisefront/cluster/local_requests.py
+++ b/anisefront/cluster/local_requests.py
@@ -53,7 +53,7 @@
     @property
     def is_pinned(self) -> bool:
         """Whether another request of its identity must meet it at its backup, or both would run."""
-        return self.has_identity and self.accepted.requires_ack
+        return self.accepted.excludes_duplicates
 
 
 class LocalRequests:
--- a/anisefront/cluster/primary.py
+++ b/anisefront/cluster/primary.py
@@ -88,8 +88,7 @@
 
         One of an identity may not while there are other instances: its backup may know another of this identity.
         """
-        is_pinned = accepted.requires_ack and accepted.identity != NO_IDENTITY
-        return not is_pinned or not self._selector.has_alternative_to(self.local.number)
+        return not accepted.excludes_duplicates or not self._selector.has_alternative_to(self.local.number)
 
     def start_attempt(self, now_ms: float, request: int, attempt: int, endpoint: str) -> bool:
         """Return whether an attempt may start at once.
@@ -150,8 +149,7 @@
         log.requests.discard(request)
         if log.deferred.pop(request, None) is None and not local.rejection_pending:
             # A client's retry may wait at the backup for just this.
-            has_waiting_retry = local.accepted.requires_ack and local.has_identity
-            self._append(local, Completed(request), immediately=has_waiting_retry)
+            self._append(local, Completed(request), immediately=local.accepted.excludes_duplicates)
         self._sender.close_if_finished(log)
 
     def _append(self, local: LocalRequest, entry: LogEntry, immediately: bool = True) -> None:
--- a/anisefront/cluster/replication_messages.py
+++ b/anisefront/cluster/replication_messages.py
@@ -40,6 +40,11 @@
     identity: bytes
     record: bytes
 
+    @property
+    def excludes_duplicates(self) -> bool:
+        """Whether no other request of its identity may run beside it."""
+        return self.requires_ack and self.identity != NO_IDENTITY
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptStarted:
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -123,7 +123,7 @@
             return True
         now_ms = self._clock()
         accepted = self._accepted(now_ms, entry)
-        if accepted.identity != NO_IDENTITY and accepted.requires_ack:
+        if accepted.excludes_duplicates:
             self.duplicates.add(accepted.request, accepted.identity, self._idempotency(entry.arrival.class_name))
         reason = self._replicate(now_ms, accepted)
         if reason is None:
@@ -371,9 +371,7 @@
 
     def _on_released(self, primary: int, replica: ReplicatedRequest) -> None:
         """Let the requests continue that wait for one which is not stored here any more."""
-        if replica.identity == NO_IDENTITY or not replica.requires_ack:
-            return
-        if self._is_in_flight_elsewhere(replica.identity):
+        if not replica.excludes_duplicates or self._is_in_flight_elsewhere(replica.identity):
             return
         outcome = self.takeover.uncertain_outcome(replica) if replica.attempts else Outcome.NEVER_EXECUTED
         if outcome is Outcome.MAY_HAVE_EXECUTED:
--- a/anisefront/daemon/request_takeover.py
+++ b/anisefront/daemon/request_takeover.py
@@ -153,7 +153,7 @@
             prior_attempts,
             dict(replica.attempts),
         )
-        if replica.identity == NO_IDENTITY or not replica.requires_ack:
+        if not replica.excludes_duplicates:
             return
         while self._inherited and not next(iter(self._inherited.values())).is_awaited:
             del self._inherited[next(iter(self._inherited))]
