Each attempt that the controller starts ends exactly once, whatever became of its request

What callers saw: after many clients had left at once a gateway instance refused requests as 'refused: capacity' for good.

Cause: an iteration of the event loop hands the controller the ends of attempts before the disconnections. It dispatches queued requests that the table has removed already; ActionExecutor found no request and returned, so the controller counted the attempt as in flight for ever. With 15 of these and a limit of 2 nothing starts. Two more ways to the same: a withheld attempt whose handler raised at its release had no end, and an attempt that raised was ended under the highest number in flight.

Change: StartAttempt carries its attempt's number. Where the request is gone the attempt is reported as discarded; an action that raises at its release is handled as one that raises at once.

Why this works: there is no return from a start without an end reported, so every count that a start raises (limit, class, endpoint, load, customer) is lowered once.

Evidence: tests/test_attempt_accounting.py, failed on the text before: 20 attempts counted with nothing open, and the stateful property (800 examples of requests, ends, disconnections, transfers, withheld and raised actions, lists and settings). Found by it too: the fix taken out, the release not contained, withheld attempts not discarded.

--- a/anisefront/gateway/action_executor.py
+++ b/anisefront/gateway/action_executor.py
@@ -59,20 +59,21 @@
         request = self._table.requests.get(getattr(action, "id", None))
         if request is None:
             return
-        if isinstance(action, StartAttempt) and request.in_flight:  # it may have left: its end must be reported
-            self._table.attempt_ended(action.id, max(request.in_flight), AttemptResult.ERROR)
+        if isinstance(action, StartAttempt) and action.attempt in request.in_flight:  # it may have left
+            self._table.attempt_ended(action.id, action.attempt, AttemptResult.ERROR)
         else:
             self._table.remove_if_complete(request)
 
     def _start_attempt(self, now_ms: float, action: StartAttempt) -> None:
+        self._table.counts["attempts"] += 1
         request = self._table.requests.get(action.id)
-        if request is None:
+        if request is None:  # its client disconnected in the batch in which the controller decided
+            self._table.attempt_discarded(action)
             return
-        number = request.attempts
-        request.attempts += 1
+        number = action.attempt
+        request.attempts = number + 1
         attempt = AttemptInFlight(action.endpoint, now_ms, now_ms + action.start_within_ms)
         request.in_flight[number] = attempt
-        self._table.counts["attempts"] += 1
         guard = self._table.guard
         if request.ended or request.transferred:
             # Nothing leaves for a request that has its final response or is another gateway instance's.
--- a/anisefront/gateway/request_table.py
+++ b/anisefront/gateway/request_table.py
@@ -9,6 +9,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
 from anisefront.gateway.action_executor import ActionExecutor
 from anisefront.gateway.batch_processor import BatchProcessor
@@ -16,7 +17,7 @@
 from anisefront.gateway.interfaces import AttemptHandler, ReplicationGuard, Timers
 from anisefront.gateway.pending_request import PendingRequest, ReplicaRecord
 from anisefront.gateway.request_terms import RequestTerms
-from anisefront.policy.actions import Action, Reject, RejectionReason
+from anisefront.policy.actions import Action, Reject, RejectionReason, StartAttempt
 from anisefront.policy.controller import Controller
 from anisefront.policy.events import (
     Arrival,
@@ -146,6 +147,12 @@
         self.remove_if_complete(request)
         return is_served
 
+    def attempt_discarded(self, action: StartAttempt) -> None:
+        """Record the end of an attempt whose request was removed before the attempt could start."""
+        result = AttemptResult.DISCARDED
+        self.counts[f"attempts_{result.value}"] += 1
+        self.batches.post(AttemptEnded(action.id, action.attempt, action.endpoint, 0.0, result, final=True))
+
     def client_disconnected(self, number: int) -> None:
         """End a request whose client, or proxy on its behalf, has disconnected or has a response from elsewhere."""
         request = self.requests.get(number)
@@ -212,13 +219,14 @@
         if timeout_ms <= 0 or not self.may_start_attempt(number, attempt):  # the controller decides again
             self.attempt_ended(number, attempt, AttemptResult.DISCARDED, 0.0)
         else:
-            request.handler.start_attempt(number, attempt, pending.endpoint, timeout_ms)
+            action = StartAttempt(number, pending.endpoint, timeout_ms, attempt=attempt)
+            self._contain(action, request.handler.start_attempt, number, attempt, pending.endpoint, timeout_ms)
 
     def release_rejection(self, number: int) -> None:
         """Send a withheld rejection, now that another gateway instance knows of it."""
         request = self.requests.get(number)
         if request is not None and request.withheld_rejection is not None and not request.ended:
-            self.reject(request, request.withheld_rejection)
+            self._contain(request.withheld_rejection, self.reject, request, request.withheld_rejection)
             self.remove_if_complete(request)
 
     def reject_unprotected(self, number: int) -> None:
@@ -228,7 +236,8 @@
             return
         self.counts["unprotected_refused"] += 1
         self.batches.post_before_later_attempt_ends(ClientDisconnected(number))
-        self.reject(request, Reject(number, UNPROTECTED_RETRY_AFTER_MS, RejectionReason.CAPACITY))
+        rejection = Reject(number, UNPROTECTED_RETRY_AFTER_MS, RejectionReason.CAPACITY)
+        self._contain(rejection, self.reject, request, rejection)
         self.remove_if_complete(request)
 
     def transfer_to_backup(self, number: int) -> None:
@@ -287,6 +296,13 @@
         self.fail_open_requests()
         self._on_controller_error(error)
 
+    def _contain(self, action: Action, carry_out: Callable[..., None], *arguments: Any) -> None:
+        """Carry out an action that was withheld; an error has the same effect as if it had not been withheld."""
+        try:
+            carry_out(*arguments)
+        except Exception as error:
+            self._action_failed(action, error)
+
     def _action_failed(self, action: Action, error: Exception) -> None:
         if self._on_action_error is None:
             raise error
--- a/anisefront/policy/actions.py
+++ b/anisefront/policy/actions.py
@@ -18,9 +18,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Start an attempt; the attempts of a request are numbered from 0 in the order of these actions.
+    """Start an attempt. Exactly one `AttemptEnded` has to follow, whatever has become of the request meanwhile.
 
-    It may take `timeout_ms` and has to start within `start_within_ms`: later, the endpoints no longer drop a repeated
+    The attempts of a request are numbered in the order of these actions, from 0 or from its prior attempts. An attempt
+    may take `timeout_ms` and has to start within `start_within_ms`: later, the endpoints no longer drop a repeated
     execution of what may have been executed before.
     """
 
@@ -28,6 +29,7 @@
     endpoint: str
     timeout_ms: float
     start_within_ms: float = math.inf
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/anisefront/policy/attempt_tracker.py
+++ b/anisefront/policy/attempt_tracker.py
@@ -99,9 +99,10 @@
         if endpoint is None or request.attempts_started >= self._settings.max_attempts:
             return None
         request_id = request.arrival.id
+        number = request.attempts_started
         timeout_ms = max(MIN_TIMEOUT_MS, request.arrival.deadline_at_ms - now_ms)
-        action = StartAttempt(request_id, endpoint.endpoint.id, timeout_ms, constraint.start_within_ms)
-        key = AttemptKey(request_id, request.attempts_started)
+        action = StartAttempt(request_id, endpoint.endpoint.id, timeout_ms, constraint.start_within_ms, number)
+        key = AttemptKey(request_id, number)
         self.in_flight[key] = Attempt(endpoint, class_name, request.size, load)
         request.record_attempt_started(now_ms, endpoint)
         endpoint.record_attempt_started(request_id, load)
