--- a/anisefront/cluster/backup.py
+++ b/anisefront/cluster/backup.py
@@ -16,7 +16,7 @@
 import heapq
 import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from anisefront.cluster.backup_state import (
     MAX_CLOSED_EPOCHS,
@@ -28,6 +28,7 @@
     ReplicatedRequest,
     RequestKey,
 )
+from anisefront.cluster.lock_messages import KnownLock, LockOwner
 from anisefront.cluster.replication_actions import Action, NotifyLater, ReleaseRequest, SendMessage, TakeOver
 from anisefront.cluster.replication_messages import (
     Accepted,
@@ -70,9 +71,12 @@
         self.max_requests = max_requests
         self.request_count = 0
         # Requests that are stored here, or were until their primary gave them to another backup.
-        self._by_identity: dict[bytes, RequestKey] = {}
+        self._by_identity: dict[bytes, dict[RequestKey, None]] = {}  # the first stored one first
         # Whether a request of an identity is in flight here, asked for the primary with that number.
         self.is_local_duplicate: Callable[[bytes, int], bool] | None = None
+        # Whether a process incarnation of an instance asks for locks. Of earlier versions that do not, duplicates are
+        # recognized here.
+        self.uses_locks: Callable[[int, int], bool] = lambda number, incarnation: False
         self.counts: Counter[str] = Counter()
         self._actions: list[Action] = []
         self._primaries: dict[tuple[int, int], PrimaryEpochs] = {}  # by number and incarnation
@@ -90,9 +94,22 @@
     def find_primary(self, now_ms: float, identity: bytes) -> int | None:
         """Return which primary has a request of an identity in flight, as far as this backup knows."""
         self._release_expired(now_ms)
-        key = self._by_identity.get(identity)
+        key = self._first_stored(identity)
         return key.primary if key is not None else None
 
+    def _first_stored(self, identity: bytes) -> RequestKey | None:
+        return next(iter(self._by_identity.get(identity, ())), None)
+
+    def known_locks(self, now_ms: float) -> Iterator[KnownLock]:
+        """Yield the locks that the primaries of the stored requests hold, or ask for."""
+        for (primary, incarnation), epochs in self._primaries.items():
+            for epoch in epochs.by_number.values():
+                for stored in epoch.requests.values():
+                    if stored.excludes_duplicates:
+                        owner = LockOwner(primary, incarnation, stored.request)
+                        remaining_ms = max(0, int(stored.deadline_ms - now_ms))
+                        yield KnownLock(stored.identity, owner, remaining_ms, self.number)
+
     # ---- messages --------------------------------------------------------------------------------
 
     def receive(self, now_ms: float, sender: int, sender_incarnation: int, message: Message) -> None:
@@ -182,11 +199,15 @@
         """
         if not accepted.excludes_duplicates:
             return False
-        stored = self._by_identity.get(accepted.identity)
-        if stored is not None:
-            same_primary = (stored.primary, stored.primary_incarnation) == epoch_key[:2]
-            return not same_primary or stored.request != accepted.request
-        return self.is_local_duplicate is not None and self.is_local_duplicate(accepted.identity, epoch_key.primary)
+        uses_locks = self.uses_locks(epoch_key.primary, epoch_key.primary_incarnation)
+        stored = self._first_stored(accepted.identity)
+        if stored is None:
+            is_local = self.is_local_duplicate
+            return not uses_locks and is_local is not None and is_local(accepted.identity, epoch_key.primary)
+        if uses_locks and self.uses_locks(stored.primary, stored.primary_incarnation):
+            return False
+        same_primary = (stored.primary, stored.primary_incarnation) == epoch_key[:2]
+        return not same_primary or stored.request != accepted.request
 
     def _apply(self, now_ms: float, epoch: BackupEpoch, entry: LogEntry) -> None:
         stored = epoch.requests.get(entry.request)
@@ -211,7 +232,7 @@
         self.request_count += 1
         key = RequestKey(*epoch.key, accepted.request)
         if accepted.excludes_duplicates:
-            self._by_identity[accepted.identity] = key
+            self._by_identity.setdefault(accepted.identity, {})[key] = None
         self._schedule_lease_check(now_ms, epoch)
         heapq.heappush(self._expirations, (deadline_ms, key, accepted.identity))
 
@@ -305,8 +326,10 @@
         self._unblock(stored.identity, RequestKey(*epoch.key, stored.request))
 
     def _unblock(self, identity: bytes, key: RequestKey) -> None:
-        if self._by_identity.get(identity) == key:
-            del self._by_identity[identity]
+        keys = self._by_identity.get(identity, {})
+        keys.pop(key, None)
+        if not keys:
+            self._by_identity.pop(identity, None)
 
     # ---- timers ----------------------------------------------------------------------------------
 
--- a/anisefront/cluster/local_requests.py
+++ b/anisefront/cluster/local_requests.py
@@ -10,6 +10,7 @@
 from anisefront.cluster.replication_actions import (
     Action,
     DeliverRejection,
+    LockUnavailable,
     LoseOwnership,
     ReplicationUnavailable,
     StartAttempt,
@@ -32,6 +33,8 @@
     Attributes:
         attempts: Endpoints of the attempts that are not proved never to have executed, by number of the attempt.
         awaiting_ack: Attempts that start when the backup has acknowledged them.
+        awaiting_lock: Attempts that start when the request has the lock of its identity.
+        is_locked: Whether it has the lock of its identity, or needs none.
         rejection_pending: Whether its rejection is delivered when the backup has acknowledged it.
         lost: Whether another instance owns it: no further attempt starts here.
     """
@@ -42,6 +45,8 @@
     epoch: int = 0
     attempts: dict[int, str] = field(default_factory=dict)
     awaiting_ack: set[int] = field(default_factory=set)
+    awaiting_lock: set[int] = field(default_factory=set)
+    is_locked: bool = True
     rejection_pending: bool = False
     lost: bool = False
 
@@ -50,6 +55,11 @@
         """Whether a client's retry of it can be recognized."""
         return self.accepted.identity != NO_IDENTITY
 
+    @property
+    def not_started(self) -> set[int]:
+        """Attempts that were announced and have not left."""
+        return self.awaiting_ack | self.awaiting_lock
+
     @property
     def is_pinned(self) -> bool:
         """Whether another request of its identity must meet it at its backup, or both would run."""
@@ -93,11 +103,32 @@
         return actions
 
     def start_awaiting(self, local: LocalRequest) -> None:
-        """Start the attempts that await an acknowledgement."""
-        request = local.accepted.request
-        self._actions += [StartAttempt(request, attempt) for attempt in sorted(local.awaiting_ack)]
+        """Start the attempts that await an acknowledgement, or let them await the lock alone."""
+        for attempt in sorted(local.awaiting_ack):
+            self._start(local, attempt)
         local.awaiting_ack.clear()
 
+    def _start(self, local: LocalRequest, attempt: int) -> None:
+        if local.is_locked:
+            self._actions.append(StartAttempt(local.accepted.request, attempt))
+        else:
+            local.awaiting_lock.add(attempt)
+
+    def on_locked(self, request: int) -> None:
+        """Start the attempts that await the lock alone."""
+        local = self._requests.get(request)
+        if local is None:
+            return
+        local.is_locked = True
+        self._actions += [StartAttempt(request, attempt) for attempt in sorted(local.awaiting_lock)]
+        local.awaiting_lock.clear()
+
+    def on_lock_unavailable(self, request: int) -> None:
+        """Let the host reject a request that can't get its lock."""
+        local = self._requests.get(request)
+        if local is not None and not local.lost:
+            self._actions.append(LockUnavailable(request))
+
     def deliver_rejection(self, request: int) -> None:
         """Deliver a pending rejection."""
         del self._requests[request]
@@ -110,25 +141,37 @@
             return
         if isinstance(entry, AttemptStarted) and entry.attempt in local.awaiting_ack:
             local.awaiting_ack.discard(entry.attempt)
-            self._actions.append(StartAttempt(entry.request, entry.attempt))
+            self._start(local, entry.attempt)
         elif isinstance(entry, Completed) and local.rejection_pending:
             log.requests.discard(entry.request)
             self.deliver_rejection(entry.request)
 
-    def on_duplicate(self, log: EpochLog, request: int) -> None:
-        """Yield to another request of this identity; the entries behind this one continue without it."""
-        local = self._withdraw(log, request)
-        self._append_end(log, local)
+    def on_duplicate(self, request: int, informed: tuple[int, ...]) -> None:
+        """Yield to another request of this identity; the entries behind this one continue without it.
+
+        Args:
+            request: The request.
+            informed: Instances that know of the other one.
+        """
+        local = self._requests.get(request)
+        if local is None or local.lost:
+            return
+        log = self._sender.logs.get(local.epoch)
+        if log is not None:
+            self._withdraw(log, request)
+            self._append_end(log, local)
+        local.epoch = 0
         local.lost = True
         self._counts["names_elsewhere"] += 1
-        for attempt in local.awaiting_ack:
+        for attempt in local.not_started:
             del local.attempts[attempt]  # it has not started, and won't
         local.awaiting_ack.clear()
+        local.awaiting_lock.clear()
         # The response of an attempt that has started may still come.
         if local.attempts:
             self._actions.append(LoseOwnership(request))
         else:
-            self._actions.append(YieldToDuplicate(request, log.backup.number))
+            self._actions.append(YieldToDuplicate(request, informed))
 
     def on_backup_full(self, now_ms: float, log: EpochLog, request: int) -> None:
         """Continue without a backup: it does not know of the request, so no instance takes it over."""
@@ -152,7 +195,7 @@
     def _append_end(self, log: EpochLog, local: LocalRequest) -> None:
         """End a withdrawn request at its backup, which may have stored another copy of its entries since."""
         request = local.accepted.request
-        for attempt in sorted(local.awaiting_ack):  # they have not started
+        for attempt in sorted(local.not_started):
             log.append(AttemptDiscarded(request, attempt))
         log.append(Completed(request))
 
@@ -164,6 +207,7 @@
             local.lost = local.accepted.requires_ack
             if local.lost:
                 local.awaiting_ack.clear()
+                local.awaiting_lock.clear()
                 self._actions.append(LoseOwnership(request))
         self._counts["epochs_lost"] += 1
         log.requests.clear()
--- /dev/null
+++ b/anisefront/cluster/lock_placement.py
@@ -0,0 +1,52 @@
+"""Which instances vote on an identity.
+
+The first three of its slot's rendezvous order over the configured instances, dead or not, in different zones as far as
+there are. Two majorities of the same three share a member (Gifford 1979, Thomas 1979), so the three must not follow
+from who is believed alive.
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+from anisefront.cluster.backup_selection import SLOTS, placement_hash, slot_of
+
+VOTERS = 3
+DIGEST_BYTES = 4
+
+
+class LockPlacement:
+    """Voters of each slot, by the configured instances and their zones."""
+
+    def __init__(self, zones: dict[int, str]) -> None:
+        """Compute the voters; `zones` has all configured instances, with "" where no zone is told."""
+        self.instances = frozenset(zones)
+        self.digest = hashlib.blake2b(repr(sorted(zones.items())).encode(), digest_size=DIGEST_BYTES).digest()
+        self._voters = [_voters_of(slot, zones) for slot in range(SLOTS)]
+
+    def voters(self, identity: bytes) -> tuple[int, ...]:
+        """Return who votes on an identity."""
+        return self.voters_of_slot(slot_of(identity))
+
+    def voters_of_slot(self, slot: int) -> tuple[int, ...]:
+        """Return who votes on the identities of a slot."""
+        return self._voters[slot]
+
+    def slots_of(self, number: int) -> list[int]:
+        """Return the slots in which an instance votes."""
+        return [slot for slot, voters in enumerate(self._voters) if number in voters]
+
+    def other_voters(self, slot: int, number: int) -> list[int]:
+        """Return who votes beside an instance."""
+        return [voter for voter in self._voters[slot] if voter != number]
+
+
+def _voters_of(slot: int, zones: dict[int, str]) -> tuple[int, ...]:
+    ranking = sorted(zones, key=lambda number: placement_hash(slot, number))
+    voters: list[int] = []
+    while len(voters) < min(VOTERS, len(ranking)):
+        used_zones = {zones[number] for number in voters}
+        remaining = [number for number in ranking if number not in voters]
+        elsewhere = [number for number in remaining if zones[number] not in used_zones]
+        voters.append((elsewhere or remaining)[0])
+    return tuple(voters)
--- /dev/null
+++ b/anisefront/cluster/lock_requester.py
@@ -0,0 +1,413 @@
+"""Owner's side of identity locks: asks the voters for a majority before a request may have an effect. Free of I/O.
+
+    requested --votes of a majority--> held --end of the request--> released
+        |-----a majority has voted for another--------------------> refused
+        |-----the vote is split, and another comes first----------> refused
+        `-----no majority replies in time-------------------------> unavailable
+
+Once a lock is held it stays held: any majority that votes later shares a voter with this one. The third voter is asked
+until it knows, too. Before a lock is held, votes of a voter that was restarted since are void, as it may have forgotten
+them.
+
+Where membership knows of one live voter only, and at least half of all instances are alive, that one decides alone.
+Otherwise the loss of two instances would end all service for the identities on which both vote.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import Counter, OrderedDict
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass, field
+
+from anisefront.cluster.backup_selection import Replica, placement_hash, slot_of
+from anisefront.cluster.lock_codec import MAX_ITEMS
+from anisefront.cluster.lock_decisions import LockDecision, LockHeld, LockRefused, LockUnavailable
+from anisefront.cluster.lock_messages import (
+    NO_INSTANCE,
+    KnownLock,
+    LockOwner,
+    LockRelease,
+    LockReleases,
+    LockReplies,
+    LockReply,
+    LockRequest,
+    LockRequests,
+)
+from anisefront.cluster.lock_placement import LockPlacement
+from anisefront.cluster.replication_actions import SendMessage
+
+MAJORITY = 2  # of three voters, or of two
+WIDEN_MS = 10.0  # without a majority of those asked first, after which the third voter is asked, too
+UNRESPONSIVE_MS = 5000.0  # during which a voter that did not reply before the third was asked is not asked first
+RELEASE_DELAY_MS = 5.0  # locks of executed requests are released so late, many in one message
+RETRY_MS = 30.0
+MAX_RETRY_MS = 240.0
+MAX_ENDED = 10_000  # requests whose end is remembered, for votes that come later
+NO_REQUEST = 0  # requests are numbered from 1
+MAX_WAITING_FRACTION = 0.5  # of the time until its deadline that a request waits for a majority
+
+
+@dataclass(slots=True, eq=False)
+class _LocalLock:
+    """The lock of a local request.
+
+    Attributes:
+        votes: Process incarnations of the voters that have voted for it, by number.
+        refusals: Replies of those that have voted for another, by number.
+        must_tell_backup: Whether the backup has changed since the voters were asked.
+        asked: The voters that were asked.
+    """
+
+    identity: bytes
+    voters: tuple[int, ...]
+    request: int
+    deadline_ms: float
+    give_up_ms: float
+    backup: int
+    predecessor: LockOwner | None
+    has_yielded: bool
+    is_held: bool = False
+    must_tell_backup: bool = False
+    asked: tuple[int, ...] = ()
+    votes: dict[int, int] = field(default_factory=dict)
+    refusals: dict[int, LockReply] = field(default_factory=dict)
+    retry_ms: float = 0.0
+    retry_interval_ms: float = RETRY_MS
+
+
+class LockRequester:
+    """Locks of the requests of one process incarnation of an instance."""
+
+    def __init__(self, local: Replica, placement: LockPlacement) -> None:
+        """Start without locks."""
+        self.counts: Counter[str] = Counter()
+        self._local = local
+        self._placement = placement
+        self._locks: dict[int, _LocalLock] = {}  # by request
+        self._retained: dict[int, _LocalLock] = {}  # of requests that have ended, until their deadlines
+        self._alive: frozenset[int] = frozenset({local.number})
+        self._voter_incarnations: dict[int, int] = {}  # by number: votes of earlier ones are void
+        self._decisions: list[LockDecision] = []
+        self._ended: OrderedDict[int, bool] = OrderedDict()  # by request: whether it may have been executed
+        self._unsent: dict[int, None] = {}  # requests to ask for
+        self._releases: dict[int, list[LockRelease]] = {}  # by voter
+        self._releases_due_ms = math.inf
+        self._unresponsive_until_ms: dict[int, float] = {}  # by voter
+        self._schedule: list[tuple[float, int]] = []
+
+    @property
+    def is_required(self) -> bool:
+        """Whether another instance could run a request of the same identity."""
+        return len(self._placement.instances) > 1
+
+    def update_members(self, alive: frozenset[int]) -> None:
+        """Replace the live instances, the local one not among them."""
+        self._alive = alive | {self._local.number}
+        for lock in list(self._locks.values()):
+            if not lock.is_held:
+                self._decide(lock)
+
+    def acquire(
+        self,
+        now_ms: float,
+        identity: bytes,
+        request: int,
+        remaining_ms: float,
+        backup: int = NO_INSTANCE,
+        predecessor: LockOwner | None = None,
+        has_yielded: bool = False,
+    ) -> None:
+        """Ask for the lock of a request.
+
+        Args:
+            now_ms: Clock time.
+            identity: Digest of its identity.
+            request: Its number.
+            remaining_ms: Time until its deadline.
+            backup: The instance that knows of it.
+            predecessor: The request of a failed instance that it continues.
+            has_yielded: Whether its client's request had yielded to another of the identity before.
+        """
+        give_up_ms = now_ms + MAX_WAITING_FRACTION * remaining_ms
+        deadline_ms = now_ms + remaining_ms
+        voters = self._placement.voters(identity)
+        lock = _LocalLock(identity, voters, request, deadline_ms, give_up_ms, backup, predecessor, has_yielded)
+        self._locks[request] = lock
+        if predecessor is None:
+            lock.asked = self._first_voters(now_ms, lock)
+            self._unsent[request] = None
+            self._schedule_next(now_ms + WIDEN_MS, lock)
+        else:
+            self._ask_all(now_ms, lock)
+
+    def _first_voters(self, now_ms: float, lock: _LocalLock) -> tuple[int, ...]:
+        """Return a majority of the voters: the local one and the backup, which is told anyway, but no late one."""
+
+        def _order(voter: int) -> tuple[bool, bool, bool]:
+            is_late = self._unresponsive_until_ms.get(voter, 0.0) > now_ms
+            return is_late, voter != self._local.number, voter != lock.backup
+
+        return tuple(sorted(lock.voters, key=_order)[:MAJORITY])
+
+    def _ask_all(self, now_ms: float, lock: _LocalLock) -> None:
+        """Ask all voters that have not voted for it."""
+        lock.asked = lock.voters
+        self._unsent[lock.request] = None
+        lock.retry_ms = now_ms + lock.retry_interval_ms
+        self._schedule_next(min(lock.retry_ms, lock.give_up_ms), lock)
+
+    def _schedule_next(self, at_ms: float, lock: _LocalLock) -> None:
+        heapq.heappush(self._schedule, (at_ms, lock.request))
+
+    def set_backup(self, request: int, backup: int) -> None:
+        """Tell the voters which instance knows of a request: those that are refused ask it for the outcome."""
+        lock = self._locks.get(request)
+        if lock is not None and lock.backup != backup:
+            lock.backup = backup
+            lock.must_tell_backup = True
+            self._unsent[request] = None
+
+    def continue_predecessor(self, now_ms: float, request: int, predecessor: LockOwner) -> None:
+        """Let a request that asks for its lock take over that of a failed instance's request."""
+        lock = self._locks.get(request)
+        if lock is not None and not lock.is_held:
+            lock.predecessor = predecessor
+            self._ask_all(now_ms, lock)
+
+    def release_predecessor(self, identity: bytes, predecessor: LockOwner) -> None:
+        """End the lock of a failed instance's request that is not continued here before its client returns."""
+        for voter in self._placement.voters(identity):
+            self._releases.setdefault(voter, []).append(LockRelease(identity, NO_REQUEST, False, predecessor))
+        self._releases_due_ms = 0.0
+
+    def release(self, request: int, may_have_executed: bool = False) -> None:
+        """End the lock of a request at once; `may_have_executed`: it must not be executed again."""
+        lock = self._locks.pop(request, None)
+        if lock is not None:
+            self._release_at_voters(lock, may_have_executed)
+            self._releases_due_ms = 0.0
+            self._note_ended(request, may_have_executed)
+
+    def release_soon(self, now_ms: float, request: int, may_have_executed: bool = False) -> None:
+        """End the lock of a request that has its response, together with others that end about now."""
+        lock = self._locks.pop(request, None)
+        if lock is not None:
+            self._release_at_voters(lock, may_have_executed)
+            self._releases_due_ms = min(self._releases_due_ms, now_ms + RELEASE_DELAY_MS)
+            self._note_ended(request, may_have_executed)
+
+    def _note_ended(self, request: int, may_have_executed: bool) -> None:
+        self._ended[request] = may_have_executed
+        if len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
+
+    def retain(self, request: int) -> None:
+        """Keep the lock of a request that has ended until its deadline: none of its identity may run before."""
+        lock = self._locks.pop(request, None)
+        if lock is not None:
+            self._retained[request] = lock
+            heapq.heappush(self._schedule, (lock.deadline_ms, request))
+
+    def abandon(self, request: int) -> None:
+        """Leave the lock of a request to the instance that continues it."""
+        self._locks.pop(request, None)
+
+    def take_decisions(self) -> list[LockDecision]:
+        """Return the decisions since the last call."""
+        decisions = self._decisions
+        self._decisions = []
+        return decisions
+
+    def known_locks(self, now_ms: float) -> Iterator[KnownLock]:
+        """Yield the locks that are held or asked for."""
+        for lock in (*self._locks.values(), *self._retained.values()):
+            owner = LockOwner(self._local.number, self._local.incarnation, lock.request)
+            yield KnownLock(lock.identity, owner, max(0, int(lock.deadline_ms - now_ms)), lock.backup)
+
+    # ---- messages --------------------------------------------------------------------------------
+
+    def receive(self, now_ms: float, sender: int, sender_incarnation: int, message: LockReplies) -> None:
+        """Handle the votes of an authenticated sender."""
+        self._note_restart(sender, sender_incarnation)
+        for voter, incarnation in message.restarts:
+            self._note_restart(voter, incarnation)
+        for reply in message.replies:
+            lock = self._locks.get(reply.request)
+            if lock is None or lock.identity != reply.identity:
+                self._release_unknown(sender, reply)
+            else:
+                self._on_reply(now_ms, lock, sender, sender_incarnation, reply)
+
+    def _note_restart(self, voter: int, incarnation: int) -> None:
+        """Note a voter's incarnation; one that was restarted may vote for another now."""
+        self._voter_incarnations[voter] = max(incarnation, self._voter_incarnations.get(voter, 0))
+
+    def _release_unknown(self, sender: int, reply: LockReply) -> None:
+        """Release a vote that came after the end of its request, or whose release was lost."""
+        if reply.is_granted and reply.request not in self._retained:
+            may_have_executed = self._ended.get(reply.request, True)
+            release = LockRelease(reply.identity, reply.request, may_have_executed)
+            self._releases.setdefault(sender, []).append(release)
+            self._releases_due_ms = 0.0
+
+    def _on_reply(
+        self, now_ms: float, lock: _LocalLock, sender: int, sender_incarnation: int, reply: LockReply
+    ) -> None:
+        if sender not in lock.voters:
+            return
+        if reply.is_granted:
+            lock.votes[sender] = sender_incarnation
+            lock.refusals.pop(sender, None)
+        else:
+            lock.votes.pop(sender, None)
+            lock.refusals[sender] = reply
+        if not lock.is_held:
+            self._drop_void_votes(lock)
+            self._decide(lock)
+        is_undecided = lock.request in self._locks and not lock.is_held
+        if is_undecided and lock.refusals and len(lock.asked) < len(lock.voters):
+            self._ask_all(now_ms, lock)
+
+    def _drop_void_votes(self, lock: _LocalLock) -> None:
+        lock.votes = {
+            voter: incarnation
+            for voter, incarnation in lock.votes.items()
+            if incarnation >= self._voter_incarnations[voter]
+        }
+
+    def _decide(self, lock: _LocalLock) -> None:
+        voters = self._deciding_voters(lock)
+        needed = min(MAJORITY, len(voters))
+        if sum(voter in voters for voter in lock.votes) >= needed:
+            lock.is_held = True
+            self._decisions.append(LockHeld(lock.request))
+            return
+        if not lock.refusals:
+            return
+        refusals = [reply for voter, reply in lock.refusals.items() if voter in voters]
+        holders = Counter((reply.holder, reply.holder_request) for reply in refusals)
+        for reply in refusals:
+            if holders[reply.holder, reply.holder_request] >= needed:
+                self._refuse(lock, reply)
+                return
+
+    def _deciding_voters(self, lock: _LocalLock) -> tuple[int, ...]:
+        """Return the voters of which a majority decides: all, or the only live one."""
+        voters = lock.voters
+        alive = tuple(voter for voter in voters if voter in self._alive)
+        if len(alive) == 1 and 2 * len(self._alive) >= len(self._placement.instances):
+            return alive
+        return voters
+
+    def _refuse(self, lock: _LocalLock, reply: LockReply) -> None:
+        self.counts["locks_refused"] += 1
+        self.release(lock.request)
+        informed = [number for number in (reply.holder_backup, reply.holder) if number != NO_INSTANCE]
+        self._decisions.append(LockRefused(lock.request, tuple(dict.fromkeys(informed))))
+
+    def _release_at_voters(self, lock: _LocalLock, may_have_executed: bool) -> None:
+        release = LockRelease(lock.identity, lock.request, may_have_executed, lock.predecessor)
+        voters = lock.asked if lock.predecessor is None else lock.voters
+        for voter in voters:
+            self._releases.setdefault(voter, []).append(release)
+
+    # ---- sending ---------------------------------------------------------------------------------
+
+    def flush(self, now_ms: float) -> list[SendMessage]:
+        """Return the messages to send: one to each voter for all requests since the last call."""
+        if not self._unsent and now_ms < self._releases_due_ms:
+            return []
+        requests: dict[int, list[LockRequest]] = {}
+        for number in self._unsent:
+            lock = self._locks.get(number)
+            if lock is not None:
+                request = self._request(now_ms, lock)
+                for voter in lock.asked:
+                    if voter not in lock.votes or lock.must_tell_backup:
+                        requests.setdefault(voter, []).append(request)
+                lock.must_tell_backup = False
+        self._unsent.clear()
+        messages = self._take_releases(now_ms, requests.keys())
+        messages += [
+            SendMessage(voter, LockRequests(self._placement.digest, tuple(items[start : start + MAX_ITEMS])))
+            for voter, items in requests.items()
+            for start in range(0, len(items), MAX_ITEMS)
+        ]
+        return messages
+
+    def _take_releases(self, now_ms: float, receivers: Collection[int]) -> list[SendMessage]:
+        """Return the messages that release locks: all that are due, and those to voters that are asked now."""
+        is_due = now_ms >= self._releases_due_ms
+        voters = [voter for voter in self._releases if is_due or voter in receivers]
+        messages = []
+        for voter in voters:
+            items = self._releases.pop(voter)
+            for start in range(0, len(items), MAX_ITEMS):
+                messages.append(SendMessage(voter, LockReleases(tuple(items[start : start + MAX_ITEMS]))))
+        if not self._releases:
+            self._releases_due_ms = math.inf
+        return messages
+
+    def _request(self, now_ms: float, lock: _LocalLock) -> LockRequest:
+        remaining_ms = max(0, int(lock.deadline_ms - now_ms))
+        return LockRequest(lock.identity, lock.request, remaining_ms, lock.backup, lock.has_yielded, lock.predecessor)
+
+    # ---- timers ----------------------------------------------------------------------------------
+
+    def handle_timers(self, now_ms: float) -> None:
+        """Ask again for what is not decided, and decide what stays undecided."""
+        while self._schedule and self._schedule[0][0] <= now_ms:
+            _, request = heapq.heappop(self._schedule)
+            retained = self._retained.get(request)
+            if retained is not None and retained.deadline_ms <= now_ms:
+                del self._retained[request]
+            lock = self._locks.get(request)
+            if lock is not None and lock.is_held:
+                self._tell_remaining_voters(now_ms, lock)
+            elif lock is not None:
+                self._on_undecided(now_ms, lock)
+
+    def _tell_remaining_voters(self, now_ms: float, lock: _LocalLock) -> None:
+        """Ask those that have not voted yet; should the others fail, they know who has the lock."""
+        if not lock.retry_ms:
+            lock.retry_ms = now_ms + RETRY_MS
+            self._schedule_next(lock.retry_ms, lock)
+        missing = [voter for voter in lock.voters if voter not in lock.votes]
+        if now_ms < lock.retry_ms or self._alive.isdisjoint(missing):
+            return
+        lock.retry_interval_ms = min(MAX_RETRY_MS, 2 * lock.retry_interval_ms)
+        self._ask_all(now_ms, lock)
+
+    def _on_undecided(self, now_ms: float, lock: _LocalLock) -> None:
+        preceding = [reply for reply in lock.refusals.values() if self._precedes(reply, lock)]
+        if preceding:
+            self._refuse(lock, preceding[0])
+        elif now_ms >= lock.give_up_ms:
+            self.counts["locks_unavailable"] += 1
+            self.release(lock.request)
+            self._decisions.append(LockUnavailable(lock.request))
+        elif not lock.retry_ms:
+            self._note_unresponsive(now_ms, lock)
+            self._ask_all(now_ms, lock)
+        elif now_ms >= lock.retry_ms:
+            lock.retry_interval_ms = min(MAX_RETRY_MS, 2 * lock.retry_interval_ms)
+            self._ask_all(now_ms, lock)
+
+    def _note_unresponsive(self, now_ms: float, lock: _LocalLock) -> None:
+        for voter in lock.asked:
+            if voter not in lock.votes and voter not in lock.refusals:
+                self._unresponsive_until_ms[voter] = now_ms + UNRESPONSIVE_MS
+
+    def _precedes(self, reply: LockReply, lock: _LocalLock) -> bool:
+        """Return whether the holder comes first where the votes are split; all contenders know the same order."""
+        slot = slot_of(lock.identity)
+        holder_rank = (placement_hash(slot, reply.holder), reply.holder_request)
+        return holder_rank < (placement_hash(slot, self._local.number), lock.request)
+
+    @property
+    def next_timer_ms(self) -> float:
+        """Time at which `handle_timers` is to be called at the latest; infinite without a lock."""
+        scheduled_ms = self._schedule[0][0] if self._schedule else math.inf
+        return min(scheduled_ms, self._releases_due_ms)
--- /dev/null
+++ b/anisefront/cluster/lock_voter.py
@@ -0,0 +1,315 @@
+"""Voter on identity locks: gives its vote on an identity to one request at a time. Free of I/O.
+
+    free --LockRequests--> voted for the first who asks --LockReleases, or the deadline--> free
+                                 `--LockRequests of its successor--> voted for the successor
+
+A vote is final until its request has ended: a second one beside it would let two requests of one identity have a
+majority. A voter that was restarted has forgotten its votes, and votes only once it has recovered them.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from anisefront.cluster.backup_selection import Replica, slot_of
+from anisefront.cluster.lock_codec import MAX_ITEMS
+from anisefront.cluster.lock_messages import (
+    NO_INSTANCE,
+    KnownLock,
+    LockMessage,
+    LockOwner,
+    LockRecoveryQuery,
+    LockRecoveryReply,
+    LockRelease,
+    LockReleases,
+    LockReplies,
+    LockReply,
+    LockRequest,
+    LockRequests,
+    VoterRestart,
+)
+from anisefront.cluster.lock_placement import LockPlacement
+from anisefront.cluster.lock_recovery import VoterRecovery
+from anisefront.cluster.replication_actions import SendMessage
+
+MAX_LOCKS = 50_000
+MAX_ENDED = 10_000  # ended requests that are remembered, since a delayed message could ask for them again
+
+
+@dataclass(slots=True, eq=False)
+class _Lock:
+    """Votes on one identity.
+
+    Attributes:
+        holders: The requests that may have the vote, each with the number of its backup; after a recovery there may be
+            several, and then none gets the vote before the others have ended.
+        expires_ms: When it lapses.
+    """
+
+    holders: dict[LockOwner, int]
+    expires_ms: float
+
+
+class LockVoter:
+    """Votes of one process incarnation of an instance."""
+
+    def __init__(
+        self,
+        local: Replica,
+        placement: LockPlacement,
+        max_deadline_ms: float,
+        max_locks: int = MAX_LOCKS,
+        is_recovered: bool = False,
+    ) -> None:
+        """Start without votes.
+
+        Args:
+            local: This instance.
+            placement: Who votes.
+            max_deadline_ms: Longest deadline of a request.
+            max_locks: Capacity; beyond it there are no votes.
+            is_recovered: Whether no earlier process of this instance has voted.
+        """
+        self.counts: Counter[str] = Counter()
+        # Locks that this instance knows otherwise: of its own requests, and of those that it stores as a backup.
+        self.other_locks: Callable[[float], Iterable[KnownLock]] = lambda now_ms: ()
+        self._local = local
+        self._placement = placement
+        self._max_locks = max_locks
+        self._recovery = VoterRecovery(local.number, placement, max_deadline_ms, is_recovered)
+        self._locks: dict[bytes, _Lock] = {}
+        self._expirations: list[tuple[float, bytes]] = []
+        self._alive: dict[int, int] = {}
+        self._gone: frozenset[int] = frozenset()
+        self._ended: OrderedDict[LockOwner, None] = OrderedDict()
+        self._restarts: dict[int, int] = {}  # incarnations from which on votes of other voters count
+        self._newest_incarnation: dict[int, int] = {}  # of those who have sent something
+        self._actions: list[SendMessage] = []
+        self._replies: dict[int, list[LockReply]] = {}  # by receiver
+        # Requests that may have been executed and have ended since, by identity, with the deadline of their lock.
+        self._finished: OrderedDict[bytes, tuple[LockOwner, float]] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return the number of identities on which there is a vote."""
+        return len(self._locks)
+
+    def uses_locks(self, number: int, incarnation: int) -> bool:
+        """Return whether this process incarnation of an instance, or a later one, has sent a message of locks."""
+        return self._newest_incarnation.get(number, 0) >= incarnation
+
+    def take_actions(self) -> list[SendMessage]:
+        """Return the messages to send, and keep none."""
+        if self._replies:
+            self._collect_replies()
+        actions = self._actions
+        if actions:
+            self._actions = []
+        return actions
+
+    def _collect_replies(self) -> None:
+        restarts = tuple(VoterRestart(*each) for each in sorted(self._restarts.items()))
+        for receiver, replies in self._replies.items():
+            for start in range(0, len(replies), MAX_ITEMS):
+                message = LockReplies(restarts, tuple(replies[start : start + MAX_ITEMS]))
+                self._actions.append(SendMessage(receiver, message))
+        self._replies = {}
+
+    # ---- messages --------------------------------------------------------------------------------
+
+    def receive(self, now_ms: float, sender: int, sender_incarnation: int, message: LockMessage) -> None:
+        """Handle a message from an authenticated sender; a delayed one of an earlier incarnation is ignored."""
+        if sender_incarnation < self._newest_incarnation.get(sender, 0):
+            return
+        self._newest_incarnation[sender] = sender_incarnation
+        self._release_expired(now_ms)
+        match message:
+            case LockRequests(placement, requests):
+                if self._has_same_placement(placement):
+                    for request in requests:
+                        owner = LockOwner(sender, sender_incarnation, request.request)
+                        self._on_request(now_ms, owner, request)
+            case LockReleases(releases):
+                for release in releases:
+                    self._on_release(LockOwner(sender, sender_incarnation, release.request), release)
+            case LockRecoveryQuery(placement, serial):
+                if self._has_same_placement(placement):
+                    self._on_recovery_query(now_ms, sender, sender_incarnation, serial)
+            case LockRecoveryReply():
+                self._on_recovery_reply(now_ms, sender, sender_incarnation, message)
+
+    def _has_same_placement(self, placement: bytes) -> bool:
+        """Return whether the sender's voters are the same; majorities of others may share no member with ours."""
+        if placement != self._placement.digest:
+            self.counts["placements_differing"] += 1
+        return placement == self._placement.digest
+
+    def _on_request(self, now_ms: float, owner: LockOwner, request: LockRequest) -> None:
+        slot = slot_of(request.identity)
+        if owner in self._ended or self._local.number not in self._placement.voters_of_slot(slot):
+            return
+        lock = self._locks.get(request.identity)
+        if lock is not None:
+            self._replace_predecessor(lock, owner, request)
+            self._drop_lost_holders(lock, owner)
+            holder = _other_holder(lock, owner)
+            if holder is not None:
+                self._refuse(owner, request, lock, holder)
+                return
+        finished = self._finished.get(request.identity)
+        if request.follows_another and finished is not None and finished[1] > now_ms:
+            holder = finished[0]
+            self._reply(owner.number, LockReply(request.identity, request.request, holder.number, holder.request))
+            return
+        if not self._recovery.is_recovered(slot):
+            return
+        if lock is None:
+            if len(self._locks) >= self._max_locks:
+                self.counts["locks_full"] += 1
+                return
+            lock = self._locks[request.identity] = _Lock({}, now_ms)
+        lock.holders[owner] = request.backup
+        self._extend(request.identity, lock, now_ms + request.remaining_ms)
+        self._reply(owner.number, LockReply(request.identity, request.request))
+
+    def _replace_predecessor(self, lock: _Lock, owner: LockOwner, request: LockRequest) -> None:
+        """Give the vote of a failed instance's request to the one that continues it."""
+        if request.predecessor in lock.holders:
+            del lock.holders[request.predecessor]
+            lock.holders[owner] = request.backup
+            self._note_ended(request.predecessor)
+
+    def _drop_lost_holders(self, lock: _Lock, owner: LockOwner) -> None:
+        """Drop requests that are lost with both their instance and its backup: nobody continues them."""
+        for holder, backup in list(lock.holders.items()):
+            if holder != owner and self._is_gone(holder) and (backup == NO_INSTANCE or backup in self._gone):
+                self.counts["locks_lost"] += 1
+                del lock.holders[holder]
+                self._note_ended(holder)
+
+    def _is_gone(self, holder: LockOwner) -> bool:
+        if holder.number == self._local.number:
+            return holder.incarnation < self._local.incarnation
+        return holder.number in self._gone or self._alive.get(holder.number, 0) > holder.incarnation
+
+    def _refuse(self, owner: LockOwner, request: LockRequest, lock: _Lock, holder: LockOwner) -> None:
+        self.counts["refusals"] += 1
+        reply = LockReply(request.identity, request.request, holder.number, holder.request, lock.holders[holder])
+        self._reply(owner.number, reply)
+        if len(lock.holders) == 1 and self._recovery.is_recovered(slot_of(request.identity)):
+            # If its release was lost, the holder releases it again.
+            self._reply(holder.number, LockReply(request.identity, holder.request))
+
+    def _reply(self, receiver: int, reply: LockReply) -> None:
+        self._replies.setdefault(receiver, []).append(reply)
+
+    def _on_release(self, owner: LockOwner, release: LockRelease) -> None:
+        ended = [owner] if release.predecessor is None else [owner, release.predecessor]
+        for each in ended:
+            self._note_ended(each)
+        lock = self._locks.get(release.identity)
+        if lock is None:
+            return
+        if release.may_have_executed and owner in lock.holders:
+            self._finished[release.identity] = (owner, lock.expires_ms)
+            self._finished.move_to_end(release.identity)
+            if len(self._finished) > MAX_ENDED:
+                self._finished.popitem(last=False)
+        for each in ended:
+            lock.holders.pop(each, None)
+        if not lock.holders:
+            del self._locks[release.identity]
+
+    def _note_ended(self, owner: LockOwner) -> None:
+        self._ended[owner] = None
+        if len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
+
+    def _extend(self, identity: bytes, lock: _Lock, expires_ms: float) -> None:
+        if expires_ms > lock.expires_ms:
+            lock.expires_ms = expires_ms
+            heapq.heappush(self._expirations, (expires_ms, identity))
+
+    def _release_expired(self, now_ms: float) -> None:
+        while self._expirations and self._expirations[0][0] <= now_ms:
+            _, identity = heapq.heappop(self._expirations)
+            lock = self._locks.get(identity)
+            if lock is not None and lock.expires_ms <= now_ms:
+                del self._locks[identity]
+
+    # ---- recovery --------------------------------------------------------------------------------
+
+    def _on_recovery_query(self, now_ms: float, sender: int, sender_incarnation: int, serial: int) -> None:
+        """Reply with all locks that are known here in slots of the sender.
+
+        Votes that are given from now on name the sender's incarnation. Together with a vote of an earlier one, of
+        which the sender does not learn from this reply, they would be a majority beside another.
+        """
+        self._note_restart(sender, sender_incarnation)
+        known = [lock for lock in self.known_locks(now_ms) if sender in self._placement.voters(lock.identity)]
+        pages = max(1, -(-len(known) // MAX_ITEMS))
+        for page in range(pages):
+            locks = tuple(known[page * MAX_ITEMS : (page + 1) * MAX_ITEMS])
+            reply = LockRecoveryReply(serial, page, pages, self._recovery.is_complete, locks)
+            self._actions.append(SendMessage(sender, reply))
+
+    def known_locks(self, now_ms: float) -> list[KnownLock]:
+        """Return all locks that this instance knows."""
+        voted = [
+            KnownLock(identity, owner, max(0, int(lock.expires_ms - now_ms)), backup)
+            for identity, lock in self._locks.items()
+            for owner, backup in lock.holders.items()
+        ]
+        finished = [
+            KnownLock(identity, owner, max(0, int(expires_ms - now_ms)), NO_INSTANCE)
+            for identity, (owner, expires_ms) in self._finished.items()
+            if expires_ms > now_ms
+        ]
+        return [*voted, *finished, *self.other_locks(now_ms)]
+
+    def _on_recovery_reply(self, now_ms: float, sender: int, sender_incarnation: int, reply: LockRecoveryReply) -> None:
+        if self._recovery.is_complete:
+            return
+        self._note_restart(sender, sender_incarnation)
+        for known in self._recovery.on_reply(sender, sender_incarnation, reply):
+            if known.owner not in self._ended:
+                lock = self._locks.setdefault(known.identity, _Lock({}, now_ms))
+                lock.holders.setdefault(known.owner, known.backup)
+                self._extend(known.identity, lock, now_ms + known.remaining_ms)
+        self._recovery.update_slots()
+
+    def _note_restart(self, number: int, incarnation: int) -> None:
+        self._restarts[number] = max(self._restarts.get(number, 0), incarnation)
+
+    # ---- timers ----------------------------------------------------------------------------------
+
+    def update_members(self, now_ms: float, alive: dict[int, int], gone: frozenset[int]) -> None:
+        """Replace what is known of the other instances.
+
+        Args:
+            now_ms: Clock time.
+            alive: Process incarnations of those that are alive, by number.
+            gone: Those that are dead or have left.
+        """
+        self._alive = alive
+        self._gone = gone
+        self._recovery.update_members(now_ms, gone)
+
+    def handle_timers(self, now_ms: float) -> None:
+        """Let votes lapse, and ask again what earlier votes were."""
+        self._release_expired(now_ms)
+        for receiver in self._recovery.receivers_due(now_ms):
+            query = LockRecoveryQuery(self._placement.digest, self._recovery.serial)
+            self._actions.append(SendMessage(receiver, query))
+
+    @property
+    def next_timer_ms(self) -> float:
+        """Time at which `handle_timers` is to be called at the latest; votes that lapse need no call."""
+        return self._recovery.next_timer_ms
+
+
+def _other_holder(lock: _Lock, owner: LockOwner) -> LockOwner | None:
+    """Return a request other than this one that may have the vote."""
+    return next((holder for holder in lock.holders if holder != owner), None)
--- a/anisefront/cluster/primary.py
+++ b/anisefront/cluster/primary.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import replace
 
@@ -25,6 +26,9 @@
 from anisefront.cluster.epoch_log import RETRY_MS, EpochLog
 from anisefront.cluster.epoch_sender import HEARTBEAT_LEASE_FRACTION, EpochSender
 from anisefront.cluster.local_requests import LocalRequest, LocalRequests
+from anisefront.cluster.lock_decisions import LockHeld, LockRefused, LockUnavailable
+from anisefront.cluster.lock_messages import NO_INSTANCE, LockMessage, LockOwner, LockReplies
+from anisefront.cluster.lock_requester import LockRequester
 from anisefront.cluster.replication_actions import Action
 from anisefront.cluster.replication_messages import (
     NO_IDENTITY,
@@ -50,8 +54,14 @@
 class Primary:
     """The requests that one process incarnation of an instance replicates to others."""
 
-    def __init__(self, local: Replica, lease_ms: float = 1000.0) -> None:
-        """Initialize without any request; `local` is this instance, `lease_ms` the lease at its backups."""
+    def __init__(self, local: Replica, lease_ms: float = 1000.0, locks: LockRequester | None = None) -> None:
+        """Initialize without any request.
+
+        Args:
+            local: This instance.
+            lease_ms: The lease at its backups.
+            locks: Locks of identities; None: requests of one identity are recognized at their common backup only.
+        """
         self.local = local
         self.counts: Counter[str] = Counter()
         self._selector = BackupSelector(local)
@@ -59,6 +69,7 @@
         self._max_retry_ms = min(MAX_RETRY_MS, lease_ms * HEARTBEAT_LEASE_FRACTION)
         self._sender = EpochSender(lease_ms)
         self._requests = LocalRequests(self._sender, self.counts)
+        self._locks = locks if locks is not None and locks.is_required else None
 
     def __len__(self) -> int:
         """Return the number of replicated requests."""
@@ -66,23 +77,93 @@
 
     def take_actions(self) -> list[Action]:
         """Return the actions to carry out, and keep none."""
+        self._carry_out_lock_decisions()
         return [*self._sender.take_messages(), *self._requests.take_actions()]
 
     # ---- requests --------------------------------------------------------------------------------
 
-    def accept(self, now_ms: float, accepted: Accepted) -> bool:
-        """Replicate a request; returns False where no backup is available."""
-        has_identity = accepted.identity != NO_IDENTITY
-        slot = slot_of(accepted.identity if has_identity else b"%d" % accepted.request)
-        local = LocalRequest(accepted, slot, now_ms + accepted.remaining_ms)
+    def accept(
+        self,
+        now_ms: float,
+        accepted: Accepted,
+        predecessor: LockOwner | None = None,
+        has_yielded: bool = False,
+    ) -> bool:
+        """Replicate a request; returns False where no backup is available.
+
+        Args:
+            now_ms: Clock time.
+            accepted: The request.
+            predecessor: The request of a failed instance that it continues.
+            has_yielded: Whether its client's request had yielded to another of its identity before.
+        """
+        local = self._make_local(now_ms, accepted)
         log = self._choose_log(now_ms, local)
-        if log is None or (local.is_pinned and not log.has_capacity):
+        if log is None or (self._is_pinned(local) and not log.has_capacity):
             return False
         local.epoch = log.epoch
         self._requests.add(local)
         self._sender.add_request(now_ms, log, accepted)
+        self._acquire_lock(now_ms, local, predecessor, has_yielded)
         return True
 
+    def accept_without_backup(
+        self,
+        now_ms: float,
+        accepted: Accepted,
+        predecessor: LockOwner | None = None,
+        has_yielded: bool = False,
+    ) -> None:
+        """Accept a request that no backup knows of; it still needs the lock of its identity."""
+        local = self._make_local(now_ms, accepted)
+        if self._locks is not None and accepted.excludes_duplicates:
+            self._requests.add(local)
+            self._acquire_lock(now_ms, local, predecessor, has_yielded)
+
+    def _make_local(self, now_ms: float, accepted: Accepted) -> LocalRequest:
+        has_identity = accepted.identity != NO_IDENTITY
+        slot = slot_of(accepted.identity if has_identity else b"%d" % accepted.request)
+        return LocalRequest(accepted, slot, now_ms + accepted.remaining_ms)
+
+    def _is_pinned(self, local: LocalRequest) -> bool:
+        """Return whether another request of its identity must meet it at its backup, since there are no locks."""
+        return self._locks is None and local.is_pinned
+
+    def _acquire_lock(
+        self, now_ms: float, local: LocalRequest, predecessor: LockOwner | None, has_yielded: bool
+    ) -> None:
+        accepted = local.accepted
+        if self._locks is not None and accepted.excludes_duplicates:
+            local.is_locked = False
+            log = self._sender.logs.get(local.epoch)
+            backup = NO_INSTANCE if log is None else log.backup.number
+            self._locks.acquire(
+                now_ms,
+                accepted.identity,
+                accepted.request,
+                accepted.remaining_ms,
+                backup,
+                predecessor,
+                has_yielded,
+            )
+
+    def _tell_backup_to_lock(self, local: LocalRequest) -> None:
+        log = self._sender.logs.get(local.epoch)
+        if self._locks is not None and log is not None:
+            self._locks.set_backup(local.accepted.request, log.backup.number)
+
+    def _carry_out_lock_decisions(self) -> None:
+        if self._locks is None:
+            return
+        for decision in self._locks.take_decisions():
+            match decision:
+                case LockHeld(request):
+                    self._requests.on_locked(request)
+                case LockRefused(request, informed):
+                    self._requests.on_duplicate(request, informed)
+                case LockUnavailable(request):
+                    self._requests.on_lock_unavailable(request)
+
     def may_run_unprotected(self, accepted: Accepted) -> bool:
         """Return whether a request that `accept` did not replicate may run all the same.
 
@@ -102,8 +183,10 @@
             return False
         local.attempts[attempt] = endpoint
         log = self._sender.logs.get(local.epoch)
-        if log is None:
-            return True  # no backup is available, and the witness has excluded the last one
+        if log is None:  # no backup is available, and the witness has excluded the last one
+            if not local.is_locked:
+                local.awaiting_lock.add(attempt)
+            return local.is_locked
         requires_ack = local.accepted.requires_ack
         if requires_ack:
             # Started before the acknowledgement, the attempt would run a second time if the backup takes over.
@@ -117,6 +200,7 @@
         local = self._requests.get(request)
         if local is not None and local.attempts.pop(attempt, None) is not None:
             local.awaiting_ack.discard(attempt)
+            local.awaiting_lock.discard(attempt)
             self._append(local, AttemptDiscarded(request, attempt), immediately=False)
 
     def reject(self, now_ms: float, request: int) -> bool:
@@ -138,8 +222,18 @@
         self._append(local, Completed(request))
         return False
 
-    def complete(self, now_ms: float, request: int) -> None:
-        """Record that a request has its final response; the backup is notified with the next entries."""
+    def complete(
+        self, now_ms: float, request: int, must_not_repeat: bool = False, blocks_identity: bool = False
+    ) -> None:
+        """Record that a request has its final response; the backup is notified with the next entries.
+
+        Args:
+            now_ms: Clock time.
+            request: The request.
+            must_not_repeat: Whether it may have been executed and a second execution would do harm.
+            blocks_identity: Whether no other request of its identity may run until its deadline.
+        """
+        self._end_lock(now_ms, request, must_not_repeat, blocks_identity)
         local = self._requests.remove(request)
         if local is None:
             return
@@ -152,6 +246,19 @@
             self._append(local, Completed(request), immediately=local.accepted.excludes_duplicates)
         self._sender.close_if_finished(log)
 
+    def _end_lock(self, now_ms: float, request: int, must_not_repeat: bool, blocks_identity: bool) -> None:
+        if self._locks is None:
+            return
+        local = self._requests.get(request)
+        if local is not None and local.lost:
+            self._locks.abandon(request)
+        elif blocks_identity:
+            self._locks.retain(request)
+        elif self.may_have_executed(request):
+            self._locks.release_soon(now_ms, request, must_not_repeat)
+        else:
+            self._locks.release(request)
+
     def _append(self, local: LocalRequest, entry: LogEntry, immediately: bool = True) -> None:
         log = self._sender.logs.get(local.epoch)
         if log is not None and not log.releasing:
@@ -165,7 +272,12 @@
         local = self._requests.get(request)
         if local is None:
             return None
-        return bool(local.attempts.keys() - local.awaiting_ack)
+        return bool(local.attempts.keys() - local.not_started)
+
+    def has_lock(self, request: int) -> bool:
+        """Return whether a request has the lock of its identity, so that no other of its identity has left."""
+        local = self._requests.get(request)
+        return self._locks is not None and local is not None and local.is_locked
 
     def backup_of(self, request: int) -> int | None:
         """Return the number of the backup of a request."""
@@ -191,6 +303,8 @@
     def update_members(self, now_ms: float, alive: dict[int, Replica]) -> None:
         """Replace the instances that may be backup or witness, the local one not among them."""
         self._selector.update_members(alive)
+        if self._locks is not None:
+            self._locks.update_members(frozenset(alive))
         for log in list(self._sender.logs.values()):
             if alive.get(log.backup.number) != log.backup:
                 self._release(now_ms, log)
@@ -211,7 +325,7 @@
             self._sender.resend(now_ms, log)
 
     def _choose_log(self, now_ms: float, local: LocalRequest) -> EpochLog | None:
-        if local.is_pinned:
+        if self._is_pinned(local):
             backup = self._selector.meeting_place(local.slot)
             return None if backup is None else self._current_log(backup, is_pinned=True)
         for backup in self._selector.candidates(now_ms, local.slot, local.has_identity):
@@ -260,23 +374,38 @@
         if log is None:
             local.epoch = 0
             self.counts["unprotected_since"] += 1
+            if self._locks is not None:
+                self._locks.set_backup(request, NO_INSTANCE)
             self._requests.start_awaiting(local)
             return
         local.epoch = log.epoch
+        self._tell_backup_to_lock(local)
         remaining_ms = max(0, int(local.deadline_ms - now_ms))
         self._sender.add_request(now_ms, log, replace(local.accepted, remaining_ms=remaining_ms))
         for attempt, endpoint in sorted(local.attempts.items()):
-            self._sender.append(log, AttemptStarted(request, attempt, endpoint, attempt in local.awaiting_ack))
+            self._sender.append(log, AttemptStarted(request, attempt, endpoint, attempt in local.not_started))
 
     # ---- messages --------------------------------------------------------------------------------
 
-    def receive(self, now_ms: float, sender: int, sender_incarnation: int, message: Message) -> None:
+    def receive(self, now_ms: float, sender: int, sender_incarnation: int, message: Message | LockMessage) -> None:
         """Handle a message from an authenticated sender."""
         if isinstance(message, EpochDecision):
             self._on_decision(now_ms, sender, sender_incarnation, message)
             return
-        if not isinstance(message, AppendAck | EpochFenced | InProgressElsewhere | BackupFull):
+        if isinstance(message, LockReplies):
+            if self._locks is not None:
+                self._locks.receive(now_ms, sender, sender_incarnation, message)
             return
+        if isinstance(message, AppendAck | EpochFenced | InProgressElsewhere | BackupFull):
+            self._on_backup_message(now_ms, sender, sender_incarnation, message)
+
+    def _on_backup_message(
+        self,
+        now_ms: float,
+        sender: int,
+        sender_incarnation: int,
+        message: AppendAck | EpochFenced | InProgressElsewhere | BackupFull,
+    ) -> None:
         log = self._sender.logs.get(message.epoch)
         if log is None:
             return
@@ -287,11 +416,33 @@
             case AppendAck():
                 self._on_ack(now_ms, log, message.last_sequence)
             case EpochFenced():
-                self._requests.lose_epoch(log)
+                self._lose_epoch(log)
             case InProgressElsewhere() if message.request in log.requests:
-                self._requests.on_duplicate(log, message.request)
+                self._on_duplicate(now_ms, log, message.request)
             case BackupFull() if message.request in log.requests:
-                self._requests.on_backup_full(now_ms, log, message.request)
+                self._on_backup_full(now_ms, log, message.request)
+
+    def _on_backup_full(self, now_ms: float, log: EpochLog, request: int) -> None:
+        self._requests.on_backup_full(now_ms, log, request)
+        if self._locks is not None:
+            self._locks.set_backup(request, NO_INSTANCE)
+
+    def _lose_epoch(self, log: EpochLog) -> None:
+        requests = sorted(log.requests)
+        self._requests.lose_epoch(log)
+        if self._locks is not None:
+            for request in requests:
+                if self._requests[request].lost:
+                    self._locks.abandon(request)
+
+    def _on_duplicate(self, now_ms: float, log: EpochLog, request: int) -> None:
+        """Yield to the request that the backup knows, unless the lock tells that this one is to run."""
+        if self._locks is not None and self._requests[request].is_locked:
+            self._on_backup_full(now_ms, log, request)
+            return
+        if self._locks is not None:
+            self._locks.release(request)
+        self._requests.on_duplicate(request, (log.backup.number,))
 
     def _on_decision(self, now_ms: float, sender: int, sender_incarnation: int, message: EpochDecision) -> None:
         log = self._sender.logs.get(message.epoch)
@@ -303,7 +454,7 @@
         if not log.releasing:
             return
         if message.claimed:
-            self._requests.lose_epoch(log)
+            self._lose_epoch(log)
             return
         for request in sorted(log.requests):
             self._move(now_ms, request)
@@ -323,8 +474,11 @@
     # ---- timers ----------------------------------------------------------------------------------
 
     def flush(self, now_ms: float) -> None:
-        """Send the new entries."""
+        """Send the new entries, and the requests of locks."""
         self._sender.flush(now_ms)
+        if self._locks is not None:
+            for action in self._locks.flush(now_ms):
+                self._sender.send(action.receiver, action.message)
 
     def handle_timers(self, now_ms: float) -> None:
         """Send heartbeats, and retry what was not acknowledged.
@@ -336,6 +490,8 @@
             self._sender.append_deferred(now_ms, log)
             self._sender.send_due_heartbeat(now_ms, log)
             self._retry(now_ms, log)
+        if self._locks is not None:
+            self._locks.handle_timers(now_ms)
 
     def _retry(self, now_ms: float, log: EpochLog) -> None:
         if now_ms < log.retry_ms:
@@ -372,4 +528,5 @@
     @property
     def next_timer_ms(self) -> float:
         """Time at which `handle_timers` is to be called at the latest; infinite without one."""
-        return self._sender.next_timer_ms
+        lock_timer_ms = self._locks.next_timer_ms if self._locks is not None else math.inf
+        return min(self._sender.next_timer_ms, lock_timer_ms)
--- a/anisefront/cluster/replication_actions.py
+++ b/anisefront/cluster/replication_actions.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from anisefront.cluster.backup_state import ReplicatedRequest
+from anisefront.cluster.lock_messages import LockMessage
 from anisefront.cluster.replication_messages import Message
 
 
@@ -14,7 +15,7 @@
     """Send a message to a peer."""
 
     receiver: int
-    message: Message
+    message: Message | LockMessage
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,10 +49,20 @@
 
 @dataclass(frozen=True, slots=True)
 class YieldToDuplicate:
-    """A local request of which no attempt has started must wait for another of its identity, known to `backup`."""
+    """A local request of which no attempt has started must wait for another of its identity.
+
+    `informed` are instances that know of that one, the first of them best.
+    """
+
+    request: int
+    informed: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LockUnavailable:
+    """A local request of which no attempt has started can't get the lock of its identity in time."""
 
     request: int
-    backup: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +97,7 @@
     | DeliverRejection
     | LoseOwnership
     | YieldToDuplicate
+    | LockUnavailable
     | NotifyLater
     | ReleaseRequest
     | TakeOver
@@ -100,9 +112,10 @@
     DeliverRejection: 3,
     LoseOwnership: 4,
     YieldToDuplicate: 5,
-    NotifyLater: 6,
-    ReleaseRequest: 7,
-    TakeOver: 8,
+    LockUnavailable: 6,
+    NotifyLater: 7,
+    ReleaseRequest: 8,
+    TakeOver: 9,
 }
 
 
--- a/anisefront/cluster/replication_codec.py
+++ b/anisefront/cluster/replication_codec.py
@@ -7,6 +7,8 @@
 
 import struct
 
+from anisefront.cluster import lock_codec
+from anisefront.cluster.lock_messages import LockMessage
 from anisefront.cluster.replication_messages import (
     Accepted,
     Append,
@@ -14,6 +16,7 @@
     AttemptDiscarded,
     AttemptStarted,
     BackupFull,
+    Bundle,
     ClaimEpoch,
     Completed,
     EpochDecision,
@@ -43,6 +46,8 @@
 _RELAY_REQUEST = struct.Struct(">HH")
 _RELAYED_MESSAGE_KIND = 13
 _RELAYED_MESSAGE = struct.Struct(">HQH")
+_BUNDLE_KIND = 19
+_BUNDLED_LENGTH = struct.Struct(">H")
 _FIXED_SIZE: dict[type, tuple[int, struct.Struct]] = {
     AppendAck: (2, struct.Struct(">II")),
     EpochFenced: (3, struct.Struct(">I")),
@@ -122,7 +127,7 @@
     return data[offset:]
 
 
-def encode(message: Message) -> bytes:
+def encode(message: Message | LockMessage) -> bytes:
     """Encode a message."""
     if isinstance(message, Append):
         return _encode_append(message)
@@ -135,6 +140,12 @@
     if isinstance(message, RelayedMessage):
         head = _RELAYED_MESSAGE.pack(message.origin, message.origin_incarnation, len(message.data))
         return _HEADER.pack(MARK, _RELAYED_MESSAGE_KIND) + head + message.data
+    if isinstance(message, Bundle):
+        items = b"".join(_BUNDLED_LENGTH.pack(len(data)) + data for data in message.messages)
+        return _HEADER.pack(MARK, _BUNDLE_KIND) + items
+    if isinstance(message, LockMessage):
+        kind, body = lock_codec.encode_body(message)
+        return _HEADER.pack(MARK, kind) + body
     kind, form = _FIXED_SIZE[type(message)]
     return _HEADER.pack(MARK, kind) + form.pack(*(getattr(message, name) for name in message.__slots__))
 
@@ -153,7 +164,7 @@
     return _HEADER.pack(MARK, _APPEND_KIND) + head + entries
 
 
-def decode(data: bytes) -> Message | None:
+def decode(data: bytes) -> Message | LockMessage | None:
     """Decode a message; None where the bytes are malformed."""
     try:
         mark, kind = _HEADER.unpack_from(data)
@@ -170,12 +181,27 @@
         if kind == _RELAYED_MESSAGE_KIND:
             origin, incarnation, length = _RELAYED_MESSAGE.unpack_from(data, _HEADER.size)
             return RelayedMessage(origin, incarnation, _remaining(data, _HEADER.size + _RELAYED_MESSAGE.size, length))
+        if kind == _BUNDLE_KIND:
+            return _decode_bundle(data)
+        if kind not in _FIXED_SIZE_BY_KIND:
+            return lock_codec.decode_body(kind, data[_HEADER.size :])
         message_type, form = _FIXED_SIZE_BY_KIND[kind]
         return message_type(*form.unpack(data[_HEADER.size :]))
     except (struct.error, ValueError, KeyError, IndexError, UnicodeDecodeError):
         return None
 
 
+def _decode_bundle(data: bytes) -> Bundle:
+    offset = _HEADER.size
+    messages = []
+    while offset < len(data):
+        (length,) = _BUNDLED_LENGTH.unpack_from(data, offset)
+        offset += _BUNDLED_LENGTH.size
+        messages.append(_exactly(data, offset, length))
+        offset += length
+    return Bundle(tuple(messages))
+
+
 def _decode_append(data: bytes) -> Append | None:
     *head, count = _APPEND.unpack_from(data, _HEADER.size)
     offset = _HEADER.size + _APPEND.size
--- a/anisefront/cluster/replication_messages.py
+++ b/anisefront/cluster/replication_messages.py
@@ -12,6 +12,7 @@
 primary <--BackupFull--          backup    no capacity for this request: it continues without a backup
 any     --RelayRequest-->        any       asks an instance to pass a message on to one that can't be reached directly
 any     <--RelayedMessage--      any       a message that was passed on for another instance
+any     --Bundle-->              any       several messages in one datagram
 """
 
 from __future__ import annotations
@@ -195,6 +196,13 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Bundle:
+    """Several messages, in their encoded form, to one receiver in one datagram."""
+
+    messages: tuple[bytes, ...]
+
+
 Message = (
     Append
     | AppendAck
@@ -208,4 +216,5 @@
     | EpochDecision
     | RelayRequest
     | RelayedMessage
+    | Bundle
 )
--- a/anisefront/daemon/duplicate_requests.py
+++ b/anisefront/daemon/duplicate_requests.py
@@ -42,6 +42,7 @@
         self, send: Callable[[int, bytes], None], reactor: Any, returning: Deduplicator, counts: Counter[str]
     ) -> None:
         """Start without requests."""
+        self.is_gone: Callable[[int], bool] = lambda number: False  # whether an instance is dead or has left
         self._send = send
         self._reactor = reactor
         self._returning = returning
@@ -88,7 +89,7 @@
         """Notify the waiting instances of an outcome."""
         receivers = self._waiting_instances.pop(identity, ())
         if receivers and answer is None:
-            self._remember(identity, outcome)
+            self.remember(identity, outcome)
         for receiver in receivers:
             response = encode_response(answer) if answer is not None else b""
             if len(response) > MAX_RECORD_BYTES:
@@ -96,14 +97,23 @@
                 response = b""
             self._send(receiver, encode(OutcomeReply(identity, outcome, response)))
 
-    def _remember(self, identity: bytes, outcome: Outcome) -> None:
-        self._outcomes[identity] = outcome
+    def remember(self, identity: bytes, outcome: Outcome) -> None:
+        """Remember an outcome; that one request was never executed does not say so of another of its identity."""
+        if self._outcomes.get(identity) is not Outcome.MAY_HAVE_EXECUTED:
+            self._outcomes[identity] = outcome
         self._outcomes.move_to_end(identity)
         while len(self._outcomes) > MAX_OUTCOMES:
             self._outcomes.popitem(last=False)
 
-    def on_query(self, sender: int, identity: bytes, is_replicated_here: bool) -> None:
-        """Answer an outcome query, now or when the outcome is known; `is_replicated_here`: a request is stored here."""
+    def on_query(self, sender: int, identity: bytes, is_replicated_here: bool, precedes: bool = False) -> None:
+        """Answer an outcome query, now or when the outcome is known.
+
+        Args:
+            sender: Who asks.
+            identity: The identity.
+            is_replicated_here: Whether a request of it is stored here.
+            precedes: Whether the sender comes before this instance where two yield to each other.
+        """
         self.wait_for(identity, {sender})
         in_progress = is_replicated_here or identity in self._request_numbers or identity in self._uncertain
         answer = self._returning.response_of(identity)
@@ -111,6 +121,10 @@
             self.notify(identity, Outcome.RESPONDED, answer)
         elif identity in self._outcomes and not in_progress:
             self.notify(identity, self._outcomes[identity])
+        elif not in_progress and self._returning.is_awaited(identity):
+            # Ours has yielded to another. If that is the sender's, which has yielded to ours, one has to go on.
+            if precedes:
+                self.notify(identity, Outcome.NEVER_EXECUTED)
         elif not in_progress and identity not in self._returning:
             del self._waiting_instances[identity]  # the outcome is not known: no reply is better than a wrong one
 
@@ -151,6 +165,28 @@
         if informed is not None:
             self._reactor.callLater(QUERY_INTERVAL_S, self._query, identity, informed, QUERY_INTERVAL_S)
 
+    def follow(self, identity: bytes, informed: tuple[int, ...], interval_s: float = QUERY_INTERVAL_S) -> None:
+        """Query the outcome to which a request here has yielded, now and again until it is known.
+
+        Where none of the informed instances is left the request asks for its lock again.
+        """
+        if not self._returning.is_awaited(identity):
+            return
+        remaining = tuple(number for number in informed if not self.is_gone(number))
+        if not remaining:
+            self._returning.ended_elsewhere(identity, may_have_run=False)
+            return
+        for number in remaining:
+            self._counts["asked_again"] += 1
+            self._send(number, encode(OutcomeQuery(identity)))
+        self._reactor.callLater(
+            _jittered(identity, interval_s),
+            self.follow,
+            identity,
+            remaining,
+            min(MAX_QUERY_INTERVAL_S, 2 * interval_s),
+        )
+
     def _query(self, identity: bytes, informed: int, interval_s: float) -> None:
         """Query an outcome while a request waits for it.
 
@@ -162,8 +198,7 @@
         self._counts["asked_again"] += 1
         self._send(informed, encode(OutcomeQuery(identity)))
         interval_s = min(MAX_QUERY_INTERVAL_S, 2 * interval_s)
-        delay_s = interval_s * (MIN_QUERY_JITTER + identity[0] / QUERY_JITTER_DIVISOR)
-        self._reactor.callLater(delay_s, self._query, identity, informed, interval_s)
+        self._reactor.callLater(_jittered(identity, interval_s), self._query, identity, informed, interval_s)
 
     def on_reply(self, reply: OutcomeReply) -> None:
         """End the wait of the requests of an identity."""
@@ -173,3 +208,8 @@
             self.notify(reply.identity, Outcome.RESPONDED, answer)
         else:
             self._returning.ended_elsewhere(reply.identity, reply.outcome is not Outcome.NEVER_EXECUTED)
+            self.notify(reply.identity, reply.outcome)
+
+
+def _jittered(identity: bytes, interval_s: float) -> float:
+    return interval_s * (MIN_QUERY_JITTER + identity[0] / QUERY_JITTER_DIVISOR)
--- a/anisefront/daemon/message_relay.py
+++ b/anisefront/daemon/message_relay.py
@@ -10,7 +10,7 @@
 
 from anisefront.cluster.membership import Membership
 from anisefront.cluster.replication_codec import decode, encode
-from anisefront.cluster.replication_messages import Message, RelayedMessage, RelayRequest
+from anisefront.cluster.replication_messages import Bundle, Message, RelayedMessage, RelayRequest
 
 
 class _ReplyPath(NamedTuple):
@@ -39,11 +39,15 @@
 
     def send(self, receiver: int, message: Message) -> None:
         """Send a message, through the relay if it replies to a relayed one."""
+        self.send_encoded(receiver, encode(message))
+
+    def send_encoded(self, receiver: int, data: bytes) -> None:
+        """Send encoded messages in the same way."""
         path = self._reply_path
         if path is not None and receiver == path.origin:
-            self._send(path.relay, encode(RelayRequest(receiver, encode(message))))
+            self._send(path.relay, encode(RelayRequest(receiver, data)))
         else:
-            self._send(receiver, encode(message))
+            self._send(receiver, data)
 
     def pass_on(self, sender: int, incarnation: int, request: RelayRequest) -> None:
         """Pass a message on, unless it is for an unknown instance."""
@@ -56,7 +60,7 @@
         if row is None or relayed.origin_incarnation < row.process_incarnation:
             return None
         message = decode(relayed.data)
-        if message is None or isinstance(message, RelayRequest | RelayedMessage):
+        if message is None or isinstance(message, RelayRequest | RelayedMessage | Bundle):
             return None
         return ReceivedFrom(relayed.origin, relayed.origin_incarnation, message)
 
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -5,21 +5,26 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Callable
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from anisefront.cluster import replication_actions as actions
 from anisefront.cluster.backup import Backup
-from anisefront.cluster.backup_selection import Replica
+from anisefront.cluster.backup_selection import Replica, placement_hash, slot_of
 from anisefront.cluster.backup_state import ReplicatedRequest
+from anisefront.cluster.lock_messages import KnownLock, LockMessage, LockOwner, LockReplies
+from anisefront.cluster.lock_placement import LockPlacement
+from anisefront.cluster.lock_requester import LockRequester
+from anisefront.cluster.lock_voter import LockVoter
 from anisefront.cluster.member_state import MemberChange, MemberStatus
 from anisefront.cluster.membership import Membership
 from anisefront.cluster.primary import Primary
-from anisefront.cluster.replication_codec import MAX_RECORD_BYTES, decode
+from anisefront.cluster.replication_codec import MAX_RECORD_BYTES, decode, encode
 from anisefront.cluster.replication_messages import (
     NO_IDENTITY,
     Accepted,
+    Bundle,
     Message,
     Outcome,
     OutcomeQuery,
@@ -31,6 +36,7 @@
 from anisefront.config.types import Config
 from anisefront.daemon.deferred_timer import DeferredTimer
 from anisefront.daemon.duplicate_requests import DuplicateRequests
+from anisefront.daemon.message_bundles import bundles, unbundle
 from anisefront.daemon.message_relay import MessageRelay
 from anisefront.daemon.request_records import RequestRecord, content_digest
 from anisefront.daemon.request_takeover import RequestTakeover
@@ -73,18 +79,32 @@
         self._clock = clock
         self._membership = membership
         self._relay = MessageRelay(send, membership)
-        self.primary = Primary(Replica(settings.number, incarnation, settings.zone), config.lease_ms)
+        local = Replica(settings.number, incarnation, settings.zone)
+        placement = _placement(config)
+        max_deadline_ms = max(each.deadline_ms for each in settings.classes)
+        self.locks = LockRequester(local, placement)
+        self.voter = LockVoter(local, placement, max_deadline_ms)
+        self.voter.other_locks = self._other_locks
+        self.primary = Primary(local, config.lease_ms, self.locks)
         self.backup = Backup(settings.number, incarnation, config.lease_ms, config.most_records)
         self.backup.is_local_duplicate = self._is_local_duplicate
+        self.backup.uses_locks = self.voter.uses_locks
         self.witness = Witness(incarnation)
+        self._reactor = reactor
+        self._incarnation = incarnation
+        self._send_datagram = send
         self.returning = Deduplicator(clock, reactor)
         self.counts: Counter[str] = Counter()
-        self.duplicates = DuplicateRequests(send, reactor, self.returning, self.counts)
-        self.takeover = RequestTakeover(clock, log, self.primary, self.returning, self.duplicates, self.counts)
+        self.duplicates = DuplicateRequests(self._send_or_loop_back, reactor, self.returning, self.counts)
+        self.duplicates.is_gone = self._is_gone
+        self.takeover = RequestTakeover(
+            clock, log, self.primary, self.locks, self.returning, self.duplicates, self.counts
+        )
         self.update_config(config)
         self._timer = DeferredTimer(reactor, clock, self._on_timer, STALL_MS)
         self._is_processing = False
-        self._duplicate_at: int | None = None  # backup that rejected the request which yields now
+        self._yielded: OrderedDict[bytes, float] = OrderedDict()  # deadlines of requests that yielded, by identity
+        self._informed: tuple[int, ...] = ()  # who knows of the request to which one yields now
 
     def update_config(self, config: Config) -> None:
         """Put another configuration in force."""
@@ -125,7 +145,9 @@
         accepted = self._accepted(now_ms, entry)
         if accepted.excludes_duplicates:
             self.duplicates.add(accepted.request, accepted.identity, self._idempotency(entry.arrival.class_name))
-        reason = self._replicate(now_ms, accepted)
+        predecessor = self.takeover.inherited_locks.take(accepted.identity)
+        has_yielded = self._has_yielded(now_ms, accepted.identity)
+        reason = self._replicate(now_ms, accepted, predecessor, has_yielded)
         if reason is None:
             self.counts["protected"] += 1
             return True
@@ -134,8 +156,15 @@
         if is_required or entry.arrival.class_name in self._protected_only:
             self.duplicates.remove(accepted.request)
             return False
+        self.primary.accept_without_backup(now_ms, accepted, predecessor, has_yielded)
         return True
 
+    def _has_yielded(self, now_ms: float, identity: bytes) -> bool:
+        """Return whether a request of an identity has yielded here that its client still waits for."""
+        while self._yielded and next(iter(self._yielded.values())) <= now_ms:
+            self._yielded.popitem(last=False)
+        return identity in self._yielded
+
     def _accepted(self, now_ms: float, entry: PendingRequest) -> Accepted:
         arrival = entry.arrival
         has_identity = bool(entry.replica.identity)
@@ -147,11 +176,13 @@
             record=RequestRecord.of(entry).encode(),
         )
 
-    def _replicate(self, now_ms: float, accepted: Accepted) -> str | None:
+    def _replicate(
+        self, now_ms: float, accepted: Accepted, predecessor: LockOwner | None, has_yielded: bool
+    ) -> str | None:
         """Return why a request is not replicated; None where it is."""
         if len(accepted.record) > MAX_RECORD_BYTES:
             return "too_large"
-        return None if self.primary.accept(now_ms, accepted) else NO_BACKUP
+        return None if self.primary.accept(now_ms, accepted, predecessor, has_yielded) else NO_BACKUP
 
     def may_release_attempt(self, request: int, attempt: int, worker: str) -> bool:
         """Return whether an attempt may start now."""
@@ -168,13 +199,18 @@
     def request_completed(self, request: int) -> None:
         """Record that a request has ended."""
         may_have_executed = self._may_have_executed(request)
-        self.primary.complete(self._clock(), request)
         local = self.duplicates.remove(request)
-        if local is None or local.identity in self.returning:
-            return
         # The class may have been changed since: the idempotency at acceptance decides.
-        is_uncertain = may_have_executed and local.idempotency is Idempotency.NON_IDEMPOTENT
-        self.duplicates.notify(local.identity, Outcome.MAY_HAVE_EXECUTED if is_uncertain else Outcome.NEVER_EXECUTED)
+        is_uncertain = may_have_executed and local is not None and local.idempotency is Idempotency.NON_IDEMPOTENT
+        is_retained = local is not None and local.identity in self.returning
+        had_lock = self.primary.has_lock(request)
+        self.primary.complete(self._clock(), request, is_uncertain, is_uncertain and is_retained)
+        if local is None or is_retained:
+            return
+        outcome = Outcome.MAY_HAVE_EXECUTED if is_uncertain else Outcome.NEVER_EXECUTED
+        if had_lock:  # others may have been refused on its behalf and ask later
+            self.duplicates.remember(local.identity, outcome)
+        self.duplicates.notify(local.identity, outcome)
 
     def _may_have_executed(self, request: int) -> bool:
         entry = self._request_table.requests[request]
@@ -225,9 +261,14 @@
         done: Callable[[FinalResponse], None],
         go_on: Callable[[], None],
     ) -> None:
-        """Let a request wait whose backup knows another of its identity."""
+        """Let a request wait that yields to another of its identity."""
         digest = self._identity(customer, identity)
-        self.duplicates.wait_here(digest, job, deadline_at_ms, done, go_on, self._duplicate_at)
+        self.duplicates.wait_here(digest, job, deadline_at_ms, done, go_on, None)
+        self.duplicates.follow(digest, self._informed)
+
+    def _other_locks(self, now_ms: float) -> Iterator[KnownLock]:
+        yield from self.locks.known_locks(now_ms)
+        yield from self.backup.known_locks(now_ms)
 
     def _is_local_duplicate(self, identity: bytes, primary: int) -> bool:
         """Return whether a request of this identity, or its response, is here."""
@@ -248,6 +289,9 @@
                 self._on_member_change(now_ms, change)
         rows = self._membership.rows
         others = [number for number in self._membership.alive() if number != self._settings.number]
+        gone = frozenset(number for number, row in rows.items() if row.status in (MemberStatus.DEAD, MemberStatus.LEFT))
+        self.voter.update_members(now_ms, {number: rows[number].process_incarnation for number in others}, gone)
+        self.voter.handle_timers(now_ms)
         self.primary.update_members(
             now_ms,
             {
@@ -257,6 +301,10 @@
         )
         self.process()
 
+    def _is_gone(self, number: int) -> bool:
+        row = self._membership.rows.get(number)
+        return row is not None and row.status in (MemberStatus.DEAD, MemberStatus.LEFT)
+
     def _on_member_change(self, now_ms: float, change: MemberChange) -> None:
         row = change.row
         previous = change.previous
@@ -270,6 +318,18 @@
     def receive(self, sender: int, incarnation: int, data: bytes) -> None:
         """Handle a datagram from an authenticated sender."""
         message = decode(data)
+        if not isinstance(message, Bundle):
+            self._receive_decoded(sender, incarnation, message)
+            return
+        self._is_processing = True  # once for all messages of the datagram
+        try:
+            for each in unbundle(message):
+                self._receive_decoded(sender, incarnation, each)
+        finally:
+            self._is_processing = False
+        self.process()
+
+    def _receive_decoded(self, sender: int, incarnation: int, message: Message | LockMessage | None) -> None:
         if message is None:
             self.counts["unreadable"] += 1
         elif isinstance(message, RelayRequest):
@@ -290,23 +350,42 @@
         finally:
             self._relay.end_reply()
 
-    def _receive_message(self, sender: int, incarnation: int, message: Message) -> None:
+    def _receive_message(self, sender: int, incarnation: int, message: Message | LockMessage) -> None:
         if isinstance(message, OutcomeReply):
             self.duplicates.on_reply(message)
         elif isinstance(message, OutcomeQuery):
             is_replicated_here = self._is_in_flight_elsewhere(message.identity)
-            self.duplicates.on_query(sender, message.identity, is_replicated_here)
+            precedes = self._precedes(message.identity, sender)
+            self.duplicates.on_query(sender, message.identity, is_replicated_here, precedes)
         else:
             now_ms = self._clock()
-            self.primary.receive(now_ms, sender, incarnation, message)
-            self.backup.receive(now_ms, sender, incarnation, message)
-            self.witness.receive(sender, incarnation, message)
+            if isinstance(message, LockReplies):
+                self.primary.receive(now_ms, sender, incarnation, message)
+            elif isinstance(message, LockMessage):
+                self.voter.receive(now_ms, sender, incarnation, message)
+            else:
+                self.primary.receive(now_ms, sender, incarnation, message)
+                self.backup.receive(now_ms, sender, incarnation, message)
+                self.witness.receive(sender, incarnation, message)
             self.process()
 
+    def _precedes(self, identity: bytes, other: int) -> bool:
+        slot = slot_of(identity)
+        return placement_hash(slot, other) < placement_hash(slot, self._settings.number)
+
+    def _send_or_loop_back(self, receiver: int, data: bytes) -> None:
+        """Send a datagram, or handle it here in a later iteration of the event loop."""
+        if receiver != self._settings.number:
+            self._send_datagram(receiver, data)
+            return
+        message = decode(data)
+        self._reactor.callLater(0, self._receive_message, receiver, self._incarnation, message)
+
     def _on_timer(self) -> None:
         now_ms = self._clock()
         self.primary.handle_timers(now_ms)
         self.backup.handle_timers(now_ms)
+        self.voter.handle_timers(now_ms)
         self.process()
 
     # ---- actions ---------------------------------------------------------------------------------
@@ -323,19 +402,39 @@
                 has_effects = self._carry_out_all()
         finally:
             self._is_processing = False
-        self._timer.schedule_by(min(self.primary.next_timer_ms, self.backup.next_timer_ms))
+        parts = (self.primary, self.backup, self.voter)
+        self._timer.schedule_by(min(part.next_timer_ms for part in parts))
 
     def _carry_out_all(self) -> bool:
         """Carry out the pending actions; returns whether some may have led to others."""
-        pending = [*self.primary.take_actions(), *self.backup.take_actions(), *self.witness.take_actions()]
-        has_effects = False
-        for action in actions.in_execution_order(pending):
-            if isinstance(action, actions.SendMessage):
-                self._relay.send(action.receiver, action.message)
+        parts = (self.primary, self.backup, self.witness, self.voter)
+        pending = [action for part in parts for action in part.take_actions()]
+        ordered = actions.in_execution_order(pending)
+        messages = [action for action in ordered if isinstance(action, actions.SendMessage)]
+        others = [action for action in ordered if not isinstance(action, actions.SendMessage)]
+        local = [action for action in messages if action.receiver == self._settings.number]
+        self._send_all([action for action in messages if action.receiver != self._settings.number])
+        for action in local:  # to the voter of this instance, or from it
+            self._receive_message(action.receiver, self._incarnation, action.message)
+        for action in others:
+            self._carry_out(action)
+        return bool(local or others)
+
+    def _send_all(self, messages: list[actions.SendMessage]) -> None:
+        """Send messages, those to one receiver together where it knows bundles."""
+        by_receiver: dict[int, list[Message | LockMessage]] = {}
+        for action in messages:
+            by_receiver.setdefault(action.receiver, []).append(action.message)
+        for receiver, each in by_receiver.items():
+            incarnation = (
+                self._membership.rows[receiver].process_incarnation if receiver in self._membership.rows else 0
+            )
+            if len(each) > 1 and incarnation and self.voter.uses_locks(receiver, incarnation):
+                for datagram in bundles(map(encode, each)):
+                    self._relay.send_encoded(receiver, datagram)
             else:
-                has_effects = True
-                self._carry_out(action)
-        return has_effects
+                for message in each:
+                    self._relay.send(receiver, message)
 
     def _carry_out(self, action: actions.Action) -> None:
         match action:
@@ -347,8 +446,10 @@
                 self._request_table.release_rejection(request)
             case actions.LoseOwnership(request):
                 self._request_table.transfer_to_backup(request)
-            case actions.YieldToDuplicate(request, backup):
-                self._yield_to_duplicate(request, backup)
+            case actions.YieldToDuplicate(request, informed):
+                self._yield_to_duplicate(request, informed)
+            case actions.LockUnavailable(request):
+                self._request_table.reject_unprotected(request)
             case actions.NotifyLater(primary, identity):
                 self.duplicates.add_waiting_instance(identity, primary)
             case actions.ReleaseRequest(primary, replica):
@@ -361,13 +462,14 @@
         if entry is not None and entry.arrival.class_name in self._protected_only:
             self._request_table.reject_unprotected(request)
 
-    def _yield_to_duplicate(self, request: int, backup: int) -> None:
+    def _yield_to_duplicate(self, request: int, informed: tuple[int, ...]) -> None:
         entry = self._request_table.requests.get(request)
         if entry is None or entry.ended:
             return
-        self._duplicate_at = backup  # for `wait_for_outcome`, which the upstream calls
+        self._yielded[self._identity(entry.arrival.customer, entry.replica.identity)] = entry.arrival.deadline_at_ms
+        self._informed = informed  # for `wait_for_outcome`, which the upstream calls
         entry.handler.yield_to_duplicate(entry.arrival, entry.replica.identity)
-        self._duplicate_at = None
+        self._informed = ()
 
     def _on_released(self, primary: int, replica: ReplicatedRequest) -> None:
         """Let the requests continue that wait for one which is not stored here any more."""
@@ -388,5 +490,16 @@
             "kept_for_others": self.backup.request_count,
             "kept_by_others": len(self.primary),
             "answers": len(self.returning),
-            "counts": dict(self.counts + self.primary.counts + self.backup.counts + self.returning.counts),
+            "counts": dict(sum((part.counts for part in self._counting_parts), self.counts.copy())),
         }
+
+    @property
+    def _counting_parts(self) -> tuple[Any, ...]:
+        return self.primary, self.backup, self.locks, self.voter, self.returning
+
+
+def _placement(config: Config) -> LockPlacement:
+    """Return who votes; the zones count where all instances have one, so that all instances agree."""
+    instances = range(config.settings.gateways)
+    has_zones = all(config.rooms.get(number) for number in instances)
+    return LockPlacement({number: config.rooms[number] if has_zones else "" for number in instances})
--- a/anisefront/daemon/request_takeover.py
+++ b/anisefront/daemon/request_takeover.py
@@ -10,9 +10,12 @@
 from typing import Any
 
 from anisefront.cluster.backup_state import ReplicatedRequest
+from anisefront.cluster.lock_messages import LockOwner
+from anisefront.cluster.lock_requester import LockRequester
 from anisefront.cluster.primary import Primary
 from anisefront.cluster.replication_messages import NO_IDENTITY, Outcome
 from anisefront.daemon.duplicate_requests import DuplicateRequests
+from anisefront.daemon.inherited_locks import InheritedLocks
 from anisefront.daemon.request_records import RequestRecord, content_digest, decode_record
 from anisefront.gateway.request_table import RequestTable
 from anisefront.gateway.request_terms import RequestTerms
@@ -34,6 +37,7 @@
         clock: Callable[[], float],
         log: Any,
         primary: Primary,
+        locks: LockRequester,
         returning: Deduplicator,
         duplicates: DuplicateRequests,
         counts: Counter[str],
@@ -42,6 +46,8 @@
         self._clock = clock
         self._log = log
         self._primary = primary
+        self._locks = locks
+        self.inherited_locks = InheritedLocks(clock)
         self._returning = returning
         self._duplicates = duplicates
         self._counts = counts
@@ -90,6 +96,7 @@
 
     def take_over(self, primary: int, incarnation: int, replica: ReplicatedRequest) -> None:
         """Continue a request of a failed primary."""
+        owner = LockOwner(primary, incarnation, replica.request)
         self._counts["taken_over"] += 1
         if replica.deadline_ms <= self._clock():
             self._counts["taken_too_late"] += 1
@@ -102,8 +109,12 @@
         if local_request is not None:
             # The local request has yielded to that of the failed primary and is still here: only one may continue.
             self._counts["taken_in_hand"] += 1
+            if self._primary.has_lock(local_request):
+                return  # so no attempt of the other has left
             if replica.attempts and not self._has_idempotency_key(replica):
                 self._request_table.transfer_to_backup(local_request)
+            else:
+                self._locks.continue_predecessor(self._clock(), local_request, owner)
             return
         prior_attempts = _prior_attempts(replica)
         self._log.info(
@@ -113,10 +124,19 @@
             request=replica.request,
             attempts=prior_attempts.attempts,
         )
+        if replica.excludes_duplicates:
+            self.inherited_locks.add(replica.identity, owner, replica.deadline_ms)
         if record.carrier == OWN_POOL:
             self._continue_own(record, replica, prior_attempts)
         else:
             self._continue_delegated(record, replica, prior_attempts)
+            self._release_unless_uncertain(replica, owner)
+
+    def _release_unless_uncertain(self, replica: ReplicatedRequest, owner: LockOwner) -> None:
+        """Let any instance have the lock to which the proxy may turn, unless the request may have been executed."""
+        is_uncertain = replica.attempts and self.uncertain_outcome(replica) is Outcome.MAY_HAVE_EXECUTED
+        if replica.excludes_duplicates and not is_uncertain:
+            self._locks.release_predecessor(replica.identity, owner)
 
     def _continue_own(self, record: RequestRecord, replica: ReplicatedRequest, prior_attempts: PriorAttempts) -> None:
         job = record.job()
--- a/tests/replication_net.py
+++ b/tests/replication_net.py
@@ -10,23 +10,35 @@
 import types
 
 from anisefront.cluster.backup_selection import Replica
+from anisefront.cluster.lock_messages import LockOwner
+from anisefront.cluster.lock_placement import LockPlacement
 from anisefront.cluster.replication_actions import (
     DeliverRejection,
+    LockUnavailable,
     SendMessage,
     StartAttempt,
     TakeOver,
+    YieldToDuplicate,
     in_execution_order,
 )
 from anisefront.cluster.replication_codec import decode, encode
 from anisefront.cluster.replication_messages import NO_IDENTITY, Accepted, RelayedMessage, RelayRequest
 
+PARTS = (
+    ("primary", "Primary"),
+    ("backup", "Backup"),
+    ("witness", "Witness"),
+    ("lock_voter", "LockVoter"),
+    ("lock_requester", "LockRequester"),
+)
+LIFETIME_MS = 1_000_000  # of a request
 TICK, WAIT = 200.0, 40.0  # past every patience at once; time to ask again only
 
 
 def fresh(*cuts):
     """The deciding code, with guards taken out: each cut is (module, text, what stands there instead)."""
     out = types.SimpleNamespace(Replica=Replica)
-    for name, wanted in (("primary", "Primary"), ("backup", "Backup"), ("witness", "Witness")):
+    for name, wanted in PARTS:
         source = importlib.import_module(f"anisefront.cluster.{name}").__spec__.loader.get_source(
             f"anisefront.cluster.{name}"
         )
@@ -63,13 +75,28 @@
 class Node:
     """One life of one gatekeeper."""
 
-    def __init__(self, code, number, life, max_requests):
-        self.life = life
-        self.primary = code.Primary(code.Replica(number, life))
+    def __init__(self, code, number, life, max_requests, placement, has_locks=True):
+        self.life, self.has_locks = life, has_locks
+        replica = code.Replica(number, life)
+        self.locks = code.LockRequester(replica, placement)
+        self.primary = code.Primary(replica, locks=self.locks if has_locks else None)
         self.backup, self.witness = code.Backup(number, life, max_requests=max_requests), code.Witness(life)
+        self.voter = code.LockVoter(replica, placement, LIFETIME_MS, is_recovered=life == 1)
+        self.voter.other_locks = self.other_locks
         self.named = 0  # our request that has the name
         self.taken = set()  # names of requests taken over, which `daemon/request_takeover.py` retains
         self.backup.is_local_duplicate = self.is_duplicate
+        self.backup.uses_locks = self.uses_locks
+
+    @property
+    def parts(self):
+        return self.primary, self.backup, self.witness, self.voter
+
+    def other_locks(self, now):
+        return [*self.locks.known_locks(now), *self.backup.known_locks(now)]
+
+    def uses_locks(self, number, incarnation):
+        return self.has_locks
 
     def is_duplicate(self, name, sender):
         if name in self.taken:
@@ -78,27 +105,35 @@
 
 
 class World:
-    """`count` gatekeepers. `left` says how often each kind of fault may still come."""
+    """`count` gatekeepers. `left` says how often each kind of fault may still come.
 
-    def __init__(self, code, count, left, max_requests=50_000):
+    Without `has_locks` they recognize requests of one identity as those of earlier versions do, at common backups."""
+
+    def __init__(self, code, count, left, max_requests=50_000, has_locks=True):
         self.code, self.count, self.left, self.max_requests = code, count, dict(left), max_requests
         self.now = 0.0
         self.lives = [1] * count
-        self.nodes = {n: Node(code, n, 1, max_requests) for n in range(count)}
+        self.placement = LockPlacement(dict.fromkeys(range(count), ""))
+        self.nodes = {n: Node(code, n, 1, max_requests, self.placement, has_locks) for n in range(count)}
         self.seen = {n: {m: 1 for m in range(count) if m != n} for n in range(count)}  # who is alive, by whom
         self.net = []  # (sender, its life, receiver, bytes)
         self.runs = {}  # by request's name
         self.names = {}  # (number, life, request): name
         self.todo = []  # (number, life, name): taken, and neither sent nor refused yet
+        self.refused = set()  # (number, life, request): their clients were told that they never run
         self.begun = False
         for n in range(count):
             self._members(n)
 
-    def take(self, number, request, name, called=NO_IDENTITY):
+    def take(self, number, request, name, called=NO_IDENTITY, predecessor=None):
         node = self.nodes[number]
         if called != NO_IDENTITY:
             node.named = request
-        node.primary.accept(self.now, Accepted(request, True, 1_000_000, called, b""))
+        accepted = Accepted(request, True, LIFETIME_MS, called, b"")
+        if not node.primary.accept(self.now, accepted, predecessor) and called != NO_IDENTITY:
+            if not node.primary.may_run_unprotected(accepted):
+                return  # rejected at once
+            node.primary.accept_without_backup(self.now, accepted, predecessor)
         self.names[number, node.life, request] = name
         self.todo.append((number, node.life, request))
         self._after(number)
@@ -155,6 +190,7 @@
             if self.seen[receiver].get(sender, 0) > life:
                 return
         node.primary.receive(self.now, sender, life, message)
+        node.voter.receive(self.now, sender, life, message)
         node.backup.receive(self.now, sender, life, message)
         node.witness.receive(sender, life, message)
         self._after(receiver)
@@ -168,7 +204,7 @@
     def _send(self, i):
         number, life, request = self.todo.pop(i)
         if self.nodes[number].primary.start_attempt(self.now, request, 0, "w"):
-            self._ran(self.names[number, life, request])
+            self._left(number, life, request)
         self._after(number)
 
     def _refuse(self, i):
@@ -190,9 +226,10 @@
 
     def _start(self, number):
         self.lives[number] += 1
-        self.nodes[number] = Node(self.code, number, self.lives[number], self.max_requests)
+        self.nodes[number] = Node(self.code, number, self.lives[number], self.max_requests, self.placement)
         self.seen[number] = {m: self.lives[m] for m in range(self.count) if m != number}
         self._members(number)
+        self._after(number)
 
     def _learn(self, number, other):
         """One hears that another has a new life, or that it is there after all."""
@@ -209,9 +246,10 @@
         self._after(number)
 
     def _members(self, number):
-        self.nodes[number].primary.update_members(
-            self.now, {m: self.code.Replica(m, life) for m, life in self.seen[number].items()}
-        )
+        seen = self.seen[number]
+        self.nodes[number].primary.update_members(self.now, {m: self.code.Replica(m, life) for m, life in seen.items()})
+        gone = frozenset(m for m in range(self.count) if m != number and m not in seen)
+        self.nodes[number].voter.update_members(self.now, dict(seen), gone)
 
     def _after(self, number):
         """Carry out what a node wants done."""
@@ -219,25 +257,57 @@
         node.primary.handle_timers(self.now)
         node.primary.flush(self.now)
         node.backup.handle_timers(self.now)
-        parts = (node.primary, node.backup, node.witness)
-        for action in in_execution_order(action for part in parts for action in part.take_actions()):
-            self._carry_out(number, node.life, action)
-        for part in (node.primary, node.backup):
+        node.voter.handle_timers(self.now)
+        while actions := in_execution_order(action for part in node.parts for action in part.take_actions()):
+            for action in actions:
+                self._carry_out(number, node.life, action)
+            node.primary.flush(self.now)
+        for part in (node.primary, node.backup, node.locks, node.voter):
             part.counts.clear()
 
     def _carry_out(self, number, life, action):
+        node = self.nodes[number]
         match action:
             case SendMessage(receiver, message):
                 sent = (number, life, receiver, encode(message))
                 if sent not in self.net:  # the same again on its way is a doubling, which has its own count
                     self.net.append(sent)
-            case StartAttempt(request) | DeliverRejection(request):
+            case StartAttempt(request):
+                self._left(number, life, request)
+            case DeliverRejection(request):
                 self._ran(self.names[number, life, request])
+            case YieldToDuplicate(request) | LockUnavailable(request):
+                self._end(number, life, request)
+                node.named = 0 if node.named == request else node.named
             case TakeOver(primary, incarnation, replica):
-                if replica.identity != NO_IDENTITY:
-                    self.nodes[number].taken.add(replica.identity)
-                if not replica.attempts:
-                    self._ran(self.names[primary, incarnation, replica.request])
+                self._take_over(number, primary, incarnation, replica)
+
+    def _take_over(self, number, primary, incarnation, replica):
+        """Continue a request; one without an identity runs at once, others when they have the lock."""
+        name = self.names[primary, incarnation, replica.request]
+        node = self.nodes[number]
+        if replica.identity == NO_IDENTITY:
+            if not replica.attempts:
+                self._ran(name)
+            return
+        node.taken.add(replica.identity)
+        if node.named:  # ours had yielded to it, or goes on in its place
+            return
+        request = 100 + len(self.names)
+        self.take(number, request, name, replica.identity, LockOwner(primary, incarnation, replica.request))
+        if replica.attempts:  # it is failed: it may have run, and none of its identity may
+            self._end(number, node.life, request, blocks_identity=True)
+
+    def _end(self, number, life, request, blocks_identity=False):
+        """End a request of which no attempt leaves any more."""
+        self.refused.add((number, life, request))
+        self.todo = [each for each in self.todo if each != (number, life, request)]
+        self.nodes[number].primary.complete(self.now, request, blocks_identity, blocks_identity)
+
+    def _left(self, number, life, request):
+        """An attempt has left."""
+        assert (number, life, request) not in self.refused, "an attempt left for what was said never to run"
+        self._ran(self.names[number, life, request])
 
     def _ran(self, name):
         self.runs[name] = self.runs.get(name, 0) + 1
@@ -299,7 +369,7 @@
     return world
 
 
-def schedule_of_one_identity(code, seed, faults, count=4, steps=60):
+def schedule_of_one_identity(code, seed, faults, count=4, steps=120):
     """One random order of steps of two requests of one identity at two gateways; an AssertionError where both ran.
 
     `faults`: the most of each kind."""
--- a/tests/search.py
+++ b/tests/search.py
@@ -8,9 +8,11 @@
 import connection_model
 import replication_net
 from test_connection_search import BEGINNINGS
+from test_identity_locks import SINGLE_FAULTS
 from test_membership import schedule
 
 KEEPING = 20  # schedules of keeping for each of membership: they take a twentieth of the time
+IDENTITIES = 34  # schedules of two requests of one identity for each of membership
 
 
 def play(seed):
@@ -20,6 +22,9 @@
         code = replication_net.fresh()
         for each in range(seed * KEEPING, (seed + 1) * KEEPING):
             replication_net.schedule(code, each, 3 + each % 3, 1 + each % 4, 40 + each % 40)
+        for each in range(seed * IDENTITIES, (seed + 1) * IDENTITIES):
+            faults = SINGLE_FAULTS[each % len(SINGLE_FAULTS)]
+            replication_net.schedule_of_one_identity(code, each, faults, 3 + each % 3, 100 + each % 150)
     except AssertionError as problem:
         return f"seed {seed}: {str(problem)[:300]}"
     return ""
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import re
+import struct
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any, NamedTuple
@@ -14,12 +15,13 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from test_identity_locks import MESSAGES as LOCK_MESSAGES
 from test_node_wire import ASK, WIRE_SETTINGS, found
 from test_rules import settings as platform_settings
 from test_wire_bytes import RECORDED
 from wire_samples import _rpc
 
-from anisefront.cluster import endpoint_file, member_state, membership_messages, replication_codec
+from anisefront.cluster import endpoint_file, lock_codec, member_state, membership_messages, replication_codec
 from anisefront.cluster.replication_messages import AppendAck, RelayedMessage
 from anisefront.daemon import request_records
 from anisefront.daemon.message_relay import MessageRelay
@@ -126,6 +128,13 @@
     return MessageRelay(lambda *sent: None, membership).unpack(RelayedMessage(0, 1, data))
 
 
+def _lock_message(data: bytes) -> object:
+    try:
+        return lock_codec.decode_body(data[1] if len(data) > 1 else 0, data[2:])
+    except struct.error as error:  # as `replication_codec.decode` reads it
+        raise ValueError(str(error)) from error
+
+
 def _params(data: bytes) -> object:
     return jsonrpc_params.parse_params(_load(data))
 
@@ -176,6 +185,9 @@
 
 DECODERS: dict[str, Decoder] = {
     "cluster.endpoint_file.parse": Decoder(endpoint_file.parse, _json(ENDPOINTS), (endpoint_file.EndpointFileError,)),
+    "cluster.lock_codec.decode_body": Decoder(
+        _lock_message, list(map(replication_codec.encode, LOCK_MESSAGES)), (ValueError,)
+    ),
     "cluster.member_state.decode_rows": Decoder(member_state.decode_rows, _recorded("membership")),
     "cluster.membership_messages.decode_message": Decoder(membership_messages.decode_message, _recorded("membership")),
     "cluster.replication_codec.decode": Decoder(replication_codec.decode, _recorded("replication", "message")),
--- a/tests/test_reloader.py
+++ b/tests/test_reloader.py
@@ -455,6 +455,8 @@
     )
     request_table.requests[1] = entry
     assert keepers.try_protect(entry)
+    keepers.primary._requests.on_locked(1)
+    assert keepers.may_release_attempt(1, 0, "worker")  # so it may have run
     made.path.write_text(made.path.read_text().replace("repeat unsafe", "repeat safe"))
     assert made.change()["version"] == 2
     name = next(iter(keepers.duplicates._request_numbers))
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -104,7 +104,7 @@
     ]
     faults = []
     for name in (b"%08d" % n for n in range(6)):
-        world = World(fresh(*cuts), 3, {})
+        world = World(fresh(*cuts), 3, {}, has_locks=False)
         for request, number in enumerate((1, 2), 1):
             world.take(number, request, "the name", name)
         faults.append(explore(world, 8, 1500)[1])
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -166,7 +166,7 @@
     assert [call.final() for call in first] == ["served"] * 12
     assert {call.final() for call in again} <= {"failed", "served"}
     assert {hands.workers.came["/pay", name] for name in names} == {1}
-    assert hands.count(0, "relayed") >= 1
+    assert hands.count(0, "keepers_left") >= 1 and hands.count(other, "locks_refused") >= 1
 
 
 def test_a_client_that_waits_at_a_keeper_asks_the_origin_for_its_answer(hands):
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -344,7 +344,7 @@
 def _taken(ask: Callable[[GatewayInstance], Any]) -> Any:
     """What a peer would be told of a request that comes in."""
     made, out = _gatekeeper(), []
-    made.keepers.primary.accept = lambda now, taken: bool(out.append(taken)) or True
+    made.keepers.primary.accept = lambda now, taken, *lock: bool(out.append(taken)) or True
     ask(made)
     return out[0]
 
