The backup of an instance that took a request over learns of the attempts before it

What callers would see: a request that may not be repeated, executed a second time after two instances failed one after another: the first with an attempt that had left, then the one that took the request over.

Cause: a request that is taken over is replicated to a new backup as if no attempt of it had started; the attempts of the failed instance were known to the taker alone.

Change: they are appended behind the request's first entry, as started before.

The test fails without the appended entries. Shown in the searches and by the test, not with processes.

--- a/anisefront/cluster/local_requests.py
+++ b/anisefront/cluster/local_requests.py
@@ -32,6 +32,7 @@
 
     Attributes:
         attempts: Endpoints of the attempts that are not proved never to have executed, by number of the attempt.
+        prior_attempts: Those of them that a failed instance had started.
         awaiting_ack: Attempts that start when the backup has acknowledged them.
         awaiting_lock: Attempts that start when the request has the lock of its identity.
         is_locked: Whether it has the lock of its identity, or needs none.
@@ -44,6 +45,7 @@
     deadline_ms: float
     epoch: int = 0
     attempts: dict[int, str] = field(default_factory=dict)
+    prior_attempts: frozenset[int] = frozenset()
     awaiting_ack: set[int] = field(default_factory=set)
     awaiting_lock: set[int] = field(default_factory=set)
     is_locked: bool = True
@@ -167,8 +169,8 @@
             del local.attempts[attempt]  # it has not started, and won't
         local.awaiting_ack.clear()
         local.awaiting_lock.clear()
-        # The response of an attempt that has started may still come.
-        if local.attempts:
+        # The response of an attempt that has started here may still come.
+        if local.attempts.keys() - local.prior_attempts:
             self._actions.append(LoseOwnership(request))
         else:
             self._actions.append(YieldToDuplicate(request, informed))
--- a/anisefront/cluster/primary.py
+++ b/anisefront/cluster/primary.py
@@ -20,7 +20,9 @@
 
 import math
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import replace
+from types import MappingProxyType
 
 from anisefront.cluster.backup_selection import BackupSelector, Replica, placement_hash, slot_of
 from anisefront.cluster.epoch_log import RETRY_MS, EpochLog
@@ -47,6 +49,7 @@
 )
 
 MAX_RETRY_MS = 480.0  # up to which retries back off that can't lead to another backup
+NO_ATTEMPTS: Mapping[int, str] = MappingProxyType({})
 # Without an acknowledgement, after which another backup is selected, or pinned requests' entries are relayed.
 BACKUP_TIMEOUT_MS = 150.0
 
@@ -88,6 +91,7 @@
         accepted: Accepted,
         predecessor: LockOwner | None = None,
         has_yielded: bool = False,
+        prior_attempts: Mapping[int, str] = NO_ATTEMPTS,
     ) -> bool:
         """Replicate a request; returns False where no backup is available.
 
@@ -96,6 +100,7 @@
             accepted: The request.
             predecessor: The request of a failed instance that it continues.
             has_yielded: Whether its client's request had yielded to another of its identity before.
+            prior_attempts: Endpoints of the failed instance's attempts that may have been executed, by number.
         """
         local = self._make_local(now_ms, accepted)
         log = self._choose_log(now_ms, local)
@@ -104,6 +109,10 @@
         local.epoch = log.epoch
         self._requests.add(local)
         self._sender.add_request(now_ms, log, accepted)
+        local.attempts.update(prior_attempts)
+        local.prior_attempts = frozenset(prior_attempts)
+        for attempt, endpoint in sorted(prior_attempts.items()):
+            self._sender.append(log, AttemptStarted(accepted.request, attempt, endpoint, awaits_ack=False))
         self._acquire_lock(now_ms, local, predecessor, has_yielded)
         return True
 
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -147,7 +147,7 @@
             self.duplicates.add(accepted.request, accepted.identity, self._idempotency(entry.arrival.class_name))
         predecessor = self.takeover.inherited_locks.take(accepted.identity)
         has_yielded = self._has_yielded(now_ms, accepted.identity)
-        reason = self._replicate(now_ms, accepted, predecessor, has_yielded)
+        reason = self._replicate(now_ms, accepted, predecessor, has_yielded, _prior_attempts(entry))
         if reason is None:
             self.counts["protected"] += 1
             return True
@@ -177,12 +177,18 @@
         )
 
     def _replicate(
-        self, now_ms: float, accepted: Accepted, predecessor: LockOwner | None, has_yielded: bool
+        self,
+        now_ms: float,
+        accepted: Accepted,
+        predecessor: LockOwner | None,
+        has_yielded: bool,
+        prior_attempts: dict[int, str],
     ) -> str | None:
         """Return why a request is not replicated; None where it is."""
         if len(accepted.record) > MAX_RECORD_BYTES:
             return "too_large"
-        return None if self.primary.accept(now_ms, accepted, predecessor, has_yielded) else NO_BACKUP
+        is_accepted = self.primary.accept(now_ms, accepted, predecessor, has_yielded, prior_attempts)
+        return None if is_accepted else NO_BACKUP
 
     def may_release_attempt(self, request: int, attempt: int, worker: str) -> bool:
         """Return whether an attempt may start now."""
@@ -498,6 +504,14 @@
         return self.primary, self.backup, self.locks, self.voter, self.returning
 
 
+def _prior_attempts(entry: PendingRequest) -> dict[int, str]:
+    """Return the attempts of a failed instance that may have been executed, all with the endpoint of the first."""
+    prior = entry.arrival.prior_attempts
+    if prior is None:
+        return {}
+    return dict.fromkeys(range(prior.attempts - prior.uncertain, prior.attempts), prior.endpoint)
+
+
 def _placement(config: Config) -> LockPlacement:
     """Return who votes; the zones count where all instances have one, so that all instances agree."""
     instances = range(config.settings.gateways)
--- a/tests/replication_net.py
+++ b/tests/replication_net.py
@@ -125,12 +125,13 @@
         for n in range(count):
             self._members(n)
 
-    def take(self, number, request, name, called=NO_IDENTITY, predecessor=None):
+    def take(self, number, request, name, called=NO_IDENTITY, predecessor=None, prior_attempts=None):
         node = self.nodes[number]
         if called != NO_IDENTITY:
             node.named = request
         accepted = Accepted(request, True, LIFETIME_MS, called, b"")
-        if not node.primary.accept(self.now, accepted, predecessor) and called != NO_IDENTITY:
+        known = node.primary.accept(self.now, accepted, predecessor, False, prior_attempts or {})
+        if not known and called != NO_IDENTITY:
             if not node.primary.may_run_unprotected(accepted):
                 return  # rejected at once
             node.primary.accept_without_backup(self.now, accepted, predecessor)
@@ -294,7 +295,9 @@
         if node.named:  # ours had yielded to it, or goes on in its place
             return
         request = 100 + len(self.names)
-        self.take(number, request, name, replica.identity, LockOwner(primary, incarnation, replica.request))
+        prior_attempts = {attempt: endpoint for attempt, (endpoint, _) in replica.attempts.items()}
+        owner = LockOwner(primary, incarnation, replica.request)
+        self.take(number, request, name, replica.identity, owner, prior_attempts)
         if replica.attempts:  # it is failed: it may have run, and none of its identity may
             self._end(number, node.life, request, blocks_identity=True)
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -1,5 +1,6 @@
 """Who keeps whose work, decided without I/O: all orders of a small world, random ones of a larger, guards taken out."""
 
+import math
 import random
 from dataclasses import replace
 
@@ -324,6 +325,19 @@
     assert len(done(made, YieldToDuplicate)) == (not left) and len(done(made, LoseOwnership)) == left
 
 
+def test_the_backup_of_a_taker_knows_of_the_attempts_before_it():
+    # Guards against a second effect: who took over from a taker thought that nothing had been started.
+    made, keeper = origin((1,)), Backup(1, 1)
+    accepted = Accepted(7, True, 60_000, b"identity", b"")
+    made.accept(0.0, accepted, prior_attempts={0: "w", 1: "v"})
+    for _, message in feeds(made):
+        keeper.receive(1.0, 0, 1, message)
+    assert made.may_have_executed(7)
+    keeper.primary_failed(2.0, 0, 1)
+    [taken] = done(keeper, TakeOver)
+    assert taken.replica.attempts == {0: ("w", -math.inf), 1: ("v", -math.inf)}
+
+
 def test_all_of_one_message_that_are_in_hand_elsewhere_are_turned_away_at_once():
     # Guards against one round trip for each: hundreds that came back after a loss waited for seconds.
     keeper = Backup(1, 1)
