A request whose attempts may have run is failed, not rejected, where it gets no backup or lock

What callers would see: a request taken over from a failed instance, told as never executed and safe to retry though an attempt of the failed instance may have executed it: a second effect outside the scope in which endpoints recognize the repetition.

Cause: reject_unprotected looked at the attempts of this instance only.

Change: with uncertain prior attempts the answer is that it may have been executed.

Evidence: found by reading where a request without its lock is given up; the test fails on the text before (reject where fail is due).

--- a/anisefront/gateway/request_table.py
+++ b/anisefront/gateway/request_table.py
@@ -230,12 +230,17 @@
             self.remove_if_complete(request)
 
     def reject_unprotected(self, number: int) -> None:
-        """Reject a request that requires a backup and has none, unless an attempt of it has left."""
+        """Reject a request that lacks the backup or the lock that it requires, unless an attempt of it has left."""
         request = self.requests.get(number)
         if request is None or request.ended or len(request.withheld_attempts) < len(request.in_flight):
             return
         self.counts["unprotected_refused"] += 1
         self.batches.post_before_later_attempt_ends(ClientDisconnected(number))
+        prior_attempts = request.arrival.prior_attempts
+        if prior_attempts is not None and prior_attempts.uncertain:  # a failed instance may have had it executed
+            self.fail(request)
+            self.remove_if_complete(request)
+            return
         rejection = Reject(number, UNPROTECTED_RETRY_AFTER_MS, RejectionReason.CAPACITY)
         self._contain(rejection, self.reject, request, rejection)
         self.remove_if_complete(request)
--- a/tests/test_attempt_accounting.py
+++ b/tests/test_attempt_accounting.py
@@ -2,7 +2,9 @@
 
 from collections import Counter
 from dataclasses import replace
+from types import SimpleNamespace
 
+import pytest
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
@@ -67,6 +69,24 @@
     return RequestTerms("c", kind, "wide", table.now_ms() + due_ms, 1.0, 0, 1, False)
 
 
+@pytest.mark.parametrize(("uncertain", "response"), [(0, "reject"), (1, "fail")])
+def test_an_unprotected_request_is_told_as_never_executed_only_if_no_attempt_may_have_been(uncertain, response):
+    # Guards against a second effect: a request that a failed instance had started was said to be safe to retry.
+    desk = Desk()
+    told = []
+    handler = SimpleNamespace(
+        reject=lambda number, retry_after_ms, reason: told.append("reject"), fail=lambda number: told.append("fail")
+    )
+    prior_attempts = PriorAttempts(1, uncertain, SERVERS[0].id)
+    number = desk.request_table.accept(
+        handler, terms(desk.request_table, 2000.0, "keyed"), prior_attempts=prior_attempts
+    )
+    desk.request_table.reject_unprotected(number)
+    assert told == [response]
+    desk.run(0.01)
+    assert not desk.request_table.requests
+
+
 class Handler:
     """An attempt handler that can be made to raise at its next call, before or after it has done its work."""
 
