Requests that wait for another of their identity hear of its outcome from its holder alone

Cause: a backup now stores several requests of one identity. When one that had yielded ended there 'never executed', the backup told so to all who waited for the identity, and a client that waited at the backup itself started anew without being marked as one that had waited; so it ran after the first had been executed. Requests that yielded to each other told each other the same and started anew without end.

Change: who has yielded asks the holder of the lock, its backup only where the holder is silent or gone; a backup tells of stored requests of earlier versions only; one that yields tells nothing; a client that waits at a backup counts as having waited; that a request may have been executed is told at once whatever copies are stored.

--- a/anisefront/cluster/lock_requester.py
+++ b/anisefront/cluster/lock_requester.py
@@ -304,7 +304,7 @@
     def _refuse(self, lock: _LocalLock, reply: LockReply) -> None:
         self.counts["locks_refused"] += 1
         self.release(lock.request)
-        informed = [number for number in (reply.holder_backup, reply.holder) if number != NO_INSTANCE]
+        informed = [number for number in (reply.holder, reply.holder_backup) if number != NO_INSTANCE]
         self._decisions.append(LockRefused(lock.request, tuple(dict.fromkeys(informed))))
 
     def _release_at_voters(self, lock: _LocalLock, may_have_executed: bool) -> None:
--- a/anisefront/daemon/duplicate_requests.py
+++ b/anisefront/daemon/duplicate_requests.py
@@ -21,6 +21,7 @@
 MAX_QUERY_INTERVAL_S = 1.0
 MIN_QUERY_JITTER = 0.75  # of the interval, up to 1.25: those rejected at the same time do not query at the same time
 QUERY_JITTER_DIVISOR = 512
+HOLDER_QUERIES = 2  # of the holder of a lock, after which its backup is queried, too
 OUTCOME_TIMEOUT_S = 0.5  # for a primary to send the response of a request that has completed
 MAX_OUTCOMES = 10_000  # remembered for those that query again; the oldest are evicted
 
@@ -50,6 +51,7 @@
         self._local: dict[int, LocalRequest] = {}
         self._request_numbers: dict[bytes, int] = {}
         self._waiting_instances: dict[bytes, set[int]] = {}
+        self._followed: dict[bytes, int] = {}  # holders to which requests here have yielded
         self._uncertain: set[bytes] = set()  # completed, and their primaries were queried for the response
         self._outcomes: OrderedDict[bytes, Outcome] = OrderedDict()  # last sent, of identities without a response here
 
@@ -121,9 +123,11 @@
             self.notify(identity, Outcome.RESPONDED, answer)
         elif identity in self._outcomes and not in_progress:
             self.notify(identity, self._outcomes[identity])
+        elif self._outcomes.get(identity) is Outcome.MAY_HAVE_EXECUTED and identity not in self._request_numbers:
+            self.notify(identity, Outcome.MAY_HAVE_EXECUTED)  # what is stored here of others waits for that, too
         elif not in_progress and self._returning.is_awaited(identity):
             # Ours has yielded to another. If that is the sender's, which has yielded to ours, one has to go on.
-            if precedes:
+            if precedes and self._followed.get(identity) == sender:
                 self.notify(identity, Outcome.NEVER_EXECUTED)
         elif not in_progress and identity not in self._returning:
             del self._waiting_instances[identity]  # the outcome is not known: no reply is better than a wrong one
@@ -165,27 +169,34 @@
         if informed is not None:
             self._reactor.callLater(QUERY_INTERVAL_S, self._query, identity, informed, QUERY_INTERVAL_S)
 
-    def follow(self, identity: bytes, informed: tuple[int, ...], interval_s: float = QUERY_INTERVAL_S) -> None:
+    def is_followed(self, identity: bytes) -> bool:
+        """Return whether a request here has yielded to the holder of the lock of an identity, and waits."""
+        return identity in self._followed and self._returning.is_awaited(identity)
+
+    def follow(self, identity: bytes, informed: tuple[int, ...], queries: int = 0) -> None:
         """Query the outcome to which a request here has yielded, now and again until it is known.
 
-        Where none of the informed instances is left the request asks for its lock again.
+        The holder of the lock comes first; its backup knows the outcome only where the holder is lost. Where none is
+        left the request asks for its lock again.
+
+        Args:
+            identity: The identity.
+            informed: The holder and its backup.
+            queries: How often the outcome was queried before.
         """
         if not self._returning.is_awaited(identity):
+            self._followed.pop(identity, None)
             return
+        self._followed[identity] = informed[0]
         remaining = tuple(number for number in informed if not self.is_gone(number))
         if not remaining:
             self._returning.ended_elsewhere(identity, may_have_run=False)
             return
-        for number in remaining:
+        for number in remaining if queries >= HOLDER_QUERIES else remaining[:1]:
             self._counts["asked_again"] += 1
             self._send(number, encode(OutcomeQuery(identity)))
-        self._reactor.callLater(
-            _jittered(identity, interval_s),
-            self.follow,
-            identity,
-            remaining,
-            min(MAX_QUERY_INTERVAL_S, 2 * interval_s),
-        )
+        interval_s = min(MAX_QUERY_INTERVAL_S, QUERY_INTERVAL_S * 2**queries)
+        self._reactor.callLater(_jittered(identity, interval_s), self.follow, identity, remaining, queries + 1)
 
     def _query(self, identity: bytes, informed: int, interval_s: float) -> None:
         """Query an outcome while a request waits for it.
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -104,6 +104,7 @@
         self._timer = DeferredTimer(reactor, clock, self._on_timer, STALL_MS)
         self._is_processing = False
         self._yielded: OrderedDict[bytes, float] = OrderedDict()  # deadlines of requests that yielded, by identity
+        self._yielding: int | None = None  # the request that yields now
         self._informed: tuple[int, ...] = ()  # who knows of the request to which one yields now
 
     def update_config(self, config: Config) -> None:
@@ -211,8 +212,8 @@
         is_retained = local is not None and local.identity in self.returning
         had_lock = self.primary.has_lock(request)
         self.primary.complete(self._clock(), request, is_uncertain, is_uncertain and is_retained)
-        if local is None or is_retained:
-            return
+        if local is None or is_retained or request == self._yielding:
+            return  # those who wait for one that yields are told when the outcome of the other is known
         outcome = Outcome.MAY_HAVE_EXECUTED if is_uncertain else Outcome.NEVER_EXECUTED
         if had_lock:  # others may have been refused on its behalf and ask later
             self.duplicates.remember(local.identity, outcome)
@@ -255,6 +256,7 @@
         primary = self.backup.find_primary(self._clock(), digest)
         if primary is None or self._idempotency(class_name) is Idempotency.IDEMPOTENT:
             return False
+        self._yielded[digest] = deadline_at_ms
         self.duplicates.wait_here(digest, job, deadline_at_ms, done, go_on, primary)
         return True
 
@@ -473,20 +475,26 @@
         if entry is None or entry.ended:
             return
         self._yielded[self._identity(entry.arrival.customer, entry.replica.identity)] = entry.arrival.deadline_at_ms
+        self._yielding = request
         self._informed = informed  # for `wait_for_outcome`, which the upstream calls
         entry.handler.yield_to_duplicate(entry.arrival, entry.replica.identity)
         self._informed = ()
+        self._yielding = None
 
     def _on_released(self, primary: int, replica: ReplicatedRequest) -> None:
         """Let the requests continue that wait for one which is not stored here any more."""
-        if not replica.excludes_duplicates or self._is_in_flight_elsewhere(replica.identity):
+        if not replica.excludes_duplicates:
             return
         outcome = self.takeover.uncertain_outcome(replica) if replica.attempts else Outcome.NEVER_EXECUTED
         if outcome is Outcome.MAY_HAVE_EXECUTED:
-            self.duplicates.end_uncertain(replica.identity, primary, self._is_in_flight_elsewhere)
-            return
-        self.returning.ended_elsewhere(replica.identity, may_have_run=False)
-        self.duplicates.notify(replica.identity, outcome)
+            # Other requests of the identity that are stored here wait as those do that are told.
+            self.duplicates.end_uncertain(replica.identity, primary, lambda identity: False)
+        elif not self._is_in_flight_elsewhere(replica.identity):
+            # Who has yielded to the holder of the lock is told by the holder: this one may have yielded as well.
+            if not self.duplicates.is_followed(replica.identity):
+                self.returning.ended_elsewhere(replica.identity, may_have_run=False)
+            if not self.voter.uses_locks(primary, 1):
+                self.duplicates.notify(replica.identity, outcome)
 
     # ---- state -----------------------------------------------------------------------------------
 
