A request that yielded asks for its lock again when the holder does not tell the outcome

Cause, by the state reports and reading: a taker whose request was rejected remembered no outcome of it; who had been refused the lock on its behalf asked for that outcome until its deadline.

Change: the holder of a lock remembers the outcome of a taken-over request too; who has asked five times, some 3 s, asks for the lock again, which is safe as it counts as having waited.

--- a/anisefront/daemon/duplicate_requests.py
+++ b/anisefront/daemon/duplicate_requests.py
@@ -21,6 +21,7 @@
 MAX_QUERY_INTERVAL_S = 1.0
 MIN_QUERY_JITTER = 0.75  # of the interval, up to 1.25: those rejected at the same time do not query at the same time
 QUERY_JITTER_DIVISOR = 512
+MAX_QUERIES = 5  # of an outcome, after which a request that has yielded asks for its lock again
 HOLDER_QUERIES = 2  # of the holder of a lock, after which its backup is queried, too
 OUTCOME_TIMEOUT_S = 0.5  # for a primary to send the response of a request that has completed
 MAX_OUTCOMES = 10_000  # remembered for those that query again; the oldest are evicted
@@ -177,7 +178,7 @@
         """Query the outcome to which a request here has yielded, now and again until it is known.
 
         The holder of the lock comes first; its backup knows the outcome only where the holder is lost. Where none is
-        left the request asks for its lock again.
+        left, or none has told for long, the request asks for its lock again.
 
         Args:
             identity: The identity.
@@ -189,7 +190,7 @@
             return
         self._followed[identity] = informed[0]
         remaining = tuple(number for number in informed if not self.is_gone(number))
-        if not remaining:
+        if not remaining or queries >= MAX_QUERIES:
             self._returning.ended_elsewhere(identity, may_have_run=False)
             return
         for number in remaining if queries >= HOLDER_QUERIES else remaining[:1]:
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -212,12 +212,13 @@
         is_retained = local is not None and local.identity in self.returning
         had_lock = self.primary.has_lock(request)
         self.primary.complete(self._clock(), request, is_uncertain, is_uncertain and is_retained)
-        if local is None or is_retained or request == self._yielding:
+        if local is None or request == self._yielding:
             return  # those who wait for one that yields are told when the outcome of the other is known
         outcome = Outcome.MAY_HAVE_EXECUTED if is_uncertain else Outcome.NEVER_EXECUTED
         if had_lock:  # others may have been refused on its behalf and ask later
             self.duplicates.remember(local.identity, outcome)
-        self.duplicates.notify(local.identity, outcome)
+        if not is_retained:
+            self.duplicates.notify(local.identity, outcome)
 
     def _may_have_executed(self, request: int) -> bool:
         entry = self._request_table.requests[request]
--- a/tests/test_duplicate_requests.py
+++ b/tests/test_duplicate_requests.py
@@ -90,3 +90,20 @@
     backup.wait()
     backup.clock.advance(1.0)
     assert backup.sent[0] == (PRIMARY, OutcomeQuery(NAME))
+
+
+def test_a_request_whose_holder_knows_nothing_asks_for_its_lock_again(backup):
+    # Guards against a wait until the deadline: a holder that had ended was asked for its outcome and did not know.
+    backup.returning.wait_for_outcome(NAME, b"", 8000.0, backup.answers.append, lambda: backup.anew.append(NAME))
+    backup.duplicates.follow(NAME, (PRIMARY, OTHER))
+    backup.clock.pump([0.05] * 100)
+    assert backup.anew == [NAME] and backup.answers == []
+    asked = [receiver for receiver, _ in backup.sent]
+    assert asked[:2] == [PRIMARY, PRIMARY] and OTHER in asked and len(asked) <= 10
+
+
+def test_a_request_whose_holder_is_gone_asks_for_its_lock_again_at_once(backup):
+    backup.duplicates.is_gone = lambda number: True
+    backup.returning.wait_for_outcome(NAME, b"", 8000.0, backup.answers.append, lambda: backup.anew.append(NAME))
+    backup.duplicates.follow(NAME, (PRIMARY, OTHER))
+    assert backup.anew == [NAME] and backup.sent == []
