No side of a cut executes an identity that the other side may execute, too

What callers saw: while a fleet was cut in two, a POST /pay asked on both sides was executed on both, though its class may not be repeated: in a fleet of two, in one of four in two zones, and in random schedules of four to six instances.

Cause, three guards that took a cut for a loss: - the only live voter decided alone where half of the instances were alive, while the two other voters vote together on the other side; - a voter dropped the lock of an owner that seemed dead together with its backup; - a restarted voter did without the replies of instances that seemed dead, one of which owned a lock with a vote of its earlier process.

Why it works: two of the same three voters have to vote, always, and no belief about who is alive replaces a vote. Of two instances the lower one decides alone, the other never.

A request whose holder is lost asks for its lock four times a second at most, as that lock stands now: a test shows the loop without it.

--- a/anisefront/cluster/lock_recovery.py
+++ b/anisefront/cluster/lock_recovery.py
@@ -1,12 +1,13 @@
 """Recovery of a voter that was restarted: it votes on a slot once it knows what its earlier votes may have been.
 
     recovering --both other voters of the slot, recovered themselves, have replied--> recovered
-         |-----all other configured instances have replied, or are known to be gone----^
-         `-----the longest deadline has passed since the start--------------------------^
+         |-----all other configured instances have replied-------------------------^
+         `-----the longest deadline has passed since the start---------------------^
 
 One of its votes counts only together with another voter's. So the two others know all of them; where these have been
 restarted too, the owners and their backups do. Where neither can be asked no message can tell, and the votes have to
-lapse, as all votes do at the deadlines of their requests.
+lapse, as all votes do at the deadlines of their requests. Instances that are believed dead have to reply as well:
+behind a partition they may own locks that the earlier votes helped to get.
 """
 
 from __future__ import annotations
@@ -48,7 +49,6 @@
         self._max_duration_ms = max_duration_ms
         self._pages: dict[int, _ReplyPages] = {}  # by number of the replying instance
         self._recovered_by_replies: dict[int, bool] = {}  # by number: whether it is recovered itself
-        self._gone: frozenset[int] = frozenset()
         self._open_slots = set() if is_recovered else set(placement.slots_of(number))
         self._end_ms = math.inf
         self._query_ms = 0.0
@@ -77,12 +77,10 @@
         others = self._placement.instances - {self._number}
         return sorted(number for number in others if not self._recovered_by_replies.get(number))
 
-    def update_members(self, now_ms: float, gone: frozenset[int]) -> None:
-        """Replace the instances known to be dead or to have left; ask again at once, as others may be reachable now."""
-        self._gone = gone
+    def retry_soon(self, now_ms: float) -> None:
+        """Ask again at once, as other instances may be reachable now."""
         self._query_ms = min(self._query_ms, now_ms)
         self._query_interval_ms = QUERY_RETRY_MS
-        self.update_slots()
 
     @property
     def next_timer_ms(self) -> float:
@@ -109,7 +107,7 @@
     def update_slots(self) -> None:
         """Recover the slots for which the replies suffice, after the locks in them were taken in."""
         others = self._placement.instances - {self._number}
-        if self._recovered_by_replies and others <= self._recovered_by_replies.keys() | self._gone:
+        if self._recovered_by_replies and others <= self._recovered_by_replies.keys():
             self._open_slots.clear()
         recovered = {number for number, is_recovered in self._recovered_by_replies.items() if is_recovered}
         self._open_slots -= {
--- a/anisefront/cluster/lock_requester.py
+++ b/anisefront/cluster/lock_requester.py
@@ -9,8 +9,9 @@
 until it knows, too. Before a lock is held, votes of a voter that was restarted since are void, as it may have forgotten
 them.
 
-Where membership knows of one live voter only, and at least half of all instances are alive, that one decides alone.
-Otherwise the loss of two instances would end all service for the identities on which both vote.
+No single voter decides alone, however many instances are alive: in a partition the two others may vote together on the
+other side, before or after it is noticed. Of two instances the lower one decides alone while the other is not alive, as
+the other never does.
 """
 
 from __future__ import annotations
@@ -294,12 +295,10 @@
                 return
 
     def _deciding_voters(self, lock: _LocalLock) -> tuple[int, ...]:
-        """Return the voters of which a majority decides: all, or the only live one."""
-        voters = lock.voters
-        alive = tuple(voter for voter in voters if voter in self._alive)
-        if len(alive) == 1 and 2 * len(self._alive) >= len(self._placement.instances):
-            return alive
-        return voters
+        """Return the voters of which a majority decides: all, or of two the tie-breaker while the other is lost."""
+        tie_breaker = min(lock.voters)
+        is_other_lost = tie_breaker in self._alive and not self._alive.issuperset(lock.voters)
+        return (tie_breaker,) if len(lock.voters) == MAJORITY and is_other_lost else lock.voters
 
     def _refuse(self, lock: _LocalLock, reply: LockReply) -> None:
         self.counts["locks_refused"] += 1
--- a/anisefront/cluster/lock_voter.py
+++ b/anisefront/cluster/lock_voter.py
@@ -182,9 +182,12 @@
             self._note_ended(request.predecessor)
 
     def _drop_lost_holders(self, lock: _Lock, owner: LockOwner) -> None:
-        """Drop requests that are lost with both their instance and its backup: nobody continues them."""
+        """Drop requests that nobody continues: those of dead instances that had no backup.
+
+        One with a backup stays even if that is dead, too: both may be alive on the other side of a partition.
+        """
         for holder, backup in list(lock.holders.items()):
-            if holder != owner and self._is_gone(holder) and (backup == NO_INSTANCE or backup in self._gone):
+            if holder != owner and backup == NO_INSTANCE and self._is_gone(holder):
                 self.counts["locks_lost"] += 1
                 del lock.holders[holder]
                 self._note_ended(holder)
@@ -295,7 +298,7 @@
         """
         self._alive = alive
         self._gone = gone
-        self._recovery.update_members(now_ms, gone)
+        self._recovery.retry_soon(now_ms)
 
     def handle_timers(self, now_ms: float) -> None:
         """Let votes lapse, and ask again what earlier votes were."""
--- a/anisefront/daemon/duplicate_requests.py
+++ b/anisefront/daemon/duplicate_requests.py
@@ -53,6 +53,7 @@
         self._request_numbers: dict[bytes, int] = {}
         self._waiting_instances: dict[bytes, set[int]] = {}
         self._followed: dict[bytes, int] = {}  # holders to which requests here have yielded
+        self._asked_for_lock: set[bytes] = set()  # identities whose requests have asked for the lock again just now
         self._uncertain: set[bytes] = set()  # completed, and their primaries were queried for the response
         self._outcomes: OrderedDict[bytes, Outcome] = OrderedDict()  # last sent, of identities without a response here
 
@@ -191,7 +192,7 @@
         self._followed[identity] = informed[0]
         remaining = tuple(number for number in informed if not self.is_gone(number))
         if not remaining or queries >= MAX_QUERIES:
-            self._returning.ended_elsewhere(identity, may_have_run=False)
+            self._ask_for_lock_again(identity)
             return
         for number in remaining if queries >= HOLDER_QUERIES else remaining[:1]:
             self._counts["asked_again"] += 1
@@ -199,6 +200,18 @@
         interval_s = min(MAX_QUERY_INTERVAL_S, QUERY_INTERVAL_S * 2**queries)
         self._reactor.callLater(_jittered(identity, interval_s), self.follow, identity, remaining, queries + 1)
 
+    def _ask_for_lock_again(self, identity: bytes) -> None:
+        """Let the requests that wait for an identity ask for its lock, once an interval at most.
+
+        The voters may name the same holder each time: the lock of one that is lost stands until its deadline.
+        """
+        if identity in self._asked_for_lock:
+            self._reactor.callLater(_jittered(identity, QUERY_INTERVAL_S), self._ask_for_lock_again, identity)
+            return
+        self._asked_for_lock.add(identity)
+        self._reactor.callLater(QUERY_INTERVAL_S, self._asked_for_lock.discard, identity)
+        self._returning.ended_elsewhere(identity, may_have_run=False)
+
     def _query(self, identity: bytes, informed: int, interval_s: float) -> None:
         """Query an outcome while a request waits for it.
 
--- a/tests/lock_mutations.py
+++ b/tests/lock_mutations.py
@@ -22,3 +22,35 @@
         + [("lock_voter", "del lock.holders[request.predecessor]", "lock.holders.clear()")],
     ),
 }
+LATE = {"tick": 6, "wait": 6}
+LATE_RESTART = {**LATE, "kill": 1, "start": 1, "learn": 3}
+ONLY_LIVE_VOTER = """alive = tuple(voter for voter in lock.voters if voter in self._alive)
+        is_half_alive = 2 * len(self._alive) >= len(self._placement.instances)
+        return alive if len(alive) == 1 and is_half_alive else lock.voters"""
+BELIEVED_DEAD = """instances = self._placement.instances - {self._local.number}
+        replied = self._recovery._recovered_by_replies.keys()
+        if not self._recovery.is_recovered(slot) and not (replied and instances <= replied | self._gone):"""
+CUTS_OF_PARTITIONS = {
+    "the only live voter does not decide alone": (
+        LATE,
+        [
+            (
+                "lock_requester",
+                "return (tie_breaker,) if len(lock.voters) == MAJORITY and is_other_lost else lock.voters",
+                ONLY_LIVE_VOTER,
+            )
+        ],
+    ),
+    "of two only the tie-breaker decides alone": (
+        LATE,
+        [("lock_requester", "tie_breaker = min(lock.voters)", "tie_breaker = self._local.number")],
+    ),
+    "a lock stands while its backup may continue its request": (
+        LATE,
+        [("lock_voter", "backup == NO_INSTANCE and", "(backup == NO_INSTANCE or backup in self._gone) and")],
+    ),
+    "a restarted voter does not do without those that seem dead": (
+        LATE_RESTART,
+        [("lock_voter", "if not self._recovery.is_recovered(slot):", BELIEVED_DEAD)],
+    ),
+}
--- a/tests/test_duplicate_requests.py
+++ b/tests/test_duplicate_requests.py
@@ -107,3 +107,16 @@
     backup.returning.wait_for_outcome(NAME, b"", 8000.0, backup.answers.append, lambda: backup.anew.append(NAME))
     backup.duplicates.follow(NAME, (PRIMARY, OTHER))
     assert backup.anew == [NAME] and backup.sent == []
+
+
+def test_a_lock_of_a_lost_holder_is_asked_for_a_few_times_a_second(backup):
+    # Guards against a loop of requests and refusals: the lock of a lost holder stands until its deadline.
+    def ask():
+        backup.anew.append(backup.clock.seconds())
+        backup.returning.wait_for_outcome(NAME, b"", 8000.0, backup.answers.append, ask)
+        backup.duplicates.follow(NAME, (PRIMARY,))
+
+    backup.duplicates.is_gone = lambda number: True
+    ask()
+    backup.clock.pump([0.05] * 100)
+    assert 5 <= len(backup.anew) <= 25
