A rejected request whose attempts never executed frees its identity at once

Who waited elsewhere for a request that was rejected got "failed" for what never ran.

Cause: when the backup acknowledged the end of a rejected request, the primary forgot the request before its host had completed it. Whether it may have been executed was then answered by the number of its attempts, also where each is proved never to have executed, as when no connection came up. The lock of the identity was retained until the deadline, as for a request that must not be repeated, and no outcome was remembered.

Both cases of the new test failed before.

Why it works: the request stays known to its primary until the host completes it, so its attempts are counted by what is proved of them, and its lock is released.

--- a/anisefront/cluster/local_requests.py
+++ b/anisefront/cluster/local_requests.py
@@ -132,8 +132,7 @@
             self._actions.append(LockUnavailable(request))
 
     def deliver_rejection(self, request: int) -> None:
-        """Deliver a pending rejection."""
-        del self._requests[request]
+        """Deliver a pending rejection; the request stays known until its host completes it."""
         self._actions.append(DeliverRejection(request))
 
     def on_entry_acknowledged(self, log: EpochLog, entry: LogEntry) -> None:
--- a/tests/replication_net.py
+++ b/tests/replication_net.py
@@ -317,6 +317,7 @@
             case StartAttempt(request):
                 self._left(number, life, request)
             case DeliverRejection(request):
+                node.primary.complete(self.now, request)
                 self._ran(self.names[number, life, request])
             case YieldToDuplicate(request) | LockUnavailable(request):
                 self._end(number, life, request)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -12,8 +12,12 @@
 from anisefront.cluster.backup_selection import Replica
 from anisefront.cluster.epoch_log import MAX_UNACKNOWLEDGED
 from anisefront.cluster.epoch_sender import DEFERRAL_MS
+from anisefront.cluster.lock_messages import LockReplies, LockReply
+from anisefront.cluster.lock_placement import LockPlacement
+from anisefront.cluster.lock_requester import LockRequester
 from anisefront.cluster.primary import BACKUP_TIMEOUT_MS, Primary
 from anisefront.cluster.replication_actions import (
+    DeliverRejection,
     LoseOwnership,
     ReleaseRequest,
     ReplicationUnavailable,
@@ -325,6 +329,32 @@
     assert len(done(made, YieldToDuplicate)) == (not left) and len(done(made, LoseOwnership)) == left
 
 
+@pytest.mark.parametrize("acknowledged", [True, False])
+def test_a_rejection_after_an_attempt_that_never_executed_frees_the_identity(acknowledged):
+    # Guards against a rejection called safe to retry whose identity stays blocked until the deadline.
+    locks = LockRequester(Replica(0, 1), LockPlacement(dict.fromkeys(range(3), "")))
+    made = Primary(Replica(0, 1), locks=locks)
+    made.update_members(0.0, {n: Replica(n, 1) for n in (1, 2)})
+    made.accept(0.0, Accepted(1, True, 60_000, b"identity", b""))
+    made.start_attempt(0.0, 1, 0, "w")
+    [(backup, feed)] = [(receiver, sent) for receiver, sent in feeds(made) if isinstance(sent, Append)]
+    made.receive(1.0, backup, 1, AppendAck(feed.epoch, 2))
+    for voter in (1, 2):
+        made.receive(1.0, voter, 1, LockReplies((), (LockReply(b"identity", 1),)))
+    assert started(made) == [(1, 0)] and made.may_have_executed(1)
+    made.discard_attempt(2.0, 1, 0)  # no connection came up
+    assert not made.reject(3.0, 1)
+    if acknowledged:
+        made.receive(4.0, backup, 1, AppendAck(feed.epoch, 4))
+    else:  # its backup is lost, the witness agrees, and none is left that knows of it
+        made.update_members(4.0, {3 - backup: Replica(3 - backup, 1)})
+        made.receive(5.0, 3 - backup, 1, EpochDecision(0, 1, feed.epoch, False))
+    assert len(done(made, DeliverRejection)) == 1
+    assert made.may_have_executed(1) is False
+    made.complete(6.0, 1)
+    assert len(made) == 0 and not list(locks.known_locks(6.0))
+
+
 def test_the_backup_of_a_taker_knows_of_the_attempts_before_it():
     # Guards against a second effect: who took over from a taker thought that nothing had been started.
     made, keeper = origin((1,)), Backup(1, 1)
