A request is not refused on behalf of the failed one that it continues

What callers saw: after a kill a client that had come back in time waited, and got no end for seconds or until its deadline.

Cause: a local request that has asked for its lock before its failed predecessor is taken over is told to continue that one, and goes on counting the refusals that name it: those that came before, and those on their way. Two of them refused it on behalf of itself.

Why it works: a voter replaces the predecessor before it looks for another holder, so a refusal that names the predecessor says only that the voter has not heard of it yet, and it is asked again until it has.

--- a/anisefront/cluster/lock_requester.py
+++ b/anisefront/cluster/lock_requester.py
@@ -77,6 +77,11 @@
     retry_ms: float = 0.0
     retry_interval_ms: float = RETRY_MS
 
+    def continues(self, refusal: LockReply) -> bool:
+        """Return whether a refusal names the request that this one continues: the voter has not heard of that yet."""
+        holder = (refusal.holder, refusal.holder_request)
+        return self.predecessor is not None and holder == (self.predecessor.number, self.predecessor.request)
+
 
 class LockRequester:
     """Locks of the requests of one process incarnation of an instance."""
@@ -175,6 +180,7 @@
         lock = self._locks.get(request)
         if lock is not None and not lock.is_held:
             lock.predecessor = predecessor
+            lock.refusals = {voter: reply for voter, reply in lock.refusals.items() if not lock.continues(reply)}
             self._ask_all(now_ms, lock)
 
     def release_predecessor(self, identity: bytes, predecessor: LockOwner) -> None:
@@ -261,7 +267,7 @@
         if reply.is_granted:
             lock.votes[sender] = sender_incarnation
             lock.refusals.pop(sender, None)
-        else:
+        elif not lock.continues(reply):
             lock.votes.pop(sender, None)
             lock.refusals[sender] = reply
         if not lock.is_held:
