Late votes for a request that was given up are left to the one that continues it

What callers saw: a POST /pay that was never executed was answered as failed, or refused until its deadline, where the first taker of it was wrongly given up in turn.

Cause: a primary that has lost a request to its backup forgets the lock. A vote that comes later was released as that of an unknown request, which counts as executed: the lock that the backup inherits was gone, and the voters refused all that had yielded to it.

The test of that order of events failed before.

Why it works: requests that were given up are remembered, and their votes stay for the successor, which names them as its predecessor.

--- a/anisefront/cluster/lock_requester.py
+++ b/anisefront/cluster/lock_requester.py
@@ -21,6 +21,7 @@
 from collections import Counter, OrderedDict
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
+from typing import Any
 
 from anisefront.cluster.backup_selection import Replica, placement_hash, slot_of
 from anisefront.cluster.lock_codec import MAX_ITEMS
@@ -97,6 +98,7 @@
         self._voter_incarnations: dict[int, int] = {}  # by number: votes of earlier ones are void
         self._decisions: list[LockDecision] = []
         self._ended: OrderedDict[int, bool] = OrderedDict()  # by request: whether it may have been executed
+        self._abandoned: OrderedDict[int, None] = OrderedDict()  # requests that other instances continue
         self._unsent: dict[int, None] = {}  # requests to ask for
         self._releases: dict[int, list[LockRelease]] = {}  # by voter
         self._releases_due_ms = math.inf
@@ -195,7 +197,7 @@
         if lock is not None:
             self._release_at_voters(lock, may_have_executed)
             self._releases_due_ms = 0.0
-            self._note_ended(request, may_have_executed)
+            _remember(self._ended, request, may_have_executed)
 
     def release_soon(self, now_ms: float, request: int, may_have_executed: bool = False) -> None:
         """End the lock of a request that has its response, together with others that end about now."""
@@ -203,12 +205,7 @@
         if lock is not None:
             self._release_at_voters(lock, may_have_executed)
             self._releases_due_ms = min(self._releases_due_ms, now_ms + RELEASE_DELAY_MS)
-            self._note_ended(request, may_have_executed)
-
-    def _note_ended(self, request: int, may_have_executed: bool) -> None:
-        self._ended[request] = may_have_executed
-        if len(self._ended) > MAX_ENDED:
-            self._ended.popitem(last=False)
+            _remember(self._ended, request, may_have_executed)
 
     def retain(self, request: int) -> None:
         """Keep the lock of a request that has ended until its deadline: none of its identity may run before."""
@@ -219,7 +216,9 @@
 
     def abandon(self, request: int) -> None:
         """Leave the lock of a request to the instance that continues it."""
-        self._locks.pop(request, None)
+        lock = self._locks.pop(request, None)
+        if lock is not None:
+            _remember(self._abandoned, request, None)
 
     def take_decisions(self) -> list[LockDecision]:
         """Return the decisions since the last call."""
@@ -253,7 +252,7 @@
 
     def _release_unknown(self, sender: int, reply: LockReply) -> None:
         """Release a vote that came after the end of its request, or whose release was lost."""
-        if reply.is_granted and reply.request not in self._retained:
+        if reply.is_granted and reply.request not in self._retained and reply.request not in self._abandoned:
             may_have_executed = self._ended.get(reply.request, True)
             release = LockRelease(reply.identity, reply.request, may_have_executed)
             self._releases.setdefault(sender, []).append(release)
@@ -416,3 +415,10 @@
         """Time at which `handle_timers` is to be called at the latest; infinite without a lock."""
         scheduled_ms = self._schedule[0][0] if self._schedule else math.inf
         return min(scheduled_ms, self._releases_due_ms)
+
+
+def _remember(requests: OrderedDict[int, Any], request: int, value: Any) -> None:
+    """Remember something of a request; the oldest are forgotten."""
+    requests[request] = value
+    if len(requests) > MAX_ENDED:
+        requests.popitem(last=False)
--- a/tests/test_identity_locks.py
+++ b/tests/test_identity_locks.py
@@ -263,6 +263,20 @@
     assert cluster.decisions[1] == [LockHeld(1)]
 
 
+def test_votes_that_come_after_a_request_was_given_up_are_left_to_the_one_that_continues_it(cluster):
+    # Guards against a lock that is released as if its request had been executed, while another instance continues it.
+    requester = cluster.requesters[0]
+    requester.acquire(0.0, IDENTITY, 1, DEADLINE_MS)
+    asked = requester.flush(0.0)
+    requester.abandon(1)
+    for action in asked:
+        cluster.deliver(0, action.receiver, action.message)
+    cluster.run()
+    assert sum(len(voter) for voter in cluster.voters.values()) == 2
+    cluster.acquire(1, predecessor=LockOwner(0, 1, 1))
+    assert cluster.decisions[1] == [LockHeld(1)]
+
+
 def test_a_restarted_voter_votes_once_both_others_have_told_what_they_know(cluster):
     first, second, third = cluster.placement.voters(IDENTITY)
     cluster.late = {third}
