What has yielded to a request does not run when the lock of that request lapses

What callers saw: a POST /pay that may not be repeated was executed a second time, 9 s after the first, where its first instance was lost after the attempt had left.

Cause: nobody releases the lock of a request that may have been executed and whose owner is lost; it lapses at its deadline. A duplicate that had yielded to it, with a later deadline, asked for the lock then and got it.

Why it works: a voter remembers whose lock has lapsed for as long as a request may wait that has yielded to it, and refuses such requests; new ones get the lock as before.

--- a/anisefront/cluster/lock_voter.py
+++ b/anisefront/cluster/lock_voter.py
@@ -91,6 +91,10 @@
         self._replies: dict[int, list[LockReply]] = {}  # by receiver
         # Requests that may have been executed and have ended since, by identity, with the deadline of their lock.
         self._finished: OrderedDict[bytes, tuple[LockOwner, float]] = OrderedDict()
+        # Requests whose locks have lapsed, so that nobody has told whether they were executed, and until when a request
+        # may still wait that has yielded to one of them.
+        self._lapsed: OrderedDict[bytes, tuple[LockOwner, float]] = OrderedDict()
+        self._max_deadline_ms = max_deadline_ms
 
     def __len__(self) -> int:
         """Return the number of identities on which there is a vote."""
@@ -158,10 +162,10 @@
             if holder is not None:
                 self._refuse(owner, request, lock, holder)
                 return
-        finished = self._finished.get(request.identity)
-        if request.follows_another and finished is not None and finished[1] > now_ms:
-            holder = finished[0]
-            self._reply(owner.number, LockReply(request.identity, request.request, holder.number, holder.request))
+        preceding = self._preceding_holder(now_ms, request)
+        if preceding is not None:
+            reply = LockReply(request.identity, request.request, preceding.number, preceding.request)
+            self._reply(owner.number, reply)
             return
         if not self._recovery.is_recovered(slot):
             return
@@ -174,6 +178,16 @@
         self._extend(request.identity, lock, now_ms + request.remaining_ms)
         self._reply(owner.number, LockReply(request.identity, request.request))
 
+    def _preceding_holder(self, now_ms: float, request: LockRequest) -> LockOwner | None:
+        """Return the request that was or may have been executed before one that must not run after another."""
+        if not request.follows_another:
+            return None
+        for ended in (self._finished, self._lapsed):
+            holder, until_ms = ended.get(request.identity, (None, 0.0))
+            if until_ms > now_ms and holder != request.predecessor:
+                return holder
+        return None
+
     def _replace_predecessor(self, lock: _Lock, owner: LockOwner, request: LockRequest) -> None:
         """Give the vote of a failed instance's request to the one that continues it."""
         if request.predecessor in lock.holders:
@@ -241,6 +255,13 @@
             lock = self._locks.get(identity)
             if lock is not None and lock.expires_ms <= now_ms:
                 del self._locks[identity]
+                self._note_lapsed(identity, lock)
+
+    def _note_lapsed(self, identity: bytes, lock: _Lock) -> None:
+        self._lapsed[identity] = (next(iter(lock.holders)), lock.expires_ms + self._max_deadline_ms)
+        self._lapsed.move_to_end(identity)
+        if len(self._lapsed) > MAX_ENDED:
+            self._lapsed.popitem(last=False)
 
     # ---- recovery --------------------------------------------------------------------------------
 
--- a/tests/test_identity_locks.py
+++ b/tests/test_identity_locks.py
@@ -277,6 +277,17 @@
     assert cluster.decisions[1] == [LockHeld(1)]
 
 
+def test_what_yielded_does_not_run_after_a_lock_has_lapsed_of_which_nobody_told_the_outcome(cluster):
+    # Guards against a second effect: the holder was executed and lost, and who had yielded to it waited longer.
+    cluster.acquire(0)
+    cluster.run(DEADLINE_MS)
+    cluster.acquire(1, has_yielded=True)
+    assert cluster.decisions[1] == [LockRefused(1, (0,))]
+    cluster.run(DEADLINE_MS)
+    cluster.acquire(1, 2, has_yielded=True)
+    assert cluster.decisions[1][1:] == [LockHeld(2)]
+
+
 def test_a_restarted_voter_votes_once_both_others_have_told_what_they_know(cluster):
     first, second, third = cluster.placement.voters(IDENTITY)
     cluster.late = {third}
