Releases of failed instances' locks are repeated until the locks lapse

What callers saw: after a kill a request was refused everywhere until the deadline of the first one of its identity, though that had ended.

Cause: the instance that takes a failed one's request over released its lock with one datagram to each voter. A live owner whose release was lost is told so by the voter and releases again; a dead one is not. One lost release was enough where the owner was a voter itself. The same holds for a request that continued another and ended, or was given up, before all voters had heard of it.

Releases of many requests share a datagram, and a repeated one changes nothing.

--- a/anisefront/cluster/lock_requester.py
+++ b/anisefront/cluster/lock_requester.py
@@ -38,6 +38,7 @@
     LockRequests,
 )
 from anisefront.cluster.lock_placement import LockPlacement
+from anisefront.cluster.predecessor_releases import PredecessorReleases
 from anisefront.cluster.replication_actions import SendMessage
 
 MAJORITY = 2  # of three voters, or of two
@@ -102,6 +103,7 @@
         self._unsent: dict[int, None] = {}  # requests to ask for
         self._releases: dict[int, list[LockRelease]] = {}  # by voter
         self._releases_due_ms = math.inf
+        self._predecessors = PredecessorReleases()
         self._unresponsive_until_ms: dict[int, float] = {}  # by voter
         self._schedule: list[tuple[float, int]] = []
 
@@ -177,19 +179,31 @@
             lock.must_tell_backup = True
             self._unsent[request] = None
 
-    def continue_predecessor(self, now_ms: float, request: int, predecessor: LockOwner) -> None:
-        """Let a request that asks for its lock take over that of a failed instance's request."""
+    def continue_predecessor(self, now_ms: float, request: int, predecessor: LockOwner) -> bool:
+        """Let a request that asks for its lock take over that of a failed instance's request.
+
+        Returns:
+            Whether it does; False where it has been refused its lock or has it already.
+        """
         lock = self._locks.get(request)
-        if lock is not None and not lock.is_held:
-            lock.predecessor = predecessor
-            lock.refusals = {voter: reply for voter, reply in lock.refusals.items() if not lock.continues(reply)}
-            self._ask_all(now_ms, lock)
+        if lock is None or lock.is_held:
+            return False
+        self._release_predecessor_of(lock)  # it continues this one instead
+        lock.predecessor = predecessor
+        lock.refusals = {voter: reply for voter, reply in lock.refusals.items() if not lock.continues(reply)}
+        self._ask_all(now_ms, lock)
+        return True
 
-    def release_predecessor(self, identity: bytes, predecessor: LockOwner) -> None:
-        """End the lock of a failed instance's request that is not continued here before its client returns."""
-        for voter in self._placement.voters(identity):
-            self._releases.setdefault(voter, []).append(LockRelease(identity, NO_REQUEST, False, predecessor))
-        self._releases_due_ms = 0.0
+    def release_predecessor(self, identity: bytes, predecessor: LockOwner, deadline_ms: float) -> None:
+        """End the lock of a failed instance's request that is not continued here, until all voters know.
+
+        Args:
+            identity: Its identity.
+            predecessor: The request.
+            deadline_ms: Its deadline, at which the lock lapses.
+        """
+        release = LockRelease(identity, NO_REQUEST, False, predecessor)
+        self._predecessors.add(release, self._placement.voters(identity), deadline_ms)
 
     def release(self, request: int, may_have_executed: bool = False) -> None:
         """End the lock of a request at once; `may_have_executed`: it must not be executed again."""
@@ -215,9 +229,13 @@
             heapq.heappush(self._schedule, (lock.deadline_ms, request))
 
     def abandon(self, request: int) -> None:
-        """Leave the lock of a request to the instance that continues it."""
+        """Leave the lock of a request to the instance that continues it.
+
+        That instance knows nothing of the request that this one continued.
+        """
         lock = self._locks.pop(request, None)
         if lock is not None:
+            self._release_predecessor_of(lock)
             _remember(self._abandoned, request, None)
 
     def take_decisions(self) -> list[LockDecision]:
@@ -316,11 +334,20 @@
         voters = lock.asked if lock.predecessor is None else lock.voters
         for voter in voters:
             self._releases.setdefault(voter, []).append(release)
+        self._release_predecessor_of(lock)
+
+    def _release_predecessor_of(self, lock: _LocalLock) -> None:
+        """End the lock that a request continued at voters that have not heard of the request yet."""
+        if lock.predecessor is not None:
+            self.release_predecessor(lock.identity, lock.predecessor, lock.deadline_ms)
 
     # ---- sending ---------------------------------------------------------------------------------
 
     def flush(self, now_ms: float) -> list[SendMessage]:
         """Return the messages to send: one to each voter for all requests since the last call."""
+        for voter, release in self._predecessors.take_due(now_ms):
+            self._releases.setdefault(voter, []).append(release)
+            self._releases_due_ms = now_ms
         if not self._unsent and now_ms < self._releases_due_ms:
             return []
         requests: dict[int, list[LockRequest]] = {}
@@ -414,7 +441,7 @@
     def next_timer_ms(self) -> float:
         """Time at which `handle_timers` is to be called at the latest; infinite without a lock."""
         scheduled_ms = self._schedule[0][0] if self._schedule else math.inf
-        return min(scheduled_ms, self._releases_due_ms)
+        return min(scheduled_ms, self._releases_due_ms, self._predecessors.next_timer_ms)
 
 
 def _remember(requests: OrderedDict[int, Any], request: int, value: Any) -> None:
--- a/anisefront/daemon/request_takeover.py
+++ b/anisefront/daemon/request_takeover.py
@@ -136,7 +136,7 @@
         """Let any instance have the lock to which the proxy may turn, unless the request may have been executed."""
         is_uncertain = replica.attempts and self.uncertain_outcome(replica) is Outcome.MAY_HAVE_EXECUTED
         if replica.excludes_duplicates and not is_uncertain:
-            self._locks.release_predecessor(replica.identity, owner)
+            self._locks.release_predecessor(replica.identity, owner, replica.deadline_ms)
 
     def _continue_own(self, record: RequestRecord, replica: ReplicatedRequest, prior_attempts: PriorAttempts) -> None:
         job = record.job()
--- a/tests/test_identity_locks.py
+++ b/tests/test_identity_locks.py
@@ -1,5 +1,6 @@
 """Identity locks, decided without I/O: votes, refusals, recovery of votes, and guards that the searches must miss."""
 
+import math
 import random
 
 import pytest
@@ -26,6 +27,7 @@
 from anisefront.cluster.lock_placement import LockPlacement
 from anisefront.cluster.lock_requester import WIDEN_MS, LockRequester
 from anisefront.cluster.lock_voter import LockVoter
+from anisefront.cluster.predecessor_releases import PredecessorReleases
 from anisefront.cluster.replication_codec import decode, encode
 
 IDENTITY = b"identity"
@@ -256,6 +258,56 @@
     assert cluster.decisions[1] == [LockRefused(1, (0,))] and not any(len(each) for each in cluster.voters.values())
 
 
+@pytest.mark.parametrize("is_continued", [False, True])
+def test_a_lost_release_of_a_failed_instances_lock_is_sent_again(is_continued):
+    # Guards against a lock that stands until its deadline: its owner is dead and is not told of the lost release.
+    cluster = Cluster(5)
+    failed, *voters = cluster.placement.voters(IDENTITY)
+    taker, other = set(range(5)) - {failed, *voters}
+    cluster.acquire(failed)
+    cluster.run(20.0)  # all voters know of it
+    cluster.run(40.0)
+    cluster.late = {failed}
+    predecessor = LockOwner(failed, 1, 1)
+    requester = cluster.requesters[taker]
+    if is_continued:  # and ends before the voters have heard of it
+        requester.acquire(cluster.now, IDENTITY, 1, DEADLINE_MS, predecessor=predecessor)
+        requester.release(1)
+    else:
+        requester.release_predecessor(IDENTITY, predecessor, DEADLINE_MS)
+    requester.flush(cluster.now)  # lost
+    cluster.acquire(other)
+    assert cluster.decisions[other] == [LockRefused(1, (failed,))]
+    cluster.run(40.0)
+    cluster.acquire(other, 2)
+    cluster.run(WIDEN_MS)
+    assert cluster.decisions[other][1:] == [LockHeld(2)]
+
+
+def test_releases_of_failed_instances_locks_end_at_their_deadlines():
+    releases = PredecessorReleases()
+    releases.add(LockRelease(IDENTITY, 0, False, OWNER), (1, 2, 3), DEADLINE_MS)
+    sent = [releases.take_due(now) for now in range(0, int(DEADLINE_MS) + 2000, 10)]
+    assert [voter for voter, _ in sent[0]] == [1, 2, 3] and 5 < sum(map(bool, sent)) < 20
+    assert len(releases) == 0 and releases.next_timer_ms == math.inf
+
+
+def test_who_gives_a_continued_request_up_releases_the_lock_that_it_continued(cluster):
+    # Guards against a lock that nobody knows of: the next instance continues the request, not the one before it.
+    failed, first, second = cluster.placement.voters(IDENTITY)
+    cluster.acquire(failed)
+    cluster.run(40.0)
+    cluster.run(40.0)
+    cluster.late = {failed, second}
+    cluster.acquire(first, predecessor=LockOwner(failed, 1, 1))  # one vote
+    cluster.requesters[first].abandon(1)
+    cluster.late = {failed}
+    cluster.run(40.0)
+    [next_one] = set(range(4)) - {failed, first, second}
+    cluster.acquire(next_one, predecessor=LockOwner(first, 1, 1))
+    assert cluster.decisions[next_one] == [LockHeld(1)]
+
+
 def test_a_vote_lapses_at_the_deadline_of_its_request(cluster):
     cluster.acquire(0)
     cluster.run(DEADLINE_MS)
--- a/tests/test_lost_owners.py
+++ b/tests/test_lost_owners.py
@@ -254,7 +254,7 @@
 
 def test_a_lost_release_of_a_lost_owners_lock_is_sent_again(cluster):
     # Guards against a wait until the deadline: the owner is dead and can't repeat the release.
-    cluster.requesters[cluster.taker].release_predecessor(IDENTITY, LockOwner(cluster.owner, 1, 1))
+    cluster.requesters[cluster.taker].release_predecessor(IDENTITY, LockOwner(cluster.owner, 1, 1), DEADLINE_MS)
     lose_next(cluster, cluster.taker, LockReleases, cluster.ranks)
     cluster.run()
     assert ask_until(cluster, cluster.third, DEADLINE_MS / 4)
@@ -287,7 +287,7 @@
 def test_a_single_vote_for_a_lost_owner_refuses_nobody_while_the_other_voter_is_waited_for(cluster):
     # Guards against a yield to a dead holder where a reply takes longer than the third voter is waited for.
     requester = cluster.requesters[cluster.taker]
-    requester.release_predecessor(IDENTITY, LockOwner(cluster.owner, 1, 1))
+    requester.release_predecessor(IDENTITY, LockOwner(cluster.owner, 1, 1), DEADLINE_MS)
     lose_next(cluster, cluster.taker, LockReleases, cluster.ranks[1:2])
     cluster.run()
     cluster.late = {cluster.owner, cluster.ranks[2]}
