A single vote against a request refuses it only after the third voter could reply

What callers saw: on a loaded machine a request yielded to a holder that had ended or died, while the third voter would have given it the majority.

Why it works: the order of contenders decides once all live voters have replied, or two questions were left without a reply. Which request has a majority is as before.

--- a/anisefront/cluster/lock_requester.py
+++ b/anisefront/cluster/lock_requester.py
@@ -413,7 +413,7 @@
 
     def _on_undecided(self, now_ms: float, lock: _LocalLock) -> None:
         preceding = [reply for reply in lock.refusals.values() if self._precedes(reply, lock)]
-        if preceding:
+        if preceding and self._has_heard_voters(lock):
             self._refuse(lock, preceding[0])
         elif now_ms >= lock.give_up_ms:
             self.counts["locks_unavailable"] += 1
@@ -426,6 +426,11 @@
             lock.retry_interval_ms = min(MAX_RETRY_MS, 2 * lock.retry_interval_ms)
             self._ask_all(now_ms, lock)
 
+    def _has_heard_voters(self, lock: _LocalLock) -> bool:
+        """Return whether all live voters have replied, or were asked twice: one of them may make a majority."""
+        replied = lock.votes.keys() | lock.refusals.keys()
+        return replied >= self._alive.intersection(lock.voters) or lock.retry_interval_ms > RETRY_MS
+
     def _note_unresponsive(self, now_ms: float, lock: _LocalLock) -> None:
         for voter in lock.asked:
             if voter not in lock.votes and voter not in lock.refusals:
