Each lock of a failed primary is continued by one request of its taker, or released

What callers saw: after a kill a request was refused everywhere until the deadline of the first one of its identity, also where that had never left.

Cause: a taker had several ways to do nothing with a request that it owned from then on: its record could not be read, the table had no room for it, it was taken over before and had yielded since, or a local request of the identity was there: one that had just been refused its lock, one whose lock another instance had inherited, or one that had the lock, while a voter still named the dead owner. Nobody continued or released the lock in any of them, and who asked for the outcome of one that may have been executed was not told.

Why it works: the taker inherits the lock first and the next request of the identity continues it; where none does, the lock is released, unless the request may have been executed: then those that wait are told so. Of several local requests of an identity one that another instance owns does not speak for it any more.

--- a/anisefront/cluster/primary.py
+++ b/anisefront/cluster/primary.py
@@ -286,7 +286,12 @@
     def has_lock(self, request: int) -> bool:
         """Return whether a request has the lock of its identity, so that no other of its identity has left."""
         local = self._requests.get(request)
-        return self._locks is not None and local is not None and local.is_locked
+        return self._locks is not None and local is not None and local.is_locked and not local.lost
+
+    def is_lost(self, request: int) -> bool:
+        """Return whether another instance owns a request: its last attempts may still bring a response here."""
+        local = self._requests.get(request)
+        return local is not None and local.lost
 
     def backup_of(self, request: int) -> int | None:
         """Return the number of the backup of a request."""
--- a/anisefront/daemon/duplicate_requests.py
+++ b/anisefront/daemon/duplicate_requests.py
@@ -50,7 +50,7 @@
         self._returning = returning
         self._counts = counts
         self._local: dict[int, LocalRequest] = {}
-        self._request_numbers: dict[bytes, int] = {}
+        self._request_numbers: dict[bytes, list[int]] = {}  # the first represents its identity
         self._waiting_instances: dict[bytes, set[int]] = {}
         self._followed: dict[bytes, int] = {}  # holders to which requests here have yielded
         self._asked_for_lock: set[bytes] = set()  # identities whose requests have asked for the lock again just now
@@ -62,19 +62,35 @@
     def add(self, request: int, identity: bytes, idempotency: Idempotency) -> None:
         """Add a request; the first one of an identity represents it."""
         self._local[request] = LocalRequest(identity, idempotency)
-        self._request_numbers.setdefault(identity, request)
+        self._request_numbers.setdefault(identity, []).append(request)
+
+    def demote(self, request: int) -> None:
+        """Let any other request of its identity represent it: this one is another instance's now."""
+        local = self._local.get(request)
+        if local is not None:
+            numbers = self._request_numbers[local.identity]
+            numbers.remove(request)
+            numbers.append(request)
+
+    def represents(self, request: int) -> bool:
+        """Return whether a request represents its identity."""
+        local = self._local.get(request)
+        return local is not None and self._request_numbers[local.identity][0] == request
 
     def remove(self, request: int) -> LocalRequest | None:
-        """Remove a request, and return it if it represents its identity."""
+        """Remove a request, and return it."""
         local = self._local.pop(request, None)
-        if local is None or self._request_numbers.get(local.identity) != request:
-            return None
-        del self._request_numbers[local.identity]
+        if local is not None:
+            numbers = self._request_numbers[local.identity]
+            numbers.remove(request)
+            if not numbers:
+                del self._request_numbers[local.identity]
         return local
 
     def request_number(self, identity: bytes) -> int | None:
-        """Return the number of the request in flight here that has this identity."""
-        return self._request_numbers.get(identity)
+        """Return the number of the request in flight here that represents this identity."""
+        numbers = self._request_numbers.get(identity)
+        return numbers[0] if numbers else None
 
     # ---- instances that wait for an outcome ------------------------------------------------------
 
@@ -109,6 +125,12 @@
         while len(self._outcomes) > MAX_OUTCOMES:
             self._outcomes.popitem(last=False)
 
+    def end(self, identity: bytes, outcome: Outcome) -> None:
+        """End the wait of all requests of an identity, here and elsewhere, without a response."""
+        self.remember(identity, outcome)
+        self._returning.ended_elsewhere(identity, outcome is not Outcome.NEVER_EXECUTED)
+        self.notify(identity, outcome)
+
     def on_query(self, sender: int, identity: bytes, is_replicated_here: bool, precedes: bool = False) -> None:
         """Answer an outcome query, now or when the outcome is known.
 
@@ -192,7 +214,7 @@
         self._followed[identity] = informed[0]
         remaining = tuple(number for number in informed if not self.is_gone(number))
         if not remaining or queries >= MAX_QUERIES:
-            self._ask_for_lock_again(identity)
+            self.ask_for_lock_again(identity)
             return
         for number in remaining if queries >= HOLDER_QUERIES else remaining[:1]:
             self._counts["asked_again"] += 1
@@ -200,13 +222,13 @@
         interval_s = min(MAX_QUERY_INTERVAL_S, QUERY_INTERVAL_S * 2**queries)
         self._reactor.callLater(_jittered(identity, interval_s), self.follow, identity, remaining, queries + 1)
 
-    def _ask_for_lock_again(self, identity: bytes) -> None:
+    def ask_for_lock_again(self, identity: bytes) -> None:
         """Let the requests that wait for an identity ask for its lock, once an interval at most.
 
         The voters may name the same holder each time: the lock of one that is lost stands until its deadline.
         """
         if identity in self._asked_for_lock:
-            self._reactor.callLater(_jittered(identity, QUERY_INTERVAL_S), self._ask_for_lock_again, identity)
+            self._reactor.callLater(_jittered(identity, QUERY_INTERVAL_S), self.ask_for_lock_again, identity)
             return
         self._asked_for_lock.add(identity)
         self._reactor.callLater(QUERY_INTERVAL_S, self._asked_for_lock.discard, identity)
--- a/anisefront/daemon/inherited_locks.py
+++ b/anisefront/daemon/inherited_locks.py
@@ -1,4 +1,4 @@
-"""Locks of failed instances' requests that continue here, until the request that continues one asks for it."""
+"""Locks of failed instances' requests that are to be continued here, until a request asks for them or they lapse."""
 
 from __future__ import annotations
 
@@ -9,7 +9,14 @@
 from anisefront.cluster.lock_messages import LockOwner
 
 
-class _InheritedLock(NamedTuple):
+class InheritedLock(NamedTuple):
+    """Lock of a failed instance's request.
+
+    Attributes:
+        owner: The request.
+        deadline_ms: Its deadline.
+    """
+
     owner: LockOwner
     deadline_ms: float
 
@@ -20,15 +27,20 @@
     def __init__(self, now_ms: Callable[[], float]) -> None:
         """Start without locks."""
         self._now_ms = now_ms
-        self._locks: OrderedDict[bytes, _InheritedLock] = OrderedDict()
+        self._locks: OrderedDict[bytes, InheritedLock] = OrderedDict()
+
+    def __contains__(self, identity: object) -> bool:
+        """Whether a lock of an identity waits for a request that continues it."""
+        return identity in self._locks
 
-    def add(self, identity: bytes, owner: LockOwner, deadline_ms: float) -> None:
-        """Remember the owner until the deadline of its request."""
+    def add(self, identity: bytes, lock: InheritedLock) -> InheritedLock | None:
+        """Remember a lock until its deadline; returns the one of this identity that it replaces."""
         while self._locks and next(iter(self._locks.values())).deadline_ms <= self._now_ms():
             self._locks.popitem(last=False)
-        self._locks[identity] = _InheritedLock(owner, deadline_ms)
+        replaced = self._locks.pop(identity, None)
+        self._locks[identity] = lock
+        return replaced
 
-    def take(self, identity: bytes) -> LockOwner | None:
-        """Remove and return the owner whose lock the next request of an identity continues."""
-        lock = self._locks.pop(identity, None)
-        return lock.owner if lock is not None else None
+    def take(self, identity: bytes) -> InheritedLock | None:
+        """Remove and return the lock that the next request of an identity continues."""
+        return self._locks.pop(identity, None)
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -146,7 +146,8 @@
         accepted = self._accepted(now_ms, entry)
         if accepted.excludes_duplicates:
             self.duplicates.add(accepted.request, accepted.identity, self._idempotency(entry.arrival.class_name))
-        predecessor = self.takeover.inherited_locks.take(accepted.identity)
+        inherited = self.takeover.inherited_locks.take(accepted.identity)
+        predecessor = inherited.owner if inherited is not None else None
         has_yielded = self._has_yielded(now_ms, accepted.identity)
         reason = self._replicate(now_ms, accepted, predecessor, has_yielded, _prior_attempts(entry))
         if reason is None:
@@ -156,6 +157,8 @@
         is_required = reason == NO_BACKUP and not self.primary.may_run_unprotected(accepted)
         if is_required or entry.arrival.class_name in self._protected_only:
             self.duplicates.remove(accepted.request)
+            if inherited is not None:
+                self.locks.release_predecessor(accepted.identity, *inherited)
             return False
         self.primary.accept_without_backup(now_ms, accepted, predecessor, has_yielded)
         return True
@@ -206,13 +209,14 @@
     def request_completed(self, request: int) -> None:
         """Record that a request has ended."""
         may_have_executed = self._may_have_executed(request)
+        represents_identity = self.duplicates.represents(request)
         local = self.duplicates.remove(request)
         # The class may have been changed since: the idempotency at acceptance decides.
         is_uncertain = may_have_executed and local is not None and local.idempotency is Idempotency.NON_IDEMPOTENT
         is_retained = local is not None and local.identity in self.returning
         had_lock = self.primary.has_lock(request)
         self.primary.complete(self._clock(), request, is_uncertain, is_uncertain and is_retained)
-        if local is None or request == self._yielding:
+        if local is None or not represents_identity or request == self._yielding:
             return  # those who wait for one that yields are told when the outcome of the other is known
         outcome = Outcome.MAY_HAVE_EXECUTED if is_uncertain else Outcome.NEVER_EXECUTED
         if had_lock:  # others may have been refused on its behalf and ask later
@@ -273,7 +277,10 @@
         """Let a request wait that yields to another of its identity."""
         digest = self._identity(customer, identity)
         self.duplicates.wait_here(digest, job, deadline_at_ms, done, go_on, None)
-        self.duplicates.follow(digest, self._informed)
+        if digest in self.takeover.inherited_locks:  # that of the holder, which was taken over here meanwhile
+            self.duplicates.ask_for_lock_again(digest)
+        else:
+            self.duplicates.follow(digest, self._informed)
 
     def _other_locks(self, now_ms: float) -> Iterator[KnownLock]:
         yield from self.locks.known_locks(now_ms)
@@ -454,6 +461,7 @@
             case actions.DeliverRejection(request):
                 self._request_table.release_rejection(request)
             case actions.LoseOwnership(request):
+                self.duplicates.demote(request)
                 self._request_table.transfer_to_backup(request)
             case actions.YieldToDuplicate(request, informed):
                 self._yield_to_duplicate(request, informed)
--- a/anisefront/daemon/request_takeover.py
+++ b/anisefront/daemon/request_takeover.py
@@ -15,7 +15,7 @@
 from anisefront.cluster.primary import Primary
 from anisefront.cluster.replication_messages import NO_IDENTITY, Outcome
 from anisefront.daemon.duplicate_requests import DuplicateRequests
-from anisefront.daemon.inherited_locks import InheritedLocks
+from anisefront.daemon.inherited_locks import InheritedLock, InheritedLocks
 from anisefront.daemon.request_records import RequestRecord, content_digest, decode_record
 from anisefront.gateway.request_table import RequestTable
 from anisefront.gateway.request_terms import RequestTerms
@@ -95,26 +95,24 @@
         return False
 
     def take_over(self, primary: int, incarnation: int, replica: ReplicatedRequest) -> None:
-        """Continue a request of a failed primary."""
+        """Continue a request of a failed primary.
+
+        Its lock is continued by exactly one request here, or released: its owner does neither any more.
+        """
         owner = LockOwner(primary, incarnation, replica.request)
         self._counts["taken_over"] += 1
         if replica.deadline_ms <= self._clock():
-            self._counts["taken_too_late"] += 1
+            self._counts["taken_too_late"] += 1  # its lock has lapsed
             return
         record = decode_record(replica.record, self._classes)
         if record is None:
             self._counts["records_unreadable"] += 1
+            self._release_unless_uncertain(replica, owner)
             return
         local_request = self._duplicates.request_number(replica.identity)
-        if local_request is not None:
-            # The local request has yielded to that of the failed primary and is still here: only one may continue.
+        if local_request is not None and not self._primary.is_lost(local_request):
             self._counts["taken_in_hand"] += 1
-            if self._primary.has_lock(local_request):
-                return  # so no attempt of the other has left
-            if replica.attempts and not self._has_idempotency_key(replica):
-                self._request_table.transfer_to_backup(local_request)
-            else:
-                self._locks.continue_predecessor(self._clock(), local_request, owner)
+            self._continue_local(local_request, replica, owner)
             return
         prior_attempts = _prior_attempts(replica)
         self._log.info(
@@ -124,28 +122,53 @@
             request=replica.request,
             attempts=prior_attempts.attempts,
         )
-        if replica.excludes_duplicates:
-            self.inherited_locks.add(replica.identity, owner, replica.deadline_ms)
         if record.carrier == OWN_POOL:
-            self._continue_own(record, replica, prior_attempts)
+            self._continue_own(record, replica, owner, prior_attempts)
         else:
+            self._inherit_lock(replica, owner)
             self._continue_delegated(record, replica, prior_attempts)
             self._release_unless_uncertain(replica, owner)
 
+    def _inherit_lock(self, replica: ReplicatedRequest, owner: LockOwner) -> None:
+        """Let the next request of an identity that is accepted here continue the lock."""
+        if not replica.excludes_duplicates:
+            return
+        replaced = self.inherited_locks.add(replica.identity, InheritedLock(owner, replica.deadline_ms))
+        if replaced is not None and replaced.owner != owner:
+            self._locks.release_predecessor(replica.identity, *replaced)
+
+    def _is_uncertain(self, replica: ReplicatedRequest) -> bool:
+        """Return whether no other request of its identity may run, since it may have been executed."""
+        return bool(replica.attempts) and self.uncertain_outcome(replica) is Outcome.MAY_HAVE_EXECUTED
+
     def _release_unless_uncertain(self, replica: ReplicatedRequest, owner: LockOwner) -> None:
-        """Let any instance have the lock to which the proxy may turn, unless the request may have been executed."""
-        is_uncertain = replica.attempts and self.uncertain_outcome(replica) is Outcome.MAY_HAVE_EXECUTED
-        if replica.excludes_duplicates and not is_uncertain:
+        """Let any instance have the lock of a request that is not continued here, unless it may have been executed."""
+        if replica.excludes_duplicates and not self._is_uncertain(replica):
             self._locks.release_predecessor(replica.identity, owner, replica.deadline_ms)
 
-    def _continue_own(self, record: RequestRecord, replica: ReplicatedRequest, prior_attempts: PriorAttempts) -> None:
+    def _continue_local(self, local_request: int, replica: ReplicatedRequest, owner: LockOwner) -> None:
+        """Let the local request of this identity continue in place of the failed primary's, or fail."""
+        if self._primary.has_lock(local_request):  # so no attempt of the other has left
+            self._locks.release_predecessor(replica.identity, owner, replica.deadline_ms)
+        elif self._is_uncertain(replica):
+            self._duplicates.remember(replica.identity, Outcome.MAY_HAVE_EXECUTED)
+            self._request_table.transfer_to_backup(local_request)
+        elif not self._locks.continue_predecessor(self._clock(), local_request, owner):
+            self._inherit_lock(replica, owner)  # it was refused its lock, and asks for it again at once
+
+    def _continue_own(
+        self, record: RequestRecord, replica: ReplicatedRequest, owner: LockOwner, prior_attempts: PriorAttempts
+    ) -> None:
         job = record.job()
         if job is None:
             self._counts["records_unreadable"] += 1
+            self._release_unless_uncertain(replica, owner)
             return
         identity = replica.identity
         if identity != NO_IDENTITY and not self._returning.add(identity, content_digest(job), replica.deadline_ms):
-            return  # its client has retried here before: that request is in flight or has its response
+            self._continue_waiting(replica, owner)
+            return
+        self._inherit_lock(replica, owner)
         self._own.resume(
             job,
             lambda answer: self._on_response(identity, answer),
@@ -153,11 +176,23 @@
             record.identity,
             prior_attempts,
         )
+        if self.inherited_locks.take(identity) is not None:  # it was not accepted
+            self._release_unless_uncertain(replica, owner)
         local_request = self._duplicates.request_number(identity)
         if local_request is not None:  # its new backup may have clients waiting for this identity
             backup = self._primary.backup_of(local_request)
             self._duplicates.wait_for(identity, set() if backup is None else {backup})
 
+    def _continue_waiting(self, replica: ReplicatedRequest, owner: LockOwner) -> None:
+        """Continue by the request of this identity that was taken over before: it is answered, or has yielded."""
+        if self._returning.response_of(replica.identity) is not None:
+            self._release_unless_uncertain(replica, owner)
+        elif self._is_uncertain(replica):
+            self._duplicates.end(replica.identity, Outcome.MAY_HAVE_EXECUTED)
+        else:
+            self._inherit_lock(replica, owner)
+            self._duplicates.ask_for_lock_again(replica.identity)
+
     def _continue_delegated(
         self, record: RequestRecord, replica: ReplicatedRequest, prior_attempts: PriorAttempts
     ) -> None:
