A holder that was taken for dead for a while is asked for its outcome again

What callers saw: a duplicate waited for 3 to 4 s for an outcome that was there, and got "failed" then.

Cause: who has yielded asks the holder of the lock and its backup, and left out for good who was believed dead at one question. A holder whose event loop had stood still for some 0.5 s was back at once and was not asked again; its backup knew nothing.

The test failed before.

Why it works: each question looks anew at who is alive. A later yield of the identity ends the questions of the earlier one.

--- a/anisefront/daemon/duplicate_requests.py
+++ b/anisefront/daemon/duplicate_requests.py
@@ -8,6 +8,7 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, NamedTuple
 
 from anisefront.cluster.replication_codec import MAX_RECORD_BYTES, encode
@@ -34,6 +35,24 @@
     idempotency: Idempotency
 
 
+@dataclass(slots=True, eq=False)
+class _Following:
+    """Queries of the outcome to which a request here has yielded.
+
+    Attributes:
+        informed: The holder of the lock and its backup.
+        queries: How often it was queried.
+    """
+
+    informed: tuple[int, ...]
+    queries: int = 0
+
+    @property
+    def holder(self) -> int:
+        """The holder of the lock."""
+        return self.informed[0]
+
+
 class DuplicateRequests:
     """Requests in flight here by identity, and the instances that wait for their outcome.
 
@@ -52,7 +71,7 @@
         self._local: dict[int, LocalRequest] = {}
         self._request_numbers: dict[bytes, list[int]] = {}  # the first represents its identity
         self._waiting_instances: dict[bytes, set[int]] = {}
-        self._followed: dict[bytes, int] = {}  # holders to which requests here have yielded
+        self._followed: dict[bytes, _Following] = {}  # holders to which requests here have yielded
         self._asked_for_lock: set[bytes] = set()  # identities whose requests have asked for the lock again just now
         self._uncertain: set[bytes] = set()  # completed, and their primaries were queried for the response
         self._outcomes: OrderedDict[bytes, Outcome] = OrderedDict()  # last sent, of identities without a response here
@@ -151,7 +170,8 @@
             self.notify(identity, Outcome.MAY_HAVE_EXECUTED)  # what is stored here of others waits for that, too
         elif not in_progress and self._returning.is_awaited(identity):
             # Ours has yielded to another. If that is the sender's, which has yielded to ours, one has to go on.
-            if precedes and self._followed.get(identity) == sender:
+            following = self._followed.get(identity)
+            if precedes and following is not None and following.holder == sender:
                 self.notify(identity, Outcome.NEVER_EXECUTED)
         elif not in_progress and identity not in self._returning:
             del self._waiting_instances[identity]  # the outcome is not known: no reply is better than a wrong one
@@ -197,7 +217,7 @@
         """Return whether a request here has yielded to the holder of the lock of an identity, and waits."""
         return identity in self._followed and self._returning.is_awaited(identity)
 
-    def follow(self, identity: bytes, informed: tuple[int, ...], queries: int = 0) -> None:
+    def follow(self, identity: bytes, informed: tuple[int, ...]) -> None:
         """Query the outcome to which a request here has yielded, now and again until it is known.
 
         The holder of the lock comes first; its backup knows the outcome only where the holder is lost. Where none is
@@ -206,21 +226,27 @@
         Args:
             identity: The identity.
             informed: The holder and its backup.
-            queries: How often the outcome was queried before.
         """
+        following = _Following(informed)
+        self._followed[identity] = following
+        self._query_holder(identity, following)
+
+    def _query_holder(self, identity: bytes, following: _Following) -> None:
+        if self._followed.get(identity) is not following:
+            return  # the request has asked for its lock since, and was refused by another holder
         if not self._returning.is_awaited(identity):
-            self._followed.pop(identity, None)
+            del self._followed[identity]
             return
-        self._followed[identity] = informed[0]
-        remaining = tuple(number for number in informed if not self.is_gone(number))
-        if not remaining or queries >= MAX_QUERIES:
+        remaining = [number for number in following.informed if not self.is_gone(number)]
+        if not remaining or following.queries >= MAX_QUERIES:
             self.ask_for_lock_again(identity)
             return
-        for number in remaining if queries >= HOLDER_QUERIES else remaining[:1]:
+        for number in remaining if following.queries >= HOLDER_QUERIES else remaining[:1]:
             self._counts["asked_again"] += 1
             self._send(number, encode(OutcomeQuery(identity)))
-        interval_s = min(MAX_QUERY_INTERVAL_S, QUERY_INTERVAL_S * 2**queries)
-        self._reactor.callLater(_jittered(identity, interval_s), self.follow, identity, remaining, queries + 1)
+        interval_s = min(MAX_QUERY_INTERVAL_S, QUERY_INTERVAL_S * 2**following.queries)
+        following.queries += 1
+        self._reactor.callLater(_jittered(identity, interval_s), self._query_holder, identity, following)
 
     def ask_for_lock_again(self, identity: bytes) -> None:
         """Let the requests that wait for an identity ask for its lock, once an interval at most.
--- a/tests/test_duplicate_requests.py
+++ b/tests/test_duplicate_requests.py
@@ -120,3 +120,15 @@
     ask()
     backup.clock.pump([0.05] * 100)
     assert 5 <= len(backup.anew) <= 25
+
+
+def test_a_holder_that_was_taken_for_dead_for_a_while_is_asked_again(backup):
+    # Guards against seconds of waiting: only the backup was asked from then on, which knew nothing.
+    dead = {PRIMARY}
+    backup.duplicates.is_gone = dead.__contains__
+    backup.returning.wait_for_outcome(NAME, b"", 8000.0, backup.answers.append, lambda: backup.anew.append(NAME))
+    backup.duplicates.follow(NAME, (PRIMARY, OTHER))
+    assert [receiver for receiver, _ in backup.sent] == [OTHER]
+    dead.clear()
+    backup.clock.advance(0.5)
+    assert backup.sent[-1] == (PRIMARY, OutcomeQuery(NAME))
