Who waits for a request of which nothing is known asks for its lock, a few times a second

What callers saw: a duplicate waited for up to 4 s, or until its deadline, for a request that had ended, had yielded or had moved to another backup. Others asked for their lock some 150 times in 4 s, each time as a new request.

Cause: an instance that knows nothing of an identity did not reply to a question for its outcome, as a wrong reply could let a request of an earlier version run; a backup went on calling a request in progress that its primary had moved away, and a client that waits there asked the dead primary alone. Where an end was remembered as never executed, each refusal led to a question and each reply to the next request at once.

Why it works: who asks for locks is told "never executed" and asks the voters, who decide.

--- a/anisefront/cluster/backup.py
+++ b/anisefront/cluster/backup.py
@@ -100,6 +100,14 @@
     def _first_stored(self, identity: bytes) -> RequestKey | None:
         return next(iter(self._by_identity.get(identity, ())), None)
 
+    def stores(self, identity: bytes) -> bool:
+        """Return whether a request of an identity is stored here, and would be taken over."""
+        return any(
+            key.request in epoch.requests
+            for key in self._by_identity.get(identity, ())
+            if (epoch := self._epochs(key.primary, key.primary_incarnation).get(key.epoch)) is not None
+        )
+
     def known_locks(self, now_ms: float) -> Iterator[KnownLock]:
         """Yield the locks that the primaries of the stored requests hold, or ask for."""
         for (primary, incarnation), epochs in self._primaries.items():
--- a/anisefront/daemon/duplicate_requests.py
+++ b/anisefront/daemon/duplicate_requests.py
@@ -64,6 +64,7 @@
     ) -> None:
         """Start without requests."""
         self.is_gone: Callable[[int], bool] = lambda number: False  # whether an instance is dead or has left
+        self.is_stored: Callable[[bytes], bool] = lambda identity: False  # whether this backup stores a request of it
         self._send = send
         self._reactor = reactor
         self._returning = returning
@@ -72,7 +73,8 @@
         self._request_numbers: dict[bytes, list[int]] = {}  # the first represents its identity
         self._waiting_instances: dict[bytes, set[int]] = {}
         self._followed: dict[bytes, _Following] = {}  # holders to which requests here have yielded
-        self._asked_for_lock: set[bytes] = set()  # identities whose requests have asked for the lock again just now
+        # Identities whose requests have asked for the lock just now, and whether they are to ask again.
+        self._asked_for_lock: dict[bytes, bool] = {}
         self._uncertain: set[bytes] = set()  # completed, and their primaries were queried for the response
         self._outcomes: OrderedDict[bytes, Outcome] = OrderedDict()  # last sent, of identities without a response here
 
@@ -150,7 +152,14 @@
         self._returning.ended_elsewhere(identity, outcome is not Outcome.NEVER_EXECUTED)
         self.notify(identity, outcome)
 
-    def on_query(self, sender: int, identity: bytes, is_replicated_here: bool, precedes: bool = False) -> None:
+    def on_query(
+        self,
+        sender: int,
+        identity: bytes,
+        is_replicated_here: bool,
+        precedes: bool = False,
+        uses_locks: bool = False,
+    ) -> None:
         """Answer an outcome query, now or when the outcome is known.
 
         Args:
@@ -158,6 +167,7 @@
             identity: The identity.
             is_replicated_here: Whether a request of it is stored here.
             precedes: Whether the sender comes before this instance where two yield to each other.
+            uses_locks: Whether the sender asks for locks: then it may ask for its own where nothing is known here.
         """
         self.wait_for(identity, {sender})
         in_progress = is_replicated_here or identity in self._request_numbers or identity in self._uncertain
@@ -168,6 +178,8 @@
             self.notify(identity, self._outcomes[identity])
         elif self._outcomes.get(identity) is Outcome.MAY_HAVE_EXECUTED and identity not in self._request_numbers:
             self.notify(identity, Outcome.MAY_HAVE_EXECUTED)  # what is stored here of others waits for that, too
+        elif not in_progress and uses_locks:
+            self.notify(identity, Outcome.NEVER_EXECUTED)
         elif not in_progress and self._returning.is_awaited(identity):
             # Ours has yielded to another. If that is the sender's, which has yielded to ours, one has to go on.
             following = self._followed.get(identity)
@@ -254,12 +266,16 @@
         The voters may name the same holder each time: the lock of one that is lost stands until its deadline.
         """
         if identity in self._asked_for_lock:
-            self._reactor.callLater(_jittered(identity, QUERY_INTERVAL_S), self.ask_for_lock_again, identity)
+            self._asked_for_lock[identity] = True
             return
-        self._asked_for_lock.add(identity)
-        self._reactor.callLater(QUERY_INTERVAL_S, self._asked_for_lock.discard, identity)
+        self._asked_for_lock[identity] = False
+        self._reactor.callLater(_jittered(identity, QUERY_INTERVAL_S), self._on_asking_interval_over, identity)
         self._returning.ended_elsewhere(identity, may_have_run=False)
 
+    def _on_asking_interval_over(self, identity: bytes) -> None:
+        if self._asked_for_lock.pop(identity):
+            self.ask_for_lock_again(identity)
+
     def _query(self, identity: bytes, informed: int, interval_s: float) -> None:
         """Query an outcome while a request waits for it.
 
@@ -268,6 +284,9 @@
         """
         if not self._returning.is_awaited(identity):
             return
+        if self.is_gone(informed) and not self.is_stored(identity):
+            self.ask_for_lock_again(identity)  # its primary had moved it to another backup
+            return
         self._counts["asked_again"] += 1
         self._send(informed, encode(OutcomeQuery(identity)))
         interval_s = min(MAX_QUERY_INTERVAL_S, 2 * interval_s)
@@ -279,9 +298,12 @@
         if answer is not None:
             self._returning.responded_elsewhere(reply.identity, answer)
             self.notify(reply.identity, Outcome.RESPONDED, answer)
+            return
+        if reply.outcome is Outcome.NEVER_EXECUTED:
+            self.ask_for_lock_again(reply.identity)
         else:
-            self._returning.ended_elsewhere(reply.identity, reply.outcome is not Outcome.NEVER_EXECUTED)
-            self.notify(reply.identity, reply.outcome)
+            self._returning.ended_elsewhere(reply.identity, may_have_run=True)
+        self.notify(reply.identity, reply.outcome)
 
 
 def _jittered(identity: bytes, interval_s: float) -> float:
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -97,6 +97,7 @@
         self.counts: Counter[str] = Counter()
         self.duplicates = DuplicateRequests(self._send_or_loop_back, reactor, self.returning, self.counts)
         self.duplicates.is_gone = self._is_gone
+        self.duplicates.is_stored = self.backup.stores
         self.takeover = RequestTakeover(
             clock, log, self.primary, self.locks, self.returning, self.duplicates, self.counts
         )
@@ -370,9 +371,13 @@
         if isinstance(message, OutcomeReply):
             self.duplicates.on_reply(message)
         elif isinstance(message, OutcomeQuery):
-            is_replicated_here = self._is_in_flight_elsewhere(message.identity)
+            uses_locks = self.voter.uses_locks(sender, incarnation)
+            # Who asks for locks need not wait for a request that its primary has moved to another backup.
+            is_replicated_here = (
+                self.backup.stores(message.identity) if uses_locks else self._is_in_flight_elsewhere(message.identity)
+            )
             precedes = self._precedes(message.identity, sender)
-            self.duplicates.on_query(sender, message.identity, is_replicated_here, precedes)
+            self.duplicates.on_query(sender, message.identity, is_replicated_here, precedes, uses_locks)
         else:
             now_ms = self._clock()
             if isinstance(message, LockReplies):
--- a/tests/test_duplicate_requests.py
+++ b/tests/test_duplicate_requests.py
@@ -132,3 +132,28 @@
     dead.clear()
     backup.clock.advance(0.5)
     assert backup.sent[-1] == (PRIMARY, OutcomeQuery(NAME))
+
+
+@pytest.mark.parametrize("uses_locks", [True, False])
+def test_who_asks_for_locks_is_told_where_nothing_is_known(backup, uses_locks):
+    # Guards against seconds of waiting: silence is right only where the other would run without asking the voters.
+    backup.duplicates.on_query(OTHER, NAME, is_replicated_here=False, uses_locks=uses_locks)
+    assert backup.sent == [(OTHER, OutcomeReply(NAME, Outcome.NEVER_EXECUTED))] * uses_locks
+
+
+def test_a_client_that_waits_at_a_former_backup_asks_for_the_lock_when_the_primary_is_lost(backup):
+    # Guards against a wait until the deadline: the primary had moved its request to another backup, and was killed.
+    backup.duplicates.is_gone = lambda number: number == PRIMARY
+    backup.wait()
+    backup.clock.advance(1.0)
+    assert backup.anew == [NAME]
+
+
+def test_requests_that_ask_for_a_lock_again_do_so_together_after_an_interval(backup):
+    # Guards against hundreds of requests a second: each refusal led to a query, whose reply led to the next request.
+    for _ in range(50):
+        backup.returning.wait_for_outcome(NAME, b"", 8000.0, backup.answers.append, lambda: backup.anew.append(NAME))
+        backup.duplicates.on_reply(OutcomeReply(NAME, Outcome.NEVER_EXECUTED))
+    assert len(backup.anew) == 1
+    backup.clock.advance(1.0)
+    assert len(backup.anew) == 50
