A backup that knows of the end of a lost primary's request releases its lock

What callers saw: a request was refused until the deadline of the first one of its identity, where the first had ended just before its instance was killed.

Cause: a primary tells its backup of the end at once and releases the lock a little later. If it is killed in between no instance has the request any more, and the lock names an owner that is dead and a backup that remembers nothing.

Why it works: the backup remembers ends until the deadline. Asked for an outcome after the primary has failed, it releases the lock, or tells that the request may have been executed.

--- a/anisefront/cluster/backup.py
+++ b/anisefront/cluster/backup.py
@@ -326,7 +326,7 @@
 
     def _release(self, epoch: BackupEpoch, stored: ReplicatedRequest) -> None:
         self._remove(epoch, stored)
-        self._actions.append(ReleaseRequest(epoch.key.primary, stored))
+        self._actions.append(ReleaseRequest(epoch.key.primary, epoch.key.primary_incarnation, stored))
 
     def _remove(self, epoch: BackupEpoch, stored: ReplicatedRequest) -> None:
         del epoch.requests[stored.request]
--- a/anisefront/cluster/replication_actions.py
+++ b/anisefront/cluster/replication_actions.py
@@ -78,6 +78,7 @@
     """A request of a primary is replicated here no longer, and not owned here: completed, or expired."""
 
     primary: int
+    primary_incarnation: int
     replica: ReplicatedRequest
 
 
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -34,6 +34,7 @@
 )
 from anisefront.cluster.witness import Witness
 from anisefront.config.types import Config
+from anisefront.daemon.completed_requests import CompletedRequest, CompletedRequests
 from anisefront.daemon.deferred_timer import DeferredTimer
 from anisefront.daemon.duplicate_requests import DuplicateRequests
 from anisefront.daemon.message_bundles import bundles, unbundle
@@ -101,6 +102,7 @@
         self.takeover = RequestTakeover(
             clock, log, self.primary, self.locks, self.returning, self.duplicates, self.counts
         )
+        self.completed = CompletedRequests()
         self.update_config(config)
         self._timer = DeferredTimer(reactor, clock, self._on_timer, STALL_MS)
         self._is_processing = False
@@ -377,6 +379,7 @@
                 self.backup.stores(message.identity) if uses_locks else self._is_in_flight_elsewhere(message.identity)
             )
             precedes = self._precedes(message.identity, sender)
+            self._release_if_completed(message.identity)
             self.duplicates.on_query(sender, message.identity, is_replicated_here, precedes, uses_locks)
         else:
             now_ms = self._clock()
@@ -474,8 +477,8 @@
                 self._request_table.reject_unprotected(request)
             case actions.NotifyLater(primary, identity):
                 self.duplicates.add_waiting_instance(identity, primary)
-            case actions.ReleaseRequest(primary, replica):
-                self._on_released(primary, replica)
+            case actions.ReleaseRequest(primary, incarnation, replica):
+                self._on_released(LockOwner(primary, incarnation, replica.request), replica)
             case actions.TakeOver(primary, incarnation, replica):
                 self.takeover.take_over(primary, incarnation, replica)
 
@@ -495,21 +498,33 @@
         self._informed = ()
         self._yielding = None
 
-    def _on_released(self, primary: int, replica: ReplicatedRequest) -> None:
+    def _on_released(self, owner: LockOwner, replica: ReplicatedRequest) -> None:
         """Let the requests continue that wait for one which is not stored here any more."""
         if not replica.excludes_duplicates:
             return
         outcome = self.takeover.uncertain_outcome(replica) if replica.attempts else Outcome.NEVER_EXECUTED
-        if outcome is Outcome.MAY_HAVE_EXECUTED:
+        is_uncertain = outcome is Outcome.MAY_HAVE_EXECUTED
+        self.completed.add(replica.identity, CompletedRequest(owner, replica.deadline_ms, is_uncertain))
+        if is_uncertain:
             # Other requests of the identity that are stored here wait as those do that are told.
-            self.duplicates.end_uncertain(replica.identity, primary, lambda identity: False)
+            self.duplicates.end_uncertain(replica.identity, owner.number, lambda identity: False)
         elif not self._is_in_flight_elsewhere(replica.identity):
             # Who has yielded to the holder of the lock is told by the holder: this one may have yielded as well.
             if not self.duplicates.is_followed(replica.identity):
                 self.returning.ended_elsewhere(replica.identity, may_have_run=False)
-            if not self.voter.uses_locks(primary, 1):
+            if not self.voter.uses_locks(owner.number, 1):
                 self.duplicates.notify(replica.identity, outcome)
 
+    def _release_if_completed(self, identity: bytes) -> None:
+        """Release the lock of a completed request whose primary has failed since, or tell that it may have executed."""
+        completed = self.completed.get(self._clock(), identity)
+        if completed is None or not self._is_gone(completed.owner.number):
+            return
+        if completed.is_uncertain:
+            self.duplicates.remember(identity, Outcome.MAY_HAVE_EXECUTED)
+        else:
+            self.locks.release_predecessor(identity, completed.owner, completed.deadline_ms)
+
     # ---- state -----------------------------------------------------------------------------------
 
     def state(self) -> dict[str, Any]:
