Quota: units of one debit are put back once, however often they are refunded

What callers saw: a customer could have more than its quota, by the units of a request for each further refund of it. No hard ceiling was passed: the ceiling's bucket takes no refunds.

Cause: QuotaBucket.refund asked whether a debit is known and left it as it was. No repeated datagram is needed: a request whose owner replies late takes its units at its own instance and is refunded when it ends without an attempt; the owner's grant comes after that, finds no request, and is refunded as well.

Evidence: both new tests failed before (level 4 where 2 is due, 8 where 7 is due).

Why it works: a debit knows what of it was not put back, and a refund puts back that at most.

--- a/anisefront/policy/quota_bucket.py
+++ b/anisefront/policy/quota_bucket.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from anisefront.policy.decay import decay_factor, rate_per_s
 from anisefront.policy.quota_parameters import (
@@ -19,6 +20,13 @@
 MIN_DEBIT_MEMORY = 64  # debits, below which none is forgotten
 
 
+class Debit(NamedTuple):
+    """Units that a request has taken."""
+
+    made_ms: float
+    refundable_units: float  # those that were not put back
+
+
 @dataclass(slots=True, eq=False)
 class QuotaBucket:
     """Levels, leases and waiting requests of one customer."""
@@ -30,7 +38,7 @@
     demand: float = 0.0  # decayed count of units requested by all borrowers
     queue: QuotaRequestQueue = field(default_factory=QuotaRequestQueue)
     leases: dict[QuotaRequestKey, float] = field(default_factory=dict)  # requests in flight, with the lease's expiry
-    debits: dict[QuotaRequestKey, float] = field(default_factory=dict)  # when they were made, in this order
+    debits: dict[QuotaRequestKey, Debit] = field(default_factory=dict)  # in the order in which they were made
     refill_timer_ms: float = math.inf  # when the timer for the next request fires
 
     @property
@@ -90,7 +98,7 @@
         """Take units, and a lease where the plan limits the requests in flight; the level may become negative."""
         if len(self.debits) > MIN_DEBIT_MEMORY:
             self._forget_debits(now_ms)
-        self.debits[key] = now_ms
+        self.debits[key] = Debit(now_ms, units)
         self.level = max(-self.plan.burst, self.level - units)
         if self.plan.max_in_flight:
             self.leases[key] = now_ms + lease_ms
@@ -100,10 +108,17 @@
         self.ceiling_level -= units
 
     def refund(self, key: QuotaRequestKey, units: float, plan: Plan) -> None:
-        """End a request's lease, or else put back units that it did not use."""
+        """End a request's lease, or else put back units that it did not use.
+
+        A request may be refunded twice: for its end, and for a grant that comes after it. It gets back what it took.
+        """
         lease = self.leases.pop(key, None)
-        if lease is None and key in self.debits and not plan.max_in_flight:
-            self.level = min(plan.burst, self.level + units)
+        debit = self.debits.get(key)
+        if lease is not None or debit is None or plan.max_in_flight:
+            return
+        refunded_units = min(units, debit.refundable_units)
+        self.debits[key] = debit._replace(refundable_units=debit.refundable_units - refunded_units)
+        self.level = min(plan.burst, self.level + refunded_units)
 
     def is_evictable(self, now_ms: float) -> bool:
         """Return whether a new bucket would grant the customer no more than this one; drop expired requests."""
@@ -116,6 +131,6 @@
     def _forget_debits(self, now_ms: float) -> None:
         while self.debits:
             oldest = next(iter(self.debits))
-            if now_ms - self.debits[oldest] <= DEBIT_MEMORY_MS:
+            if now_ms - self.debits[oldest].made_ms <= DEBIT_MEMORY_MS:
                 return
             del self.debits[oldest]
--- a/tests/test_policy_quotas.py
+++ b/tests/test_policy_quotas.py
@@ -103,6 +103,18 @@
     assert side.bucket.level == 3.0
 
 
+def test_a_repeated_refund_puts_its_units_back_once():
+    # Guards against a quota that grows: each repeat of a refund added the units of one debit again.
+    side = OwnerSide(Plan("p", 0.001, 6.0))
+    for serial in (1, 2, 3):
+        side.receive(0.0, REQUEST, serial, units=2.0)
+    for units in (0.0, 2.0, 2.0):  # none for a repeated grant, which takes nothing from the others
+        side.receive(0.0, REFUND, 1, units=units)
+    assert side.bucket.level == 2.0
+    side.receive(0.0, REFUND, 2, units=2.0)
+    assert side.bucket.level == 4.0
+
+
 def test_a_lease_is_free_again_after_its_refund_or_its_expiry():
     side = OwnerSide(Plan("p", max_in_flight=1))
     assert side.receive(0.0, REQUEST, 1) == [GRANT]
@@ -332,3 +344,23 @@
     side.owner.refill_timer_fired(101.0, TAG)
     assert granted == list(range(501, 1, -1))
     assert not side.bucket.queue
+
+
+def test_a_grant_that_comes_after_its_request_has_ended_is_refunded_once():
+    # Guards against the same without any repeated message: the request's end and the late grant each refund it.
+    borrower, owner = BorrowerSide(), OwnerSide(Plan("p", 0.001, 12.0))
+    owner.receive(0.0, DEBIT, 99, units=5.0)
+    one = borrower.request()
+    borrower.borrower.request_units(0.0, one)
+    ((_, asked),) = borrower.sent
+    key = QuotaRequestKey(1, 7, asked.serial)
+    owner.owner.receive(10.0, key, asked)
+    grant = owner.sent[-1]
+    for now_ms in (100.0, 200.0):  # the reply is overdue twice: the units are taken here
+        borrower.borrower.reply_overdue(now_ms, one)
+    borrower.borrower.request_ended(300.0, one)
+    borrower.borrower.receive(400.0, borrower.owner, grant)
+    assert borrower.kinds() == [REQUEST, REQUEST, DEBIT, REFUND, REFUND]
+    for _, sent in borrower.sent[1:]:
+        owner.owner.receive(500.0, key, sent)
+    assert owner.bucket.level == pytest.approx(7.0, abs=0.01)
