A request that waits for another of its identity until its deadline fails

What callers saw: over JSON-RPC such a request was refused as in-progress, with an advice to retry after 1 s. A refusal promises that nothing was executed and that a retry is safe; the other may be executed after that, and its lock ends with its deadline.

Cause: Deduplicator._deadline_passed answered as a check is answered whose request is open. Only requests of keyed and not idempotent classes wait so.

Evidence: the new test failed before. The older test of this wait compares the reason alone and is unchanged.

Why it works: a failure makes no promise, so a client does not repeat what may still run.

--- a/anisefront/upstream/deduplication.py
+++ b/anisefront/upstream/deduplication.py
@@ -20,7 +20,6 @@
 RESPONSE_RETENTION_MS = 10_000.0  # after the deadline of its request
 MAX_RETAINED_BYTES = 16 << 20  # of responses; above it the oldest are evicted
 RESPONSE_OVERHEAD_BYTES = 500  # of a retained response besides its body
-IN_PROGRESS_RETRY_AFTER_MS = 1000.0
 
 
 def request_key(customer: str, identity: str, key: bytes) -> bytes:
@@ -183,9 +182,8 @@
         waiting.remove(duplicate)
         if not waiting:
             del self._waiting_elsewhere[key]
-        duplicate.on_response(
-            FinalResponse(is_rejected=True, retry_after_ms=IN_PROGRESS_RETRY_AFTER_MS, reason="in-progress")
-        )
+        # No rejection: the other request may execute after this, and its lock may end before the client retries.
+        duplicate.on_response(FinalResponse(reason="in-progress"))
 
     def _evict(self) -> None:
         """Evict responses from the oldest on: those past their retention, and more while all take too much memory."""
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -195,6 +195,16 @@
     assert told[1] == "alone" and told[2].reason == "ended-elsewhere" and len(told) == 3
 
 
+def test_a_try_whose_time_is_up_while_another_of_its_name_is_in_progress_fails():
+    # Guards against a second effect: "refused, safe to retry" was said of a request that was then executed.
+    clock, desk, told = returning()
+    desk.wait_for_outcome(b"n", b"m", 1000.0, told.append, lambda: told.append("alone"))
+    clock.advance(1.1)
+    assert told == [FinalResponse(reason="in-progress")] and not told[0].is_rejected
+    desk.responded_elsewhere(b"n", FinalResponse(reason="failed"))  # the other's outcome comes after that
+    assert len(told) == 1
+
+
 def test_answers_are_let_go_when_their_time_is_over():
     clock, desk, _ = returning()
     for number in range(5):
