A held request that loses its last backup is refused where its class requires one

What callers saw: with "class ... unprotected refuse" a request that was held when its last backup was lost was served without one, while one that came after the loss was refused.

Cause: Primary._move found no other backup and let the request go on. The host, which knows the classes, was told only of a backup that is full.

Evidence: both new tests failed before; by processes: two instances, one held GET /look, its backup killed, then the workers take requests: served.

Why it works: the loss of the last backup is told as a full one is (ReplicationUnavailable), before attempts that await an acknowledgement start. The host refuses what has no attempt under way.

--- a/anisefront/cluster/local_requests.py
+++ b/anisefront/cluster/local_requests.py
@@ -183,7 +183,11 @@
         if local.rejection_pending:
             self.deliver_rejection(request)
             return
-        self._actions.append(ReplicationUnavailable(request))
+        self.continue_without_backup(local)
+
+    def continue_without_backup(self, local: LocalRequest) -> None:
+        """Start attempts that await an acknowledgement, unless the host rejects the request for lack of a backup."""
+        self._actions.append(ReplicationUnavailable(local.accepted.request))
         self.start_awaiting(local)
 
     def _withdraw(self, log: EpochLog, request: int) -> LocalRequest:
--- a/anisefront/cluster/primary.py
+++ b/anisefront/cluster/primary.py
@@ -385,7 +385,7 @@
             self.counts["unprotected_since"] += 1
             if self._locks is not None:
                 self._locks.set_backup(request, NO_INSTANCE)
-            self._requests.start_awaiting(local)
+            self._requests.continue_without_backup(local)
             return
         local.epoch = log.epoch
         self._tell_backup_to_lock(local)
--- a/anisefront/cluster/replication_actions.py
+++ b/anisefront/cluster/replication_actions.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicationUnavailable:
-    """A backup had no capacity for this local request: no instance replicates it."""
+    """No backup is available for this local request, or the one had no capacity: no instance replicates it."""
 
     request: int
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -449,6 +449,16 @@
     assert started(made) == [(1, 0), (2, 0)] and made.start_attempt(3.0, 1, 1, "w")
 
 
+def test_an_origin_that_loses_its_last_keeper_tells_its_host():
+    # Guards against an unprotected execution in a class that requires a backup: only a full one was told of.
+    made = origin((1,))
+    for request in (1, 2):
+        made.accept(0.0, Accepted(request, False, 1000, NO_IDENTITY, b""))
+    made.update_members(1.0, {})
+    assert done(made, ReplicationUnavailable) == [ReplicationUnavailable(1), ReplicationUnavailable(2)]
+    assert made.counts["unprotected_since"] == 2
+
+
 def test_every_order_of_two_requests_where_a_keeper_has_room_for_one():
     world = World(fresh(), 3, {"twice": 1, "kill": 1, "doubt": 1}, max_requests=1)
     for request in (1, 2):
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -293,6 +293,20 @@
         hands.close()
 
 
+def test_a_class_that_wants_protection_is_refused_where_its_last_keeper_is_lost(tmp_path):
+    # Guards against an unprotected execution: what was held without a backup was served when workers came.
+    hands = Hands(tmp_path, 2, MORE.replace("repeat safe", "repeat safe unprotected refuse"))
+    try:
+        call = hands.call(0, "/look", "a")
+        until(lambda: hands.keepers()[1]["kept_for_others"] == 1)
+        hands.fleet.kill(1)
+        until(lambda: hands.count(0, "unprotected_since") == 1)
+        hands.open()
+        assert call.final() == "refused" and not hands.workers.came
+    finally:
+        hands.close()
+
+
 # ---- by way of a proxy ----------------------------------------------------------------------------
 
 
