The limit on attempts in flight recovers while an instance is idle

What callers saw: after overload responses the limit stayed at three tenths however long nothing happened, and the next burst was refused as capacity at endpoints that had long been free again.

Cause: the backoff goes by the ratio of two counts that decay alike, so that the ratio of the last attempts stands for ever.

Two of the three new tests failed before; the third holds the backoff while an attempt is in flight.

Why it works: with no attempt in flight and next to none ended lately there is nothing to go by, and the limit recovers as by successes.

--- a/anisefront/policy/concurrency_limit.py
+++ b/anisefront/policy/concurrency_limit.py
@@ -1,7 +1,8 @@
 """Limit on the attempts that one gateway instance has in flight.
 
 Little's law sets the limit: completion rate times the time that an attempt may spend at an endpoint. Overload
-responses from the endpoints reduce it multiplicatively; it recovers once other responses outnumber them.
+responses from the endpoints reduce it multiplicatively; it recovers once other responses outnumber them, or once there
+are none to go by.
 
 Departure from the paper that `fuzzy_controller` cites, which assumes a given pool of server processes.
 """
@@ -23,6 +24,7 @@
 BACKOFF_MULTIPLIER = 0.75  # for each control period
 MIN_BACKOFF = 0.3
 RECOVERY_MULTIPLIER = 1.05  # for each control period
+MIN_ENDED_ATTEMPTS = 0.1  # decayed count, below which an instance without attempts in flight is idle
 BURST_ALLOWANCE = 1.5  # attempts beyond the limit while the mean in flight is below it
 PEER_GAIN = 0.1  # weight of a peer's message in the peers' mean
 
@@ -128,8 +130,13 @@
         self._mean_updated_ms = now_ms
 
     def _update_backoff(self) -> None:
-        """Back off while the cluster as a whole, not one endpoint, rejects attempts as overloaded."""
-        if self._overloaded_attempts > OVERLOADED_FRACTION * self._ended_attempts:
+        """Back off while the cluster as a whole, not one endpoint, rejects attempts as overloaded.
+
+        Both counts decay alike, so that their ratio says the same for ever after the last attempt. An attempt in
+        flight will tell; an idle instance recovers.
+        """
+        is_idle = not self.in_flight and self._ended_attempts < MIN_ENDED_ATTEMPTS
+        if not is_idle and self._overloaded_attempts > OVERLOADED_FRACTION * self._ended_attempts:
             self._backoff = max(MIN_BACKOFF, self._backoff * BACKOFF_MULTIPLIER)
         else:
             self._backoff = min(1.0, self._backoff * RECOVERY_MULTIPLIER)
--- a/tests/test_policy_concurrency_limit.py
+++ b/tests/test_policy_concurrency_limit.py
@@ -1,8 +1,11 @@
 """Limit on the attempts in flight."""
 
 import pytest
+from test_core import SERVERS, Desk
 
 from anisefront.policy.concurrency_limit import MIN_BACKOFF, ConcurrencyLimit
+from anisefront.policy.events import AttemptResult, EndpointList
+from anisefront.upstream.delegated_checks import Verdict
 
 CAPACITY = 10.0
 
@@ -49,6 +52,41 @@
     assert limit.backoff == 1.0
 
 
+def test_the_backoff_recovers_while_the_instance_is_idle():
+    # Guards against a limit that stayed at three tenths for ever: the counts of ended attempts decay alike.
+    limit = limit_after(50, overloaded=10)
+    for period in range(100):
+        limit.end_period(6000.0 + period * 100.0, CAPACITY)
+    assert limit.backoff == 1.0
+
+
+def test_the_backoff_stays_while_an_attempt_is_in_flight_and_none_ends():
+    limit = limit_after(50, overloaded=10)
+    limit.record_attempt_started(5000.0)
+    for period in range(100):
+        limit.end_period(6000.0 + period * 100.0, CAPACITY)
+    assert limit.backoff == MIN_BACKOFF
+
+
+@pytest.mark.parametrize("overloaded", [0, 60])
+def test_after_an_idle_time_requests_find_the_limit_of_an_instance_without_a_past(overloaded):
+    # Guards against refusals of capacity at endpoints that have long been free again.
+    desk = Desk()
+    desk.request_table.update_endpoints(EndpointList(SERVERS[:1]))
+    for number in range(overloaded):
+        known = len(desk.told)
+        desk.ask(f"first-{number}")
+        for reply in desk.told[known:]:
+            if reply.verdict is Verdict.START_ATTEMPT:
+                desk.log(reply.attempt, AttemptResult.OVERLOADED, True)
+    desk.run(10)
+    desk.told.clear()
+    for number in range(10):
+        desk.ask(f"second-{number}")
+    desk.run(2.5)
+    assert [reply.verdict for reply in desk.told] == [Verdict.START_ATTEMPT] * 10
+
+
 def test_the_peers_mean_complements_few_own_responses():
     alone, informed = ConcurrencyLimit(1), ConcurrencyLimit(1)
     for limit in (alone, informed):
