A request taken over with no attempt left is refused as attempts, not as quota

What callers saw: a request whose instance was lost after its last attempt was refused by its backup as quota (429 to a proxy, counted in refused_quota), though its units had been debited.

Cause: an arriving request counts as waiting for its quota, and that reason was asked for first.

Evidence: the new test failed before.

Why it works: what a failed instance has debited does not wait for its quota.

--- a/anisefront/policy/admission.py
+++ b/anisefront/policy/admission.py
@@ -51,7 +51,7 @@
 
 
 def _rejection_reason(request: Request) -> RejectionReason:
-    if request.awaiting_quota:
+    if request.awaiting_quota and not request.claim.debited_units:  # what a failed instance had debited does not wait
         return RejectionReason.QUOTA
     if request.attempts_started:
         return RejectionReason.ATTEMPTS
--- a/tests/test_policy_retries.py
+++ b/tests/test_policy_retries.py
@@ -8,10 +8,11 @@
 from anisefront.policy.actions import Fail, Reject, RejectionReason
 from anisefront.policy.admission import final_answer
 from anisefront.policy.concurrency_limit import ConcurrencyLimit
+from anisefront.policy.controller import Controller
 from anisefront.policy.customer_account import CustomerAccount
 from anisefront.policy.endpoint_registry import EndpointRegistry
 from anisefront.policy.endpoint_state import EndpointState
-from anisefront.policy.events import Arrival, AttemptResult, Endpoint, EndpointList, EndpointStatus
+from anisefront.policy.events import Arrival, AttemptResult, Endpoint, EndpointList, EndpointStatus, PriorAttempts
 from anisefront.policy.request import QuotaClaim, Request
 from anisefront.policy.response_times import ResponseTimes
 from anisefront.policy.retries import INITIAL_BUDGET, MAX_BUDGET, UNCONSTRAINED, RetryPolicy
@@ -108,6 +109,14 @@
     assert reasons == [RejectionReason.QUOTA, RejectionReason.CAPACITY, RejectionReason.ATTEMPTS]
 
 
+def test_the_rejection_of_a_request_taken_over_without_an_attempt_left_names_the_attempts():
+    # Guards against a search for a quota that was never short: its units were debited by the failed instance.
+    controller = Controller(settings(), 1)
+    prior_attempts = PriorAttempts(settings().max_attempts, 1, "s0", 0.0, True)
+    actions = controller.handle(0.0, [Arrival(1, "c", "look", "rated", 1400.0, prior_attempts=prior_attempts)])
+    assert [action.reason for action in actions if isinstance(action, Reject)] == [RejectionReason.ATTEMPTS]
+
+
 @pytest.mark.parametrize(("units", "maximum", "advice"), [(1, 9000, 250.0), (4, 9000, 1000.0), (4, 600, 600)])
 def test_the_retry_advice_is_the_time_to_refill_within_bounds(units, maximum, advice):
     one = request(units=units)
