A claim without a reply ends with the last request of its epoch

What was seen: a backup whose witness had been restarted sent it 20 claims a second for the rest of its life, and kept the epoch. Callers saw nothing.

Cause: a restarted witness does not reply, and _continue_claim ended only by a reply, also when nothing was left to take over.

Evidence: 12,000 claims in 600 s for one request of 2 s. The new test failed before.

Why it works: the epoch is open again and without requests. One that is stored in it later is claimed anew, and the witness gives one epoch the same decision always.

--- a/anisefront/cluster/backup.py
+++ b/anisefront/cluster/backup.py
@@ -373,7 +373,14 @@
             self._schedule_lease_check(epoch.lease_renewed_ms, epoch)
 
     def _continue_claim(self, now_ms: float, epoch: BackupEpoch) -> None:
-        """Ask the witness again; take over idempotent requests that can't wait for its decision."""
+        """Ask the witness again; take over idempotent requests that can't wait for its decision.
+
+        A witness that was restarted never replies. Nothing is left to take over once the last request has expired.
+        """
+        if not epoch.requests:
+            epoch.state = EpochState.OPEN
+            del self._claiming[epoch.key]
+            return
         if now_ms - epoch.claim_sent_ms >= CLAIM_RETRY_MS:
             self._send_claim(now_ms, epoch)
         if now_ms - epoch.claim_started_ms >= WITNESS_TIMEOUT_MS:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -486,6 +486,27 @@
     assert [action.replica.record for action in done(keeper, TakeOver)] == [b"r"] and keeper.request_count == 0
 
 
+def test_a_claim_without_a_reply_ends_with_the_last_request_and_may_be_made_again():
+    # Guards against claims repeated every 50 ms for the rest of the process where the witness was restarted.
+    made = origin()
+    made.accept(0.0, Accepted(1, True, 1000, NO_IDENTITY, b"r"))
+    [(number, feed)] = feeds(made)
+    keeper = Backup(number, 1)
+    keeper.receive(0.0, 0, 1, feed)
+    keeper.primary_failed(10.0, 0, 1)
+    for now in range(10, 5000, 10):
+        keeper.handle_timers(float(now))
+    claims = [message for _, message in messages(keeper) if isinstance(message, ClaimEpoch)]
+    assert 15 <= len(claims) <= 20 and keeper.next_timer_ms == math.inf
+    later = replace(feed, first_sequence=2, entries=(Accepted(2, True, 1000, NO_IDENTITY, b"r"),))
+    keeper.receive(5000.0, 0, 1, later)
+    keeper.primary_failed(5010.0, 0, 1)
+    witness = Witness(feed.witness_incarnation)
+    witness.receive(number, 1, [message for _, message in messages(keeper) if isinstance(message, ClaimEpoch)][-1])
+    keeper.receive(5020.0, feed.witness, feed.witness_incarnation, messages(witness)[0][1])
+    assert [action.replica.request for action in done(keeper, TakeOver)] == [2]
+
+
 def test_messages_come_back_as_they_went():
     for message in MESSAGES:
         data = encode(message)
