--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,11 +1,14 @@
 """The request table and its attempt handlers on a simulated clock: each hard case of the path, caused by hand."""
 
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock
 
+from anisefront.config.model import TICK_MS
+from anisefront.resp_gateway.resp_frontend import MAX_READ_DELAY_FRACTION
 from anisefront.upstream.attempt_results import RESPONSE_FLAGS, end_from_flags, result_of_response
 from anisefront.gateway.request_terms import RequestTerms
 from anisefront.upstream.delegated_checks import Verdict
@@ -498,3 +501,27 @@
     request_table.batches.schedule_iteration()
     with pytest.raises(OSError):
         reactor.advance(0)
+
+
+@pytest.mark.parametrize("offset_ms", range(5))
+@pytest.mark.parametrize(("tick_ms", "margin_ms"), [(TICK_MS, 0.0), (1.0, 100 * MAX_READ_DELAY_FRACTION)])
+def test_a_final_answer_without_a_response_is_given_before_the_deadline(tick_ms, margin_ms, offset_ms):
+    # Guards against answers that are late by the grain of the timers. The platform's front, whose tick may be 1 ms,
+    # makes requests due before their clients' timeouts, here one of 100 ms.
+    desk = Desk()
+    table = desk.request_table
+    table.change_settings(replace(table.controller.settings, tick_ms=tick_ms))
+    desk.run(0.01 + offset_ms / 1000)
+    client_deadline_ms = table.now_ms() + 100.0
+    answered_ms = []
+    table.accept(
+        SimpleNamespace(
+            start_attempt=lambda *started: None,
+            cancel_attempt=lambda *cancelled: None,
+            reject=lambda *rejected: answered_ms.append(table.now_ms()),
+            fail=lambda *failed: answered_ms.append(table.now_ms()),
+        ),
+        RequestTerms("c", "unsafe", "wide", client_deadline_ms - margin_ms, 1.0, 0, 1, False),
+    )
+    desk.run(0.2)
+    assert len(answered_ms) == 1 and answered_ms[0] < client_deadline_ms
