`node` refuses more classes or plans than peers' messages have room for

What callers would see: with 17 classes the decision module raises at the first quota message of the last one; with 17 plans the owner books its units under the first plan.

Cause: a message has four bits for each index. `serve` checks the counts, `node` did not.

Evidence: three instances' modules with 17 classes raised struct.error; with 17 plans they sent plan 0 and class 1 for plan 16 and class 0. Both new cases failed before.

Why it works: such settings are refused with their place where there are peers to send to; a single instance, or one that may not send, takes them as before.

--- a/anisefront/config/model.py
+++ b/anisefront/config/model.py
@@ -13,6 +13,7 @@
 from anisefront.config.types import Address, Config, Embedded, Recording
 from anisefront.gateway.patterns import Pattern
 from anisefront.gateway.routes import Key, Route
+from anisefront.policy.peer_codec import MAX_CLASSES, MAX_PLANS
 from anisefront.policy.settings import DeduplicationScope, Idempotency, Plan, RequestClass, Settings
 
 _METHODS = {(method,): (method,) for method in ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD", "OPTIONS", "*")}
@@ -25,8 +26,6 @@
 MAX_PROBE_PERIOD_MS = 60_000.0
 MIN_LEASE_MS = 100.0
 MAX_LEASE_MS = 60_000.0
-MAX_CLASSES = 16  # by the format of peer messages
-MAX_PLANS = 16
 TICK_MS = 5.0  # the grain of the module's turns here; its guards leave twice this
 
 
--- a/anisefront/policy/peer_codec.py
+++ b/anisefront/policy/peer_codec.py
@@ -20,6 +20,8 @@
 MAX_UINT16 = 0xFFFF
 SUSTAINABLE_SCALE = 64  # steps of an attempt
 UNITS_SCALE = 16  # steps of a unit, and of a unit a second
+MAX_CLASSES = 16  # an index has four bits
+MAX_PLANS = 16
 
 FAILED_GRADE = 15  # of an endpoint observation
 EXPECTED_GRADE = 4  # response time as expected; two grades for each factor of 2
--- a/anisefront/resp_gateway/instance_config.py
+++ b/anisefront/resp_gateway/instance_config.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from anisefront.policy.peer_codec import MAX_CLASSES, MAX_PLANS
 from anisefront.policy.settings import Settings
 from anisefront.policy.settings_document import read_settings
 from anisefront.resp_gateway.endpoint_changes import Address, EndpointChange, parse_address, parse_change
@@ -124,6 +125,9 @@
         settings = read_settings(document.get("settings"))
     except ValueError as error:
         raise InstanceConfigError(str(error), "settings") from error
+    has_peers = settings.peer_messages_enabled and settings.gateways > 1
+    if has_peers and (len(settings.classes) > MAX_CLASSES or len(settings.plans) > MAX_PLANS):
+        raise InstanceConfigError("more than 16 classes or plans: peers' messages have room for 16", "settings")
     affordable_customers = (memory_mb - BASE_MEMORY_MB) * CUSTOMERS_PER_MB
     max_customers = int(min(settings.max_customers, max(MIN_CUSTOMERS, affordable_customers)))
     return replace(settings, max_customers=max_customers)
--- a/tests/test_node_wire.py
+++ b/tests/test_node_wire.py
@@ -397,3 +397,19 @@
 def test_the_environment_stands_in_for_addresses():
     config = parse_config(found(listen=None, discovery=None), {"PROXY_LISTEN": "127.0.0.9:1", "PROXY_DISCOVERY": "h:2"})
     assert config.listen == ("127.0.0.9", 1) and config.discovery == ("h", 2)
+
+
+@pytest.mark.parametrize("key", ["classes", "packages"])
+def test_more_classes_or_plans_than_peers_messages_have_room_for_are_refused(key):
+    # Guards against a process that ends at its first message of the 17th class, and units booked under another plan.
+    row = WIRE_SETTINGS[key][0]
+
+    def config_of(count, **more):
+        rows = [row | {"name": f"{key}-{number}"} for number in range(count)]
+        return parse_config(found(settings=WIRE_SETTINGS | {key: rows} | more), {})
+
+    limits = WIRE_SETTINGS["limits"]
+    config_of(16, limits=limits | {"mayTell": True})
+    with pytest.raises(InstanceConfigError, match="^settings"):
+        config_of(17, limits=limits | {"mayTell": True})
+    config_of(17, limits=limits | {"mayTell": False})  # nothing is sent
