The test bed's waits for a core excuse no answer while the gateway is blocked in a call

Answers 784 to 1,008 ms late were excused by 1,082 to 1,460 ms of machine time.

Cause: for each look the longer of the gateway's and the test bed's wait for a core was taken off. While the gateway sleeps for 3 s in a call its own wait is next to nothing (traced: 0 to 228 ms in 9 s, at the ends), but the test bed's process waits for 2.0 to 2.9 s of these 9 s on a starved machine. That wait delays no answer that the blocked gateway owes, and a client listens for 1 s after its time only, so that no lateness exceeds the excuse.

The auditor takes off none of the test bed's waits within such a time; the gateway's own wait for a core still counts. Rules, bounds and the test are unchanged.

--- a/anisefront/testbed/audit.py
+++ b/anisefront/testbed/audit.py
@@ -67,6 +67,7 @@
         self.away = self._away()
         self.stood = [(record["since"], record["until"], record["ms"]) for record in _of(records["day"], "stood")]
         self._stood_until = [until for _, until, _ in self.stood]
+        self.blocked = self._blocked()
         self.excused: list[str] = []  # what the machine's own stalls account for, in words
 
     def _away(self) -> dict[int, list[tuple[float, float]]]:
@@ -86,18 +87,39 @@
     def _was_away(self, number: int, since: float, until: float) -> bool:
         return any(start <= until and since <= end for start, end in self.away[number])
 
+    def _blocked(self) -> dict[int, list[tuple[float, float]]]:
+        """When each gatekeeper was blocked in a call, in order of time: it slept of its own doing, look by look."""
+        spans: dict[int, list[tuple[float, float]]] = defaultdict(list)
+        for record in _of(self.records["day"], "blocked"):
+            spans[record["number"]].append((record["since"], record["until"]))
+        return spans
+
+    def _blocked_ms(self, number: int, since: float, until: float) -> float:
+        """For how long within a time a gatekeeper was blocked in a call."""
+        spans = self.blocked.get(number, [])
+        total = 0.0
+        for at in range(bisect.bisect_left(spans, since, key=lambda span: span[1]), len(spans)):
+            start, end = spans[at]
+            if start > until:
+                break
+            total += min(end, until) - max(start, since)
+        return total
+
     def machine_ms(self, number: int, since: float, until: float) -> float:
         """For how long within a time the machine kept a gatekeeper, or the stand-ins that hold the clock, from running.
 
         Measured by the kernel, look by look; where both stood in one look, the longer counts. What a gatekeeper
-        spends on its own work is no part of it."""
+        spends on its own work is no part of it, nor is what the stand-ins stood while it was blocked in a call: with a
+        core for them it would have answered no sooner."""
         total = 0.0
         for at in range(bisect.bisect_left(self._stood_until, since), len(self.stood)):
             start, end, ms = self.stood[at]
             if start > until:
                 break
-            overlap = min(end, until) - max(start, since)
-            total += min(max(0.0, overlap), max(ms.get("lab", 0.0), ms.get(str(number), 0.0)))
+            start, end = max(start, since), min(end, until)
+            unblocked = end - start - self._blocked_ms(number, start, end)
+            of_lab = min(unblocked, ms.get("lab", 0.0))
+            total += min(max(0.0, end - start), max(0.0, of_lab, ms.get(str(number), 0.0)))
         return total
 
     def timeline(self, name: str) -> str:
