`make soak`: planned restarts of RESP instances under load, judged by their sockets

What callers may see at a planned restart was checked by single scenes only: no test restarted several instances at once, with signals in series, under pipelined connections that are used until they close.

A soak starts four processes of `anisefront node` with workers, discovery, clients and datagrams over loopback, and restarts them in overlapping order: HUP HUP TERM, TERM HUP, TERM TERM, TERM while the file is read and while the process starts.

Not covered: `serve` with backups, and peers or workers that vanish without a word.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 RUN = .venv/bin/python
 
-.PHONY: test day lint bench bench-model bench-config fuzz steady standing search losses kills changes bench-changes bench-members scale mixed
+.PHONY: test day lint bench bench-model bench-config fuzz steady standing search losses kills changes bench-changes bench-members scale mixed soak
 .venv/made: pyproject.toml requirements.txt requirements-run.txt requirements-dev.txt
 	test -d .venv || $(PYTHON) -m venv .venv
 	$(RUN) -m pip -q --disable-pip-version-check install -r requirements.txt -r requirements-run.txt -r requirements-dev.txt
@@ -74,3 +74,11 @@
 # Instances of this text and of another checkout in one fleet, with kills: CHECKOUT=FOLDER. About forty seconds.
 mixed: .venv/made
 	PYTHONPATH=. $(RUN) tests/mixed_versions.py $(CHECKOUT)
+
+# Planned restarts of `node` under pipelined load, with signals in series and workers, discovery and peers that go wrong;
+# RUNS seeds from SEED, SECONDS of load each. Four instances; about half a minute more for start and end.
+SECONDS ?= 60
+SEED ?= 1
+RUNS ?= 1
+soak: .venv/made
+	$(RUN) -m anisefront.testbed.soak $(SECONDS) $(SEED) $(RUNS)
