The soak's discovery answers at once, and a seed plays its restarts again

The fault was the rig's: its agent held back the whole list of a new watch, which the platform answers at once, and took the list for told though the instance had closed that watch. An agent now answers with what it has been sent, in the order of the changes, and an ended watch is told nothing. Each thing that goes on beside the restarts draws from a source of its own.

The auditor is shown to tell a lost request from one that crossed the end of its connection, and to load nothing of the gateway; sabotaged memory, descriptors and starts show whichever instance is restarted last.

--- a/anisefront/testbed/audit.py
+++ b/anisefront/testbed/audit.py
@@ -46,7 +46,8 @@
     return out
 
 
-def _of(records: Records, *kinds: str) -> Records:
+def of_kinds(records: Records, *kinds: str) -> Records:
+    """The records of these kinds."""
     return [record for record in records if record["kind"] in kinds]
 
 
@@ -55,17 +56,17 @@
 
     def __init__(self, records: dict[str, Records], drain_grace_ms: float = 1000.0) -> None:
         self.records, self.grace_ms = records, drain_grace_ms
-        self.tries = {record["id"]: record for record in _of(records["clients"], "try")}
+        self.tries = {record["id"]: record for record in of_kinds(records["clients"], "try")}
         self.answers: dict[str, Records] = defaultdict(list)
-        for record in _of(records["clients"], "answer"):
+        for record in of_kinds(records["clients"], "answer"):
             self.answers[record["id"]].append(record)
         self.workers = records["workers"]
         self.arrivals: dict[str, Records] = defaultdict(list)
-        for record in _of(self.workers, "arrive"):
+        for record in of_kinds(self.workers, "arrive"):
             self.arrivals[record["id"]].append(record)
-        self.classes = {record["name"]: record for record in _of(records["day"], "class")}
+        self.classes = {record["name"]: record for record in of_kinds(records["day"], "class")}
         self.away = self._away()
-        self.stood = [(record["since"], record["until"], record["ms"]) for record in _of(records["day"], "stood")]
+        self.stood = [(record["since"], record["until"], record["ms"]) for record in of_kinds(records["day"], "stood")]
         self._stood_until = [until for _, until, _ in self.stood]
         self.excused: list[str] = []  # what the machine's own stalls account for, in words
 
@@ -73,7 +74,7 @@
         """When each gatekeeper was frozen or dead: it was not running, so it owed nobody an answer then."""
         spans: dict[int, list[tuple[float, float]]] = defaultdict(list)
         began: dict[int, float] = {}
-        for record in _of(self.records["day"], "gatekeeper_down", "frozen", "thawed", "gatekeeper_up"):
+        for record in of_kinds(self.records["day"], "gatekeeper_down", "frozen", "thawed", "gatekeeper_up"):
             number = record["number"]
             if record["kind"] in ("gatekeeper_down", "frozen"):
                 began.setdefault(number, record["at"])
@@ -160,7 +161,7 @@
         """No wish has its effect more often than its class allows, and a refused try had none."""
         verdict = Verdict("no effect twice")
         runs: dict[str, Records] = defaultdict(list)
-        for record in _of(self.workers, "run"):
+        for record in of_kinds(self.workers, "run"):
             runs[record["id"]].append(record)
         by_wish: dict[str, Records] = defaultdict(list)
         for name, each in self.tries.items():
@@ -191,7 +192,7 @@
         verdict = Verdict("drains kept")
         told: dict[str, float] = {}
         listed: set[str] = set()
-        for record in _of(self.records["day"], "roster"):
+        for record in of_kinds(self.records["day"], "roster"):
             ready = set(record["ready"])
             for worker in (listed - ready) | set(record["draining"]):
                 told.setdefault(worker, record["at"])
@@ -227,10 +228,10 @@
     def cold(self) -> Verdict:
         """No cold worker is sent more, in any window, than the stated multiple of what it can carry."""
         verdict = Verdict("cold workers not pushed over")
-        facts = {record["worker"]: record for record in _of(self.workers, "worker") if record["cold"]}
-        verdict.breaches += [f"{record['worker']} fell over" for record in _of(self.workers, "fall")]
+        facts = {record["worker"]: record for record in of_kinds(self.workers, "worker") if record["cold"]}
+        verdict.breaches += [f"{record['worker']} fell over" for record in of_kinds(self.workers, "fall")]
         work: dict[str, list[tuple[float, float]]] = defaultdict(list)
-        for record in _of(self.workers, "arrive"):
+        for record in of_kinds(self.workers, "arrive"):
             fact = facts.get(record["worker"])
             if fact is None or record["at"] - fact["at"] > fact["warm_up_ms"]:
                 continue
@@ -250,7 +251,7 @@
     def ceilings(self) -> Verdict:
         """What is sent on for a customer stays at its plan's ceiling, but for the slack."""
         verdict = Verdict("ceilings kept")
-        plans = {record["name"]: record for record in _of(self.records["day"], "plan") if record["ceiling"]}
+        plans = {record["name"]: record for record in of_kinds(self.records["day"], "plan") if record["ceiling"]}
         firsts: dict[str, list[tuple[float, float]]] = defaultdict(list)
         for name, each in self.tries.items():
             if each["plan"] in plans and self.arrivals[name]:
--- a/anisefront/testbed/soak/audit.py
+++ b/anisefront/testbed/soak/audit.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from typing import Any
 
-from anisefront.testbed.audit import Auditor, Records, Verdict, _of
+from anisefront.testbed.audit import Auditor, Records, Verdict, of_kinds
 
 CROSSING_MS = 100.0  # a request may cross the end of its connection by so much
 READY_MS = 10_000.0  # nine in ten starts are ready within
@@ -74,7 +74,7 @@
     def own_answers(self) -> Verdict:
         """Each answer served is a worker's for this request, and none comes that nobody asked for."""
         verdict = Verdict("no answer but one's own")
-        worked = {record["id"] for record in _of(self.workers, "done")}
+        worked = {record["id"] for record in of_kinds(self.workers, "done")}
         for name, answers in self.answers.items():
             if not answers:
                 continue  # told of by the first rule
@@ -83,7 +83,7 @@
                 verdict.breaches.append(f"{name}: {answers[0]['said']!r}")
             if answers[0]["how"] == "served" and name not in worked:
                 verdict.breaches.append(f"{name}: served, and no worker had answered")
-        for record in _of(self.records["clients"], "stray"):
+        for record in of_kinds(self.records["clients"], "stray"):
             verdict.breaches.append(f"instance {record['gatekeeper']}: {record['data']} without a request")
         return verdict
 
@@ -91,7 +91,7 @@
         """A process ends by itself before the kill, with 0, or with 1 after a second SIGTERM."""
         verdict = Verdict("ended before the kill")
         terms: Counter[int] = Counter()
-        for record in _of(self.day, "spawn", "signal", "exit"):
+        for record in of_kinds(self.day, "spawn", "signal", "exit"):
             number = record["number"]
             if record["kind"] == "spawn":
                 terms[number] = 0
@@ -120,7 +120,7 @@
         """Nine in ten starts are ready in time."""
         verdict = Verdict("ready in time")
         late = []
-        for record in _of(self.day, "ready"):
+        for record in of_kinds(self.day, "ready"):
             verdict.cases += 1
             took = record["took"]
             what = f"instance {record['number']}: ready after {took:.0f} ms"
@@ -135,53 +135,46 @@
         return verdict
 
     def _measures(self, when: str) -> dict[int, dict[str, Any]]:
-        return {record["number"]: record for record in _of(self.day, "measure") if record["when"] == when}
+        return {record["number"]: record for record in of_kinds(self.day, "measure") if record["when"] == when}
 
     def descriptors(self) -> Verdict:
         """Never more than the limit, and at the end those of a fresh process."""
-        verdict = Verdict("descriptors given back")
-        (limits,) = _of(self.day, "limits")
-        for record in _of(self.day, "measure"):
-            verdict.cases += 1
-            if record["descriptors"] > limits["descriptors"]:
-                verdict.breaches.append(f"instance {record['number']}: {record['descriptors']} descriptors")
-            verdict.near(record["descriptors"] / limits["descriptors"], f"instance {record['number']}, at most")
-        before = self._measures("before")
-        for number, record in self._measures("after").items():
-            more = record["descriptors"] - before[number]["descriptors"]
-            if more > SPARE_DESCRIPTORS:
-                verdict.breaches.append(f"instance {number}: {more} descriptors more at the end")
-        return verdict
+        return self._given_back("descriptors", SPARE_DESCRIPTORS)
 
     def memory(self) -> Verdict:
         """Never more than the limit, and at the end little more than a fresh process."""
-        verdict = Verdict("memory given back")
-        (limits,) = _of(self.day, "limits")
-        for record in _of(self.day, "measure"):
+        (limits,) = of_kinds(self.day, "limits")
+        return self._given_back("memory_mb", limits["memory_mb"] * MEMORY_GROWTH_SHARE)
+
+    def _given_back(self, what: str, growth: float) -> Verdict:
+        verdict = Verdict(f"{what.partition('_')[0]} given back")
+        (limits,) = of_kinds(self.day, "limits")
+        for record in of_kinds(self.day, "measure"):
             verdict.cases += 1
-            if record["memory_mb"] > limits["memory_mb"]:
-                verdict.breaches.append(f"instance {record['number']}: {record['memory_mb']:.0f} MB")
-        allowed, before = limits["memory_mb"] * MEMORY_GROWTH_SHARE, self._measures("before")
+            if record[what] > limits[what]:
+                verdict.breaches.append(f"instance {record['number']}: {what} {record[what]:.0f}")
+            verdict.near(record[what] / limits[what], f"instance {record['number']}, at most")
+        before = self._measures("before")
         for number, record in self._measures("after").items():
-            more = record["memory_mb"] - before[number]["memory_mb"]
-            if more > allowed:
-                verdict.breaches.append(f"instance {number}: {more:.1f} MB more at the end")
-            verdict.near(more / allowed, f"instance {number}: {more:.1f} MB more at the end")
+            more = record[what] - before[number][what]
+            if more > growth:
+                verdict.breaches.append(f"instance {number}: {what} {more:.1f} more at the end")
+            verdict.near(more / growth, f"instance {number}: {more:.1f} more at the end")
         return verdict
 
     def attempts_out(self) -> Verdict:
         """At the end no attempt is out: none on a worker's sockets, none in an instance's own count."""
         verdict = Verdict("attempts out back to none")
         out: Counter[tuple[str, str]] = Counter()
-        rest = min((record["at"] for record in _of(self.day, "state")), default=float("inf"))
-        for record in _of(self.workers, "arrive", "done", "gone"):
+        rest = min((record["at"] for record in of_kinds(self.day, "state")), default=float("inf"))
+        for record in of_kinds(self.workers, "arrive", "done", "gone"):
             if record["at"] <= rest:
                 out[record["worker"], record["id"]] += 1 if record["kind"] == "arrive" else -1
         for (worker, name), count in out.items():
             verdict.cases += 1
             if count > 0:
                 verdict.breaches.append(f"{name}: still out at {worker} at rest")
-        for record in _of(self.day, "state"):
+        for record in of_kinds(self.day, "state"):
             verdict.cases += 1
             if record["out"] or not record["is_fresh"]:
                 verdict.breaches.append(f"instance {record['number']}: reports {record['out']} attempts out at rest")
--- a/anisefront/testbed/soak/discovery.py
+++ b/anisefront/testbed/soak/discovery.py
@@ -12,6 +12,7 @@
 
 TOLD_LATEST_S = 6.0  # what discovery has to tell counts as told then
 EMPTY_LINE_S = 2.0
+ORDER_S = 0.0001  # between two changes at least
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -45,10 +46,6 @@
         for agent in self.agents:
             agent.changed(worker, status)
 
-    def rows(self, number: int) -> list[dict[str, Any]]:
-        """The whole list for an instance."""
-        return [worker.row(number, status) for worker, status in self.listed.values()]
-
     def told(self) -> None:
         """Record what all instances have been told."""
         views = [(agent.number, agent.view) for agent in self.agents]
@@ -61,15 +58,20 @@
 
 
 class Agent:
-    """Discovery as one instance sees it."""
+    """Discovery on one instance's machine: it answers at once with what it has been sent, unless discovery is down."""
 
     def __init__(self, discovery: Discovery, number: int) -> None:
-        self.number, self.view = number, dict[str, str]()  # what the instance has been told
-        self.delay_s = 0.0
+        self.number, self.view = number, dict[str, str]()  # what counts as told to the instance
+        self.rows: dict[str, dict[str, Any]] = {}  # the list that it has been sent
+        self.index = 0
+        self.delay_s = 0.0  # until it is sent a change; changes come in their order
+        self._next_s = 0.0
+        self._marked: set[tuple[str, str]] = set()
         self._discovery = discovery
         self._is_down = False
-        self._waiting: list[bytes] = []  # lines that a silent agent has still to write
+        self._missed: list[tuple[int, dict[str, Any]]] = []  # changes that it will be sent when discovery is back
         self._watches: set[asyncio.StreamWriter] = set()
+        self._unanswered: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen."""
@@ -85,60 +87,81 @@
         self._is_down = True
 
     def speak(self) -> None:
-        """Write at once what was missed; watches that came meanwhile get the whole list."""
+        """Write what was missed; watches that came meanwhile get the whole list."""
         self._is_down = False
-        self._write_snapshot(self._watches)
+        missed, self._missed = self._missed, []
+        for index, row in missed:
+            self._take(index, row)
+        for watch in self._unanswered:
+            self._write_snapshot(watch)
+        self._unanswered.clear()
 
     def changed(self, worker: Worker, status: str) -> None:
-        """Tell a change after the agent's delay."""
+        """Be sent a change after the delay; it counts as told by then, or when its time is up."""
         loop = asyncio.get_running_loop()
         row = worker.row(self.number, status)
-        line = platform.endpoint_change(self._discovery.index, [row], snapshot=False)
-        loop.call_later(self.delay_s, self._tell, line, worker.name, status)
-        loop.call_later(TOLD_LATEST_S, self._mark, worker.name, status)
+        self._next_s = max(self._next_s + ORDER_S, loop.time() + self.delay_s)
+        loop.call_at(self._next_s, self._receive, self._discovery.index, row)
+        loop.call_later(TOLD_LATEST_S, self._mark, row)
 
-    def _tell(self, line: dict[str, Any], name: str, status: str) -> None:
-        if self._is_down or not self._watches:
-            return
-        for watch in self._watches:
-            _write(watch, json.dumps(line).encode() + b"\n")
-        self._mark(name, status)
+    def _receive(self, index: int, row: dict[str, Any]) -> None:
+        if self._is_down:
+            self._missed.append((index, row))
+        else:
+            self._take(index, row)
 
-    def _mark(self, name: str, status: str) -> None:
+    def _take(self, index: int, row: dict[str, Any]) -> None:
+        self.index = index
+        if row["status"] == "left":
+            self.rows.pop(row["name"], None)
+        else:
+            self.rows[row["name"]] = row
+        line = json.dumps(platform.endpoint_change(index, [row], snapshot=False)).encode()
+        for watch in self._watches - self._unanswered:
+            _write(watch, line + b"\n")
+        self._mark(row)
+
+    def _mark(self, row: dict[str, Any]) -> None:
+        name, status = row["name"], row["status"]
+        if (name, status) in self._marked:
+            return
+        self._marked.add((name, status))
+        self.view[name] = status
         if status == "left":
-            self.view.pop(name, None)
-        elif self._discovery.listed.get(name, (None, ""))[1] == status:
-            self.view[name] = status
+            del self.view[name]
         self._discovery.told()
 
-    def _write_snapshot(self, watches: set[asyncio.StreamWriter]) -> None:
-        rows = self._discovery.rows(self.number)
-        text = json.dumps(platform.endpoint_change(self._discovery.index, rows, snapshot=True)).encode()
-        for watch in watches:
-            _write(watch, text + b"\n")
-        if watches:
-            self.view = {row["name"]: row["status"] for row in rows}
-            self._discovery.told()
+    def _write_snapshot(self, watch: asyncio.StreamWriter) -> None:
+        change = platform.endpoint_change(self.index, list(self.rows.values()), snapshot=True)
+        _write(watch, json.dumps(change).encode() + b"\n")
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             await reader.readuntil(b"\r\n\r\n")
-            await asyncio.sleep(self.delay_s)
             writer.write(HEAD)
             self._watches.add(writer)
-            if not self._is_down:
-                self._write_snapshot({writer})
-            while not writer.is_closing():
-                await asyncio.sleep(EMPTY_LINE_S)
-                if not self._is_down:
-                    _write(writer, b"\n")
-                    await writer.drain()
+            if self._is_down:
+                self._unanswered.add(writer)
+            else:
+                self._write_snapshot(writer)
+            await self._keep(reader, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # the instance or the run has ended
         finally:
             self._watches.discard(writer)
+            self._unanswered.discard(writer)
             writer.close()
 
+    async def _keep(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Write empty lines until the instance ends the watch."""
+        while True:
+            try:
+                if not await asyncio.wait_for(reader.read(1024), EMPTY_LINE_S):
+                    return
+            except TimeoutError:
+                if not self._is_down:
+                    _write(writer, b"\n")
+
 
 def _write(writer: asyncio.StreamWriter, line: bytes) -> None:
     if not writer.is_closing():
--- a/anisefront/testbed/soak/run.py
+++ b/anisefront/testbed/soak/run.py
@@ -28,7 +28,8 @@
 QUIET_S = 3.0  # after which idle connections to workers are closed
 STATE_S = 12.0  # within which an instance reports its state
 MEASURE_S = 0.5
-CLOSING_S = 0.2  # in which sockets tell of their end
+MOMENT_S = 0.2  # in which sockets tell of their end
+OUTAGE_S = (2.0, 6.0)  # of discovery; what it has to tell counts as told after that time
 CROWD = 150  # idle connections, more than an instance holds
 SERIES = ("term", "hup hup term", "term hup", "term term", "hup while reading", "term while starting")
 
@@ -49,20 +50,25 @@
 
     def __init__(self, folder: Path, seed: int, seconds: float, guards: dict[int, str]) -> None:
         self.folder, self.seconds, self.guards = folder, seconds, guards
-        self.rng = random.Random(f"soak {seed}")
+        self.seed = seed
+        self.rng = self._random("restarts")
         self.played: Counter[str] = Counter()
         self.records = {name: Record((folder / f"{name}.jsonl").open("w")) for name in RECORDS}
         self.discovery = Discovery(self.records["day"])
         self.peers = Peers()
         self.workers: list[Worker] = []
         self.ports = [platform.free_port(socket.SOCK_STREAM) for _ in range(platform.INSTANCES)]
-        self.front = Front(self.records["clients"], random.Random(f"clients {seed}"), self.ports)
+        self.front = Front(self.records["clients"], self._random("clients"), self.ports)
         self.nodes: list[Node] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._seen: SeenKeys = {}
         self._turn: list[int] = []  # instances that are still to be restarted before any is again
         self._loop = _Loop()
 
+    def _random(self, what: str) -> random.Random:
+        """A source of its own for each thing that goes on beside others, so that a seed plays the same again."""
+        return random.Random(f"{what} {self.seed}")
+
     async def play(self) -> None:
         """The whole run."""
         try:
@@ -83,9 +89,7 @@
         for _ in range(platform.WORKERS):
             await self._add_worker(cold=False)
         await self.discovery.start()
-        for agent in self.discovery.agents:
-            agent.view = dict.fromkeys(self.discovery.listed, "active")
-        self.discovery.told()
+        await asyncio.sleep(MOMENT_S)  # in which the agents take the list in
         for number, agent in enumerate(self.discovery.agents):
             config = self._config(number, agent.address)
             guard = self.guards.get(number)
@@ -123,7 +127,7 @@
 
     async def _add_worker(self, cold: bool) -> Worker:
         number = len(self.workers)
-        rng = random.Random(f"worker {number} {self.rng.random()}")
+        rng = self._random(f"worker {number}")
         worker = Worker(f"s{number}", number % 2, cold, rng, self.records["workers"], self._seen)
         await worker.start()
         self.workers.append(worker)
@@ -131,7 +135,8 @@
         return worker
 
     def _spawn(self, node: Node) -> None:
-        node.spawn(self.discovery.rows(node.number), self.discovery.index)
+        agent = self.discovery.agents[node.number]
+        node.spawn(list(agent.rows.values()), agent.index)
 
     async def _start_node(self, node: Node) -> None:
         """Start an instance, and let the front have it once it answers."""
@@ -159,7 +164,7 @@
         for closing in (self.discovery, self.peers, *self.workers):
             closing.close()
         self._loop.is_over = True
-        await asyncio.sleep(CLOSING_S)
+        await asyncio.sleep(MOMENT_S)
         for record in self.records.values():
             record.close()
 
@@ -210,24 +215,27 @@
 
     async def _spells(self) -> None:
         """One worker at a time goes wrong in all it does for a while."""
+        rng = self._random("spells")
         while True:
-            await asyncio.sleep(self.rng.uniform(1.0, 3.0))
-            worker = self.rng.choice(self.workers)
-            worker.manner = self.rng.choice(FAULTS)
-            await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+            await asyncio.sleep(rng.uniform(1.0, 3.0))
+            worker = rng.choice(self.workers)
+            worker.manner = rng.choice(FAULTS)
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
             worker.manner = ""
 
     async def _bursts(self) -> None:
+        rng = self._random("bursts")
         while True:
-            await asyncio.sleep(self.rng.uniform(0.5, 2.0))
+            await asyncio.sleep(rng.uniform(0.5, 2.0))
             self.played["bursts that left"] += 1
             await self.front.leave_in_a_burst()
 
     async def _fleet(self) -> None:
         """Workers leave, and cold ones come."""
+        rng = self._random("fleet")
         while True:
-            await asyncio.sleep(self.rng.uniform(3.0, 6.0))
-            worker, status = self.rng.choice(list(self.discovery.listed.values()))
+            await asyncio.sleep(rng.uniform(3.0, 6.0))
+            worker, status = rng.choice(list(self.discovery.listed.values()))
             if status != "active":
                 continue
             self.played["workers replaced"] += 1
@@ -260,8 +268,10 @@
                 agent.delay_s = self.rng.uniform(1.0, 3.0) if trouble == "slow discovery" else 0.0
                 if trouble == "silent discovery":
                     agent.silence()
-            self._begin(self._speak(agents, self.rng.uniform(2.0, 8.0)))
-        await asyncio.gather(*(self._restart(self.nodes[number], self.rng.uniform(0.0, 1.0)) for number in numbers))
+            self._begin(self._speak(agents, self.rng.uniform(*OUTAGE_S)))
+        sources = [random.Random(self.rng.random()) for _ in numbers]
+        pairs = zip(numbers, sources, strict=True)
+        await asyncio.gather(*(self._restart(self.nodes[number], rng) for number, rng in pairs))
         for writer in crowd:
             writer.close()
 
@@ -293,49 +303,49 @@
             writers.append(writer)
         return writers
 
-    async def _restart(self, node: Node, delay_s: float) -> None:
+    async def _restart(self, node: Node, rng: random.Random) -> None:
         """A planned restart with one of the series of signals."""
-        await asyncio.sleep(delay_s)
-        series = self.rng.choice(SERIES)
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+        series = rng.choice(SERIES)
         self.played[series] += 1
         self.records["day"].write("restart", number=node.number, series=series)
-        term_ms = await self._end_life(node, series)
-        asyncio.get_running_loop().call_later(self.rng.uniform(0.2, 0.4), self.front.open.discard, node.number)
+        term_ms = await self._end_life(node, series, rng)
+        asyncio.get_running_loop().call_later(rng.uniform(0.2, 0.4), self.front.open.discard, node.number)
         await node.ended(term_ms)
         if series == "term while starting":
             self._spawn(node)
             await node.until_armed()
-            await asyncio.sleep(self.rng.uniform(0.0, 0.6))
+            await asyncio.sleep(rng.uniform(0.0, 0.6))
             node.signal(signal.SIGTERM)
             await node.ended(now_ms())
         await self._start_node(node)
 
-    async def _end_life(self, node: Node, series: str) -> float:
+    async def _end_life(self, node: Node, series: str, rng: random.Random) -> float:
         """Send a series of signals; when SIGTERM was sent."""
         if series == "hup while reading":
             await node.hang_up_while_reading()
         elif series == "hup hup term":
             for _ in range(2):
-                self._change(node)
+                self._change(node, rng)
                 node.signal(signal.SIGHUP)
-                await asyncio.sleep(self.rng.choice((0.0, 0.01, 0.1)))
+                await asyncio.sleep(rng.choice((0.0, 0.01, 0.1)))
         term_ms = now_ms()
         node.signal(signal.SIGTERM)
         if series == "hup while reading":
-            await asyncio.sleep(self.rng.uniform(0.0, 0.05))
+            await asyncio.sleep(rng.uniform(0.0, 0.05))
             node.release()
         elif series == "term hup":
-            await asyncio.sleep(self.rng.choice((0.0, 0.05, 0.5)))
-            self._change(node)
+            await asyncio.sleep(rng.choice((0.0, 0.05, 0.5)))
+            self._change(node, rng)
             node.signal(signal.SIGHUP)
         elif series == "term term":
-            await asyncio.sleep(self.rng.uniform(0.02, 1.0))
+            await asyncio.sleep(rng.uniform(0.02, 1.0))
             node.signal(signal.SIGTERM)
         return term_ms
 
-    def _change(self, node: Node) -> None:
+    def _change(self, node: Node, rng: random.Random) -> None:
         """Another quota in the file, for SIGHUP to take in."""
-        node.config["settings"]["packages"][0]["perSecond"] = self.rng.uniform(4000.0, 6000.0)
+        node.config["settings"]["packages"][0]["perSecond"] = rng.uniform(4000.0, 6000.0)
         node.write()
 
 
--- a/anisefront/testbed/soak/sabotage.py
+++ b/anisefront/testbed/soak/sabotage.py
@@ -25,7 +25,7 @@
 from anisefront.resp_gateway.instance import RespGatewayInstance
 from anisefront.testbed import sabotage
 
-LEAK_BYTES = 64 << 10
+LEAK_BYTES = 256 << 10
 KEPT_DESCRIPTORS = 40  # below its limit, so that only the end shows it
 LOST_ENDS = 5  # one in so many attempts
 SLOW_START_S = 11.0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,14 @@
 """Planned restarts under load: a short soak by its seed, and each guard of the auditor on sabotaged instances."""
 
 import multiprocessing
+import subprocess
+import sys
 from concurrent.futures import ProcessPoolExecutor
 
 import pytest
 
 from anisefront.testbed.soak.__main__ import failure, play
+from anisefront.testbed.soak.audit import SoakAuditor
 
 SEED, SECONDS = 1, 8.0
 INTACT = {}
@@ -17,7 +20,7 @@
         2: "ceilings,own-answers,attempts-out",
         3: "ceilings,attempts-out",
     },
-    {0: "ready,drains", 1: "ready,descriptors", 2: "memory,twice", 3: "twice,descriptors"},
+    {0: "ready,drains", 1: "ready,descriptors", 2: "memory,twice", 3: "twice,descriptors,memory"},
     dict.fromkeys(range(4), "cold"),
 ]
 RULES = {  # by the guard that is out
@@ -66,3 +69,30 @@
     verdicts, said = soaks[number]
     assert next(verdict for verdict in verdicts if verdict.rule == RULES[guard]).breaches, said
     assert f"seed {SEED}: python -m anisefront.testbed.soak" in said
+
+
+@pytest.mark.parametrize(
+    ("how", "at", "workers", "breaches"),
+    [
+        ("closed", 1099, [], 0),  # it crossed the end of its connection unread
+        ("closed", 1101, [], 1),
+        ("closed", 1050, ["arrive"], 1),  # it had been read
+        ("broken", 1050, [], 1),
+        ("reset", 1050, [], 1),
+        ("gone", 1050, ["arrive"], 0),  # its client left
+    ],
+)
+def test_a_request_whose_connection_ends_is_lost_unless_it_crossed_the_end_unread(how, at, workers, breaches):
+    # Guards against a loss that counts as a crossing.
+    tries = [{"at": 1000, "kind": "try", "id": "a", "due": 2500, "gatekeeper": 0}]
+    records = {"clients": [*tries, {"at": at, "kind": "answer", "id": "a", "how": how}], "proxies": [], "day": []}
+    records["workers"] = [{"at": 1010, "kind": kind, "id": "a", "worker": "s@0"} for kind in workers]
+    assert len(SoakAuditor(records).ends().breaches) == breaches
+
+
+def test_the_auditor_loads_nothing_of_the_gateway():
+    # Guards against a fault that hides in code which both sides share.
+    code = "import sys, anisefront.testbed.soak.audit as _\nprint(*(m for m in sys.modules if 'anisefront' in m))"
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split()
+    assert [name for name in loaded if name.startswith("anisefront.") and ".testbed" not in name] == []
+    assert "anisefront.testbed.soak.audit" in loaded
