--- a/anisefront/testbed/audit.py
+++ b/anisefront/testbed/audit.py
@@ -91,7 +91,7 @@
     def _blocked(self) -> dict[int, list[tuple[float, float]]]:
         """When each gatekeeper was blocked in a call, in order of time: it slept of its own doing, look by look."""
         spans: dict[int, list[tuple[float, float]]] = defaultdict(list)
-        for record in _of(self.records["day"], "blocked"):
+        for record in of_kinds(self.records["day"], "blocked"):
             spans[record["number"]].append((record["since"], record["until"]))
         return spans
 
