A lock whose holders were dropped lapses without an error

What callers saw: nothing yet; an exception in a voter's timer could lose the actions of that iteration of the event loop, attempts and takeovers among them.

Cause: a voter that has dropped the request of a dead owner without a backup, and gives no vote since it is not recovered, keeps a lock without a holder. When it lapses its first holder is remembered since, and there is none.

Evidence: found by a review by reading; the test raised StopIteration before.

Why it works: a lock without a holder is not remembered.

--- a/anisefront/cluster/lock_voter.py
+++ b/anisefront/cluster/lock_voter.py
@@ -258,6 +258,8 @@
                 self._note_lapsed(identity, lock)
 
     def _note_lapsed(self, identity: bytes, lock: _Lock) -> None:
+        if not lock.holders:
+            return  # all were dropped, and no vote was given since
         self._lapsed[identity] = (next(iter(lock.holders)), lock.expires_ms + self._max_deadline_ms)
         self._lapsed.move_to_end(identity)
         if len(self._lapsed) > MAX_ENDED:
--- a/tests/test_identity_locks.py
+++ b/tests/test_identity_locks.py
@@ -315,6 +315,19 @@
     assert cluster.decisions[1] == [LockHeld(1)]
 
 
+def test_a_lock_whose_holders_were_dropped_lapses_without_an_error(cluster):
+    # Guards against an exception that loses the actions of a whole iteration.
+    voter = cluster.voters[slot_voter()]
+    owner, other = sorted(set(range(4)) - {slot_voter()})[:2]
+    request = LockRequests(cluster.placement.digest, (LockRequest(IDENTITY, 1, 8000),))
+    voter.receive(0.0, owner, 1, request)
+    voter.update_members(0.0, {}, frozenset({owner}))
+    voter._recovery._open_slots = {slot_of(IDENTITY)}  # restarted, and told of the lock by another
+    voter.receive(1.0, other, 1, request)
+    voter.handle_timers(DEADLINE_MS + 1)
+    assert len(voter) == 0
+
+
 def test_votes_that_come_after_a_request_was_given_up_are_left_to_the_one_that_continues_it(cluster):
     # Guards against a lock that is released as if its request had been executed, while another instance continues it.
     requester = cluster.requesters[0]
