What has yielded to an executed request does not run after the deadline of that request

What callers saw: a POST /pay could be executed twice, where it was executed late in its time and another of its identity, with a later deadline, had missed the outcome.

Cause: voters remembered an executed request until its own deadline, after which one that had yielded to it, and waits longer, got their votes.

Evidence: found by a review by reading; the test of the voters failed before.

Why it works: it is remembered for the longest deadline more, as one whose lock has lapsed. A restarted voter is told of it as before, until its own deadline.

--- a/anisefront/cluster/lock_voter.py
+++ b/anisefront/cluster/lock_voter.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -91,8 +92,8 @@
         self._replies: dict[int, list[LockReply]] = {}  # by receiver
         # Requests that may have been executed and have ended since, by identity, with the deadline of their lock.
         self._finished: OrderedDict[bytes, tuple[LockOwner, float]] = OrderedDict()
-        # Requests whose locks have lapsed, so that nobody has told whether they were executed, and until when a request
-        # may still wait that has yielded to one of them.
+        # Requests whose locks have lapsed, so that nobody has told whether they were executed, with the deadline. One
+        # that has yielded to such a request, or to a finished one, may wait for up to the longest deadline after that.
         self._lapsed: OrderedDict[bytes, tuple[LockOwner, float]] = OrderedDict()
         self._max_deadline_ms = max_deadline_ms
 
@@ -183,8 +184,8 @@
         if not request.follows_another:
             return None
         for ended in (self._finished, self._lapsed):
-            holder, until_ms = ended.get(request.identity, (None, 0.0))
-            if until_ms > now_ms and holder != request.predecessor:
+            holder, expires_ms = ended.get(request.identity, (None, -math.inf))
+            if expires_ms + self._max_deadline_ms > now_ms and holder != request.predecessor:
                 return holder
         return None
 
@@ -260,7 +261,7 @@
     def _note_lapsed(self, identity: bytes, lock: _Lock) -> None:
         if not lock.holders:
             return  # all were dropped, and no vote was given since
-        self._lapsed[identity] = (next(iter(lock.holders)), lock.expires_ms + self._max_deadline_ms)
+        self._lapsed[identity] = (next(iter(lock.holders)), lock.expires_ms)
         self._lapsed.move_to_end(identity)
         if len(self._lapsed) > MAX_ENDED:
             self._lapsed.popitem(last=False)
--- a/tests/test_identity_locks.py
+++ b/tests/test_identity_locks.py
@@ -315,6 +315,19 @@
     assert cluster.decisions[1] == [LockHeld(1)]
 
 
+def test_what_yielded_does_not_run_after_the_deadline_of_one_that_was_executed(cluster):
+    # Guards against a second effect: the finished request was forgotten at its own deadline, and this one waits longer.
+    cluster.acquire(0)
+    cluster.requesters[0].release(1, may_have_executed=True)
+    cluster.run()
+    cluster.run(DEADLINE_MS)
+    cluster.acquire(1, has_yielded=True)
+    assert cluster.decisions[1] == [LockRefused(1, (0,))]
+    cluster.run(DEADLINE_MS)
+    cluster.acquire(1, 2, has_yielded=True)
+    assert cluster.decisions[1][1:] == [LockHeld(2)]
+
+
 def test_a_lock_whose_holders_were_dropped_lapses_without_an_error(cluster):
     # Guards against an exception that loses the actions of a whole iteration.
     voter = cluster.voters[slot_voter()]
