A keyed request with a narrow scope that may have run is not told as never executed

What callers saw: a class with `repeat keyed scope zone` had two effects of one key. A client that asked a second instance while the first one's attempt was open had its request executed in another zone when that attempt failed.

Cause: who waits for a request of its identity was told NEVER_EXECUTED of every keyed request that may have run, since its repeat does no harm. That holds where all endpoints drop repeats; the reply does not say in which zone or cell the first attempt was.

The new test of the takeover failed for zone and cell and passed for all.

Change: RequestClass.is_repeatable_anywhere is asked by the decision on rejections, the primary, its backup and the instance that takes over; elsewhere MAY_HAVE_EXECUTED is told and the lock is kept as for a request that is not idempotent.

--- a/anisefront/daemon/duplicate_requests.py
+++ b/anisefront/daemon/duplicate_requests.py
@@ -14,7 +14,6 @@
 from anisefront.cluster.replication_codec import MAX_RECORD_BYTES, encode
 from anisefront.cluster.replication_messages import Outcome, OutcomeQuery, OutcomeReply
 from anisefront.daemon.request_records import content_digest, decode_response, encode_response
-from anisefront.policy.settings import Idempotency
 from anisefront.upstream.deduplication import Deduplicator
 from anisefront.upstream.direct_requests import DirectRequest, FinalResponse
 
@@ -29,10 +28,15 @@
 
 
 class LocalRequest(NamedTuple):
-    """A request in flight here that must not run twice, and the idempotency of its class when it was accepted."""
+    """A request in flight here that must not run beside another of its identity.
+
+    Attributes:
+        identity: Its identity.
+        must_not_repeat: Whether a second execution would do harm, by its class when it was accepted.
+    """
 
     identity: bytes
-    idempotency: Idempotency
+    must_not_repeat: bool
 
 
 @dataclass(slots=True, eq=False)
@@ -80,9 +84,9 @@
 
     # ---- requests in flight here -----------------------------------------------------------------
 
-    def add(self, request: int, identity: bytes, idempotency: Idempotency) -> None:
+    def add(self, request: int, identity: bytes, must_not_repeat: bool) -> None:
         """Add a request; the first one of an identity represents it."""
-        self._local[request] = LocalRequest(identity, idempotency)
+        self._local[request] = LocalRequest(identity, must_not_repeat)
         self._request_numbers.setdefault(identity, []).append(request)
 
     def demote(self, request: int) -> None:
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -148,7 +148,8 @@
         now_ms = self._clock()
         accepted = self._accepted(now_ms, entry)
         if accepted.excludes_duplicates:
-            self.duplicates.add(accepted.request, accepted.identity, self._idempotency(entry.arrival.class_name))
+            must_not_repeat = not self._classes[entry.arrival.class_name].is_repeatable_anywhere
+            self.duplicates.add(accepted.request, accepted.identity, must_not_repeat)
         inherited = self.takeover.inherited_locks.take(accepted.identity)
         predecessor = inherited.owner if inherited is not None else None
         has_yielded = self._has_yielded(now_ms, accepted.identity)
@@ -214,8 +215,7 @@
         may_have_executed = self._may_have_executed(request)
         represents_identity = self.duplicates.represents(request)
         local = self.duplicates.remove(request)
-        # The class may have been changed since: the idempotency at acceptance decides.
-        is_uncertain = may_have_executed and local is not None and local.idempotency is Idempotency.NON_IDEMPOTENT
+        is_uncertain = may_have_executed and local is not None and local.must_not_repeat
         is_retained = local is not None and local.identity in self.returning
         had_lock = self.primary.has_lock(request)
         self.primary.complete(self._clock(), request, is_uncertain, is_uncertain and is_retained)
--- a/anisefront/daemon/request_takeover.py
+++ b/anisefront/daemon/request_takeover.py
@@ -20,7 +20,7 @@
 from anisefront.gateway.request_table import RequestTable
 from anisefront.gateway.request_terms import RequestTerms
 from anisefront.policy.events import PriorAttempts
-from anisefront.policy.settings import Idempotency, RequestClass
+from anisefront.policy.settings import RequestClass
 from anisefront.upstream.deduplication import Deduplicator
 from anisefront.upstream.delegated_requests import DelegatedRequests
 from anisefront.upstream.direct_requests import DirectRequests, FinalResponse
@@ -65,19 +65,16 @@
         self._own = own
         self._proxied = proxied
 
-    def _idempotency(self, class_name: str) -> Idempotency:
-        return self._classes[class_name].idempotency
-
     def uncertain_outcome(self, replica: ReplicatedRequest) -> Outcome:
         """Return the outcome of a request that may have executed.
 
-        With an idempotency key it may be sent again: endpoints of its deduplication scope drop a repeated execution.
+        With an idempotency key another of its identity may run where all endpoints drop a repeated execution. Where
+        only those of one zone or cell do it may not: it does not know which endpoint received the first.
         """
-        return Outcome.NEVER_EXECUTED if self._has_idempotency_key(replica) else Outcome.MAY_HAVE_EXECUTED
-
-    def _has_idempotency_key(self, replica: ReplicatedRequest) -> bool:
         record = decode_record(replica.record, self._classes)
-        return record is not None and self._idempotency(record.class_name) is Idempotency.KEYED
+        if record is not None and self._classes[record.class_name].is_repeatable_anywhere:
+            return Outcome.NEVER_EXECUTED
+        return Outcome.MAY_HAVE_EXECUTED
 
     def blocks(self, identity: bytes) -> bool:
         """Return whether a delegated request taken over blocks others of its identity; one that does not is released.
@@ -88,7 +85,7 @@
         if inherited is None or not inherited.is_awaited:
             return False
         class_name = inherited.terms.class_name
-        if inherited.uncertain_attempts and self._idempotency(class_name) is Idempotency.NON_IDEMPOTENT:
+        if inherited.uncertain_attempts and not self._classes[class_name].is_repeatable_anywhere:
             self._inherited[identity] = inherited
             return True
         self._proxied.inherited.release(inherited)
--- a/anisefront/policy/retries.py
+++ b/anisefront/policy/retries.py
@@ -36,11 +36,7 @@
 
 def is_rejection_safe(request: Request) -> bool:
     """Return whether a client may retry the request: a second execution does no harm, or there was no first one."""
-    request_class = request.request_class
-    if request_class.idempotency is Idempotency.IDEMPOTENT or not request.uncertain_attempts:
-        return True
-    everywhere = request_class.deduplication_scope is DeduplicationScope.ALL
-    return request_class.idempotency is Idempotency.KEYED and everywhere
+    return not request.uncertain_attempts or request.request_class.is_repeatable_anywhere
 
 
 class RetryPolicy:
--- a/anisefront/policy/settings.py
+++ b/anisefront/policy/settings.py
@@ -62,6 +62,13 @@
         if not isinstance(self.idempotency, Idempotency):
             raise ValueError(f"idempotency: {self.idempotency!r} is no kind of idempotency")
 
+    @property
+    def is_repeatable_anywhere(self) -> bool:
+        """Whether a second execution does no harm, whichever endpoint receives it."""
+        if self.idempotency is Idempotency.KEYED:
+            return self.deduplication_scope is DeduplicationScope.ALL
+        return self.idempotency is Idempotency.IDEMPOTENT
+
 
 @dataclass(frozen=True, slots=True)
 class Plan:
--- a/tests/test_request_takeover.py
+++ b/tests/test_request_takeover.py
@@ -12,7 +12,7 @@
 from anisefront.daemon.duplicate_requests import DuplicateRequests
 from anisefront.daemon.request_records import RequestRecord, content_digest
 from anisefront.daemon.request_takeover import OWN_POOL, RequestTakeover
-from anisefront.policy.settings import Idempotency
+from anisefront.policy.settings import DeduplicationScope, Idempotency, RequestClass
 from anisefront.protocols import http1
 from anisefront.upstream.deduplication import Deduplicator
 from anisefront.upstream.direct_requests import DirectRequest, FinalResponse
@@ -48,10 +48,13 @@
         self.takeover = RequestTakeover(
             lambda: self.clock.seconds() * 1000, log, primary, locks, self.returning, self.duplicates, Counter()
         )
-        self.takeover.update_classes({"pay": types.SimpleNamespace(idempotency=Idempotency.NON_IDEMPOTENT)})
+        self.set_class(Idempotency.NON_IDEMPOTENT)
         table = types.SimpleNamespace(transfer_to_backup=self.given_up.append)
         self.takeover.attach(table, types.SimpleNamespace(resume=self.resume), None)
 
+    def set_class(self, *repeats):
+        self.takeover.update_classes({"pay": RequestClass("pay", 4000, DEADLINE_MS, 3.0, *repeats)})
+
     def continue_predecessor(self, now_ms, request, owner):
         if self.is_undecided:
             self.continued.append(owner)
@@ -124,15 +127,26 @@
     assert (taker.continued, taker.released) == ([], [])
 
 
+@pytest.mark.parametrize("scope", DeduplicationScope)
+def test_a_request_that_waits_for_a_keyed_one_that_may_have_run_goes_on_where_all_endpoints_drop_repeats(taker, scope):
+    # Guards against a second effect: the one that waits does not know in which zone or cell the first was executed.
+    taker.set_class(Idempotency.KEYED, 0.0, scope, 20_000.0)
+    taker.wait(taker.ask_for_lock)
+    taker.take_over(attempts=(0,))
+    goes_on = scope is DeduplicationScope.ALL
+    assert taker.continued == ([OWNER] if goes_on else [])
+    assert [answer.reason for answer in taker.answers] == ([] if goes_on else ["ended-elsewhere"])
+
+
 def test_a_local_request_that_asks_for_its_lock_continues_that_of_the_failed_one(taker):
-    taker.duplicates.add(1, IDENTITY, Idempotency.NON_IDEMPOTENT)
+    taker.duplicates.add(1, IDENTITY, True)
     taker.take_over()
     assert (taker.continued, taker.released, taker.resumed) == ([OWNER], [], [])
 
 
 def test_a_local_request_that_was_refused_its_lock_continues_that_of_the_failed_one(taker):
     # Guards against a lock that nobody continues: the refusal was decided, and not yet carried out.
-    taker.duplicates.add(1, IDENTITY, Idempotency.NON_IDEMPOTENT)
+    taker.duplicates.add(1, IDENTITY, True)
     taker.is_undecided = False
     taker.take_over()
     assert IDENTITY in taker.takeover.inherited_locks
@@ -141,7 +155,7 @@
 
 
 def test_the_lock_of_a_failed_request_is_released_where_the_local_one_has_the_majority(taker):
-    taker.duplicates.add(1, IDENTITY, Idempotency.NON_IDEMPOTENT)
+    taker.duplicates.add(1, IDENTITY, True)
     taker.has_lock = True
     taker.take_over()
     assert (taker.released, taker.continued) == ([OWNER], [])
@@ -149,14 +163,14 @@
 
 def test_a_local_request_yields_to_a_failed_one_that_may_have_run_and_who_asks_is_told(taker):
     # Guards against a wait until the deadline: nobody told the outcome of a request that was not continued.
-    taker.duplicates.add(1, IDENTITY, Idempotency.NON_IDEMPOTENT)
+    taker.duplicates.add(1, IDENTITY, True)
     taker.take_over(attempts=(0,))
     assert taker.given_up == [1] and taker.duplicates._outcomes[IDENTITY] is Outcome.MAY_HAVE_EXECUTED
 
 
 def test_a_local_request_that_another_instance_owns_does_not_keep_the_failed_one_from_going_on(taker):
     # Guards against a wait until the deadline: the local one had lost its epoch, and an attempt of it was in flight.
-    taker.duplicates.add(1, IDENTITY, Idempotency.NON_IDEMPOTENT)
+    taker.duplicates.add(1, IDENTITY, True)
     taker.is_lost = True
     taker.take_over()
     assert len(taker.resumed) == 1 and taker.continued == [OWNER]
