A backup keeps the response of a taken-over request, and the current backup is told it

Cause: the taker of a request sends its response to the backup that it had at the takeover. Where nobody waited there just then it was dropped; only "ended, may have been executed" was remembered, and told to those who asked when the taker seemed lost. And that backup is often the instance that has just been lost, so that the one it moved to was told nothing.

Change: a backup retains the response of a request that it stores, as it would retain one of its own; the response goes to the backup that the request has when it ends.

--- a/anisefront/cluster/backup.py
+++ b/anisefront/cluster/backup.py
@@ -102,11 +102,15 @@
 
     def stores(self, identity: bytes) -> bool:
         """Return whether a request of an identity is stored here, and would be taken over."""
-        return any(
-            key.request in epoch.requests
-            for key in self._by_identity.get(identity, ())
-            if (epoch := self._epochs(key.primary, key.primary_incarnation).get(key.epoch)) is not None
-        )
+        return self.find_stored(identity) is not None
+
+    def find_stored(self, identity: bytes) -> ReplicatedRequest | None:
+        """Return the first request of an identity that is stored here, and would be taken over."""
+        for key in self._by_identity.get(identity, ()):
+            epoch = self._epochs(key.primary, key.primary_incarnation).get(key.epoch)
+            if epoch is not None and key.request in epoch.requests:
+                return epoch.requests[key.request]
+        return None
 
     def known_locks(self, now_ms: float) -> Iterator[KnownLock]:
         """Yield the locks that the primaries of the stored requests hold, or ask for."""
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -40,7 +40,7 @@
 from anisefront.daemon.inherited_locks import InheritedLock
 from anisefront.daemon.message_bundles import bundles, unbundle
 from anisefront.daemon.message_relay import MessageRelay
-from anisefront.daemon.request_records import RequestRecord, content_digest
+from anisefront.daemon.request_records import RequestRecord, content_digest, decode_record, decode_response
 from anisefront.daemon.request_takeover import OWN_POOL, RequestTakeover
 from anisefront.gateway.pending_request import PendingRequest
 from anisefront.gateway.request_table import RequestTable
@@ -222,6 +222,7 @@
         is_uncertain = may_have_executed and local is not None and local.must_not_repeat
         is_retained = local is not None and local.identity in self.returning
         had_lock = self.primary.has_lock(request)
+        backup = self.primary.backup_of(request)
         self.primary.complete(self._clock(), request, is_uncertain, is_uncertain and is_retained)
         if local is None or not represents_identity or request == self._yielding:
             return  # those who wait for one that yields are told when the outcome of the other is known
@@ -230,6 +231,8 @@
             self.duplicates.remember(local.identity, outcome)
         if not is_retained:
             self.duplicates.notify(local.identity, outcome)
+        elif backup is not None:  # the response follows; its backup may have changed since it was taken over
+            self.duplicates.wait_for(local.identity, {backup})
 
     def _may_have_executed(self, request: int) -> bool:
         entry = self._request_table.requests[request]
@@ -375,6 +378,7 @@
 
     def _receive_message(self, sender: int, incarnation: int, message: Message | LockMessage) -> None:
         if isinstance(message, OutcomeReply):
+            self._retain_response(message)
             self.duplicates.on_reply(message)
         elif isinstance(message, OutcomeQuery):
             uses_locks = self.voter.uses_locks(sender, incarnation)
@@ -397,6 +401,17 @@
                 self.witness.receive(sender, incarnation, message)
             self.process()
 
+    def _retain_response(self, reply: OutcomeReply) -> None:
+        """Retain the response of a request that is stored here: its primary may be lost, or taken for lost, later."""
+        answer = decode_response(reply.response) if reply.outcome is Outcome.RESPONDED else None
+        replica = self.backup.find_stored(reply.identity)
+        if answer is None or answer.message is None or replica is None:
+            return
+        record = decode_record(replica.record, self._classes)
+        job = record.job() if record is not None else None
+        if job is not None:
+            self.returning.retain_response(reply.identity, content_digest(job), replica.deadline_ms, answer)
+
     def _precedes(self, identity: bytes, other: int) -> bool:
         slot = slot_of(identity)
         return placement_hash(slot, other) < placement_hash(slot, self._settings.number)
--- a/anisefront/upstream/deduplication.py
+++ b/anisefront/upstream/deduplication.py
@@ -114,6 +114,13 @@
         for on_response in waiting:
             on_response(response)
 
+    def retain_response(
+        self, key: bytes, content_digest: bytes, deadline_at_ms: float, response: FinalResponse
+    ) -> None:
+        """Retain the response that another gateway instance gave, unless a request of this key is known here."""
+        if self.add(key, content_digest, deadline_at_ms):
+            self.record_response(key, response)
+
     def try_join(self, key: bytes, content_digest: bytes, on_response: OnResponse) -> bool:
         """Join a client's request to the one of its key.
 
--- a/tests/test_given_up.py
+++ b/tests/test_given_up.py
@@ -1,7 +1,7 @@
 """A live instance that was given up: its clients, and those that wait for it, hear of the end elsewhere."""
 
 import pytest
-from replication_fleet import ENDPOINTS, LEASE_MS, NO_ENDPOINTS, REPLY_S, TAKEOVER_S
+from replication_fleet import ENDPOINTS, LEASE_MS, NO_ENDPOINTS, REPLY_S, SERVICE_S, TAKEOVER_S, TRANSIT_S
 from test_lost_owners import Scene, ranks_of
 
 from anisefront.cluster.replication_messages import Append
@@ -58,3 +58,19 @@
     scene.run(REPLY_S)
     assert scene.ends(other) == ["served"] and scene.ends() == ["served"]
     assert scene.fleet.runs == {scene.key: 1, other_key: 1}
+
+
+def test_who_waits_for_an_instance_that_was_taken_for_dead_after_its_response_gets_that_response():
+    # Guards against "failed" for what was served: its backup had been told the response, and kept none.
+    scene = Scene("pay")
+    scene.queue_at(0)
+    scene.kill(0, detected=False)
+    scene.ask(4)
+    while not scene.fleet.runs[scene.key]:
+        scene.run(TRANSIT_S)
+    scene.run(SERVICE_S + 4 * TRANSIT_S)
+    for rank in range(2, 6):
+        scene.believe(rank, 0)
+        scene.believe(rank, 1)
+    scene.run(REPLY_S)
+    assert scene.ends() == ["served"] and scene.fleet.runs[scene.key] == 1
