--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -516,9 +516,8 @@
         One that may have been executed here, and must not be again, fails: the owner does not execute it either.
         """
         number = request.arrival.id
-        informed = self._owned_elsewhere.get(number, ())
-        can_wait = bool(request.replica.identity) and request.replica.kind == OWN_POOL
-        if not informed or not can_wait:
+        informed = self._owned_elsewhere.get(number)
+        if not informed or not request.replica.identity or request.replica.kind != OWN_POOL:
             return False
         if self.duplicates.must_not_repeat(number) and self._may_have_executed(number):
             return False
