Following the owner and keeping a response look each thing up once

The identity of a request that another instance owns was hashed a second time, and its class's answer fetched by a method of its own, though the record of the request holds both: DuplicateRequests.get returns that record. A response is decoded only where the request is stored here.

--- a/anisefront/daemon/duplicate_requests.py
+++ b/anisefront/daemon/duplicate_requests.py
@@ -112,10 +112,9 @@
                 del self._request_numbers[local.identity]
         return local
 
-    def must_not_repeat(self, request: int) -> bool:
-        """Return whether a second execution of a request in flight here would do harm."""
-        local = self._local.get(request)
-        return local is not None and local.must_not_repeat
+    def get(self, request: int) -> LocalRequest | None:
+        """Return a request in flight here; None where it has no identity or may run beside others of it."""
+        return self._local.get(request)
 
     def request_number(self, identity: bytes) -> int | None:
         """Return the number of the request in flight here that represents this identity."""
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -402,9 +402,9 @@
 
     def _retain_response(self, reply: OutcomeReply) -> None:
         """Retain the response of a request that is stored here: its primary may be lost, or taken for lost, later."""
-        answer = decode_response(reply.response) if reply.outcome is Outcome.RESPONDED else None
-        replica = self.backup.find_stored(reply.identity)
-        if answer is None or answer.message is None or replica is None:
+        replica = self.backup.find_stored(reply.identity) if reply.outcome is Outcome.RESPONDED else None
+        answer = decode_response(reply.response) if replica is not None else None
+        if answer is None or answer.message is None:
             return
         record = decode_record(replica.record, self._classes)
         job = record.job() if record is not None else None
@@ -517,16 +517,16 @@
         """
         number = request.arrival.id
         informed = self._owned_elsewhere.get(number)
-        if not informed or not request.replica.identity or request.replica.kind != OWN_POOL:
+        local = self.duplicates.get(number)
+        if not informed or local is None or request.replica.kind != OWN_POOL:
             return False
-        if self.duplicates.must_not_repeat(number) and self._may_have_executed(number):
+        if local.must_not_repeat and self._may_have_executed(number):
             return False
         self.counts["followed_owner"] += 1
         self._yield_to_duplicate(number, informed)
         # The owner may never have stored it: then its client starts anew, and nobody else continues its lock.
         owner = LockOwner(self._settings.number, self._incarnation, number)
-        identity = self._identity(request.arrival.customer, request.replica.identity)
-        self.takeover.inherit_lock(identity, InheritedLock(owner, request.arrival.deadline_at_ms))
+        self.takeover.inherit_lock(local.identity, InheritedLock(owner, request.arrival.deadline_at_ms))
         return True
 
     def _yield_to_duplicate(self, request: int, informed: tuple[int, ...]) -> None:
