Review case 2, from an entry: a keyed request refused as safe after its window runs twice

Cause: a keyed class whose repeats all workers drop counts as harmless to repeat at any time, so the answer at the deadline is a refusal although the window is over; the client's retry is not dropped any more.

Changed: the case takes the place of the flood, which was case 3 and stays in the report and in this history; the memory of incomplete commands is case 3 now.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,10 @@
-"""Many clients send hundreds of commands at once, and again as soon as they are turned away."""
+"""Two hundred clients stop in the middle of a command and stay; the platform kills what passes its memory limit."""
 
 from __future__ import annotations
 
 import asyncio
-import subprocess
+import contextlib
+import signal
 import sys
 from pathlib import Path
 
@@ -12,97 +13,81 @@
 import sites
 import standins
 
-BAD_CLIENTS = 300
-COMMANDS = 300  # at once
-FLOOD_S = 6.0
-USUAL_CLIENTS = 20
-USUAL_S = 5.0
-GAP_S = 0.1
-SILENCE_S = 12.0
-TIMEOUT_MS = 1000  # half of the class's deadline, the least that a client waits
-LATEST_MS = TIMEOUT_MS + standins.LATE_MS + standins.SOCKET_SLACK_MS
-
-
-class BadClient(asyncio.Protocol):
-    """Sends its commands at once, reads all answers, and sends as many again."""
-
-    def __init__(self, number: int) -> None:
-        """Prepare the commands of a customer of its own."""
-        ids = (standins.new_id() for _ in range(COMMANDS))
-        data = (standins.request("Q.ASK", "seat-check", "estandar", each, TIMEOUT_MS, 1000 + number) for each in ids)
-        self.commands = b"".join(data)
-        self.answers = 0
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Send the first commands."""
-        self.transport = transport
-        self.send()
-
-    def send(self) -> None:
-        """Send the commands."""
-        self.answers = 0
-        self.transport.write(self.commands)
-
-    def data_received(self, data: bytes) -> None:
-        """Count answers."""
-        self.answers += data.count(b"-BUSY") + data.count(standins.VALUE) + data.count(b"-ERR")
-        if self.answers >= COMMANDS:
-            self.send()
-
-
-async def flood(address: str, port: str) -> None:
-    """Be all bad clients, in a process of their own."""
-    loop = asyncio.get_running_loop()
-    for number in range(BAD_CLIENTS):
-        await loop.create_connection(lambda number=number: BadClient(number), address, int(port))
-    await asyncio.sleep(FLOOD_S)
-
-
-async def ask_usually(site: standins.Site, number: int, end_ms: float) -> int:
-    """Send requests one after another, and return how many got no answer in time."""
-    record = site.record
-    client = await standins.Client.connect(site.gateways[0], record)
-    late = 0
-    while record.now_ms() < end_ms:
+MEMORY_MB = 96.0
+SOCKETS = 576
+STUCK_CLIENTS = 200
+STAY_S = 4.0
+PARTS = 8
+VALUE = b"x" * (64 << 10)  # the most that a value may hold
+HALF_COMMAND = b"*%d\r\n" % PARTS + (b"$%d\r\n%b\r\n" % (len(VALUE), VALUE)) * (PARTS - 1) + b"$%d\r\n" % len(VALUE)
+USUAL_CLIENTS = 10
+USUAL_REQUESTS = 30
+GAP_S = 0.2
+SAMPLE_S = 0.01
+
+
+async def stop_midway(gateway: standins.Gateway, ends: list[bytes]) -> None:
+    """Send half a command and stay; keep what comes back: an error, or nothing before a close."""
+    with contextlib.suppress(OSError, TimeoutError):
+        reader, writer = await asyncio.open_connection(*gateway.address)
+        writer.write(HALF_COMMAND)
+        ends.append(await asyncio.wait_for(reader.read(200), STAY_S))
+        await asyncio.sleep(STAY_S)
+        writer.close()
+
+
+async def ask_usually(gateway: standins.Gateway, record: standins.Record, number: int) -> None:
+    """Send requests one after another, as a front does for its customers."""
+    client = await standins.Client.connect(gateway, record)
+    for _ in range(USUAL_REQUESTS):
         request_id = standins.new_id()
-        data = standins.request("Q.ASK", "seat-check", "amplio", request_id, TIMEOUT_MS, number + 1)
-        took_ms, reply = await client.ask(request_id, data, SILENCE_S)
-        closed = client.reader.at_eof()
-        if took_ms > LATEST_MS and not (closed and reply is None):
-            late += 1
-            record.write("judged", id=request_id, after_ms=f"{took_ms:.0f}", latest_ms=LATEST_MS, answer=reply)
-        if closed:  # between requests, or unread: the client goes on with a new connection
-            client.close()
-            client = await standins.Client.connect(site.gateways[0], record)
+        data = standins.request("Q.ASK", "stock-view", "market-wide", request_id, 5000, customer=number + 1)
+        _, reply = await client.ask(request_id, data, 5.5)
+        if reply is None:
+            return
         await asyncio.sleep(GAP_S)
-    client.close()
-    return late
+
+
+async def enforce_memory(gateway: standins.Gateway, record: standins.Record) -> float:
+    """Kill the gateway instance when it needs more memory than its limit, as the platform does.
+
+    Returns:
+        Its memory in MB then, 0 where it stayed within the limit. Runs until it is cancelled or has killed.
+    """
+    peak_mb = 0.0
+    while True:
+        memory_mb = gateway.memory_mb()
+        if memory_mb > peak_mb + 1:
+            peak_mb = memory_mb
+            record.write("memory", gateway=gateway.number, mb=f"{memory_mb:.0f}", limit=MEMORY_MB)
+        if memory_mb > MEMORY_MB:
+            gateway.signal(signal.SIGKILL)
+            record.write("killed for memory", gateway=gateway.number, mb=f"{memory_mb:.0f}", limit=MEMORY_MB)
+            return memory_mb
+        await asyncio.sleep(SAMPLE_S)
 
 
 async def case(record: standins.Record, folder: Path) -> int:
-    """Return whether each usual request got its final answer at most half a second after its time."""
-    workers = [standins.Worker(f"s-{number}", record, 80.0, "util=0.3,inflight=1") for number in range(8)]
+    """Return whether a gateway instance was killed for memory."""
+    workers = [standins.Worker(f"s-{number}", record, 150.0, "util=0.3,inflight=1") for number in range(8)]
     site = standins.Site(record, folder, workers)
-    bad = None
     try:
-        await site.start(sites.coop_lic_santiago(), {"cores": 1.0, "memory_mb": 192.0, "sockets": 1024})
-        end_ms = record.now_ms() + USUAL_S * 1000
-        usual = [asyncio.create_task(ask_usually(site, number, end_ms)) for number in range(USUAL_CLIENTS)]
+        await site.start(sites.neihu_main(), {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS})
+        gateway = site.gateways[0]
+        platform = asyncio.create_task(enforce_memory(gateway, record))
+        usual = [asyncio.create_task(ask_usually(gateway, record, number)) for number in range(USUAL_CLIENTS)]
         await asyncio.sleep(1.0)
+        ends: list[bytes] = []
         if standins.trouble():
-            record.write("trouble", clients=BAD_CLIENTS, commands=COMMANDS)
-            bad = subprocess.Popen([sys.executable, "-B", __file__, *map(str, site.gateways[0].address)])
-        late = sum(await asyncio.gather(*usual))
-        record.write("late", requests=late)
-        return standins.BROKEN if late else standins.HELD
+            record.write("trouble", clients=STUCK_CLIENTS, bytes_each=len(HALF_COMMAND))
+            await asyncio.gather(*(stop_midway(gateway, ends) for _ in range(STUCK_CLIENTS)))
+            record.write("trouble over", errors=sum(end.startswith(b"-") for end in ends), closes=ends.count(b""))
+        await asyncio.gather(*usual, return_exceptions=True)
+        platform.cancel()
+        killed = platform.done() and not platform.cancelled() and platform.result() > 0
+        return standins.BROKEN if killed else standins.HELD
     finally:
-        if bad is not None:
-            bad.kill()
-            bad.wait()
         site.end()
 
 
-if len(sys.argv) > 1:
-    asyncio.run(flood(*sys.argv[1:]))
-else:
-    standins.run_case(__file__, case)
+standins.run_case(__file__, case)
--- a/review/sites.py
+++ b/review/sites.py
@@ -105,3 +105,16 @@
         {"coldFrom": 0.25, "drainGraceMs": 1000.0, "fallMultiple": 2.5, "tipAfterMs": 1000.0, "warmUpMs": 17000.0},
         {"connIdleMs": 30000.0, "maxAttempts": 5, "maxStreams": 100},
     )
+
+
+def sapporo_main(window_ms: float) -> dict[str, Any]:
+    """Return settings like those of `sapporo-main`, but for the window in which its workers drop a repeat."""
+    return _settings(
+        [
+            _class("roster-read", 1000.0, 5000.0, "retryable"),
+            _class("shift-signup", 1000.0, 4000.0, "dedup", worth=2.0, dedupWindowMs=window_ms),
+        ],
+        [_plan("community", 2.3, 13.0)],
+        {"coldFrom": 0.23, "drainGraceMs": 250.0, "fallMultiple": 4.0, "tipAfterMs": 3000.0, "warmUpMs": 15000.0},
+        {"connIdleMs": 30000.0, "maxAttempts": 4, "maxStreams": 100},
+    )
--- a/review/standins.py
+++ b/review/standins.py
@@ -141,10 +141,11 @@
             while data := await reader.read(1 << 16):
                 buffer += data
                 while (parts := read_command(buffer)) is not None:
-                    await self._answer(parts, writer)
+                    await self.answer(parts, writer)
         writer.close()
 
-    async def _answer(self, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+    async def answer(self, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+        """Answer one command."""
         if parts[0] in (b"CLIENT", b"SELECT"):
             writer.write(b"+OK\r\n")
             return
@@ -152,7 +153,7 @@
             writer.write(b"-ERR unknown command\r\n")
             return
         request_id = parts[2].decode()
-        at_ms = self.record.write("run", worker=self.name, id=request_id, told_ms=terms_of(parts)["d"])
+        at_ms = self.record.write("command", worker=self.name, id=request_id, told_ms=terms_of(parts)["d"])
         self.began.setdefault(request_id, []).append(at_ms)
         await asyncio.sleep(self.service_ms / 1000)
         writer.write(worker_answer(parts, self.fields))
