State report tells the bytes of incomplete commands, held now and at most

Change: the frontend counts the bytes that its connections hold of commands that are not complete; `front` of the state report has `incoming_bytes` and `incoming_bytes_peak` once there were any.

--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -37,6 +37,7 @@
 )
 from anisefront.resp_gateway.errors import InvalidCommandError, RespProtocolError
 from anisefront.resp_gateway.fixed_replies import MAX_ERROR_VERB, OK, PONG, REJECTED
+from anisefront.resp_gateway.incoming_bytes import IncomingBytes
 from anisefront.resp_gateway.input_pause import InputPause
 from anisefront.resp_gateway.reply_queue import PendingReply, ReplyQueue
 from anisefront.resp_gateway.resp_requests import FAILED_REPLY, RespRequests
@@ -59,6 +60,7 @@
     commands: CommandMapper
     counts: Counter[str]
     buffered: ByteBudget
+    incoming: IncomingBytes
     descriptors: int
     draining: bool
 
@@ -122,6 +124,10 @@
             self._buffer_input(data)
         else:
             self._process(data)
+        self._count_incoming()
+
+    def _count_incoming(self) -> None:
+        self.frontend.incoming.update(self, self.reader.incomplete_bytes)
 
     def _discard_limit_reached(self) -> None:
         """Write the outstanding replies and close; abort the connection if as many bytes follow again."""
@@ -238,6 +244,7 @@
         data = self.input.take_buffered()
         if data and self.reader.error is None:
             self._process(data)
+        self._count_incoming()
 
     def _protocol_error(self, line: bytes) -> None:
         """Stop parsing. Commands received completely before still get their replies; then this error line is sent."""
@@ -345,4 +352,5 @@
         self.frontend.descriptors -= 1
         self.cancel_write_timeout()
         self._cancel_all()
+        self.frontend.incoming.update(self, 0)
         self.frontend.remove(self)
--- a/anisefront/resp_gateway/instance.py
+++ b/anisefront/resp_gateway/instance.py
@@ -250,7 +250,7 @@
             batch_durations=table.batches.duration_ms.report(),
             collector_pauses=self.collector.pauses.report(),
             request_counts=dict(table.counts),
-            frontend_counts=dict(self.frontend.counts),
+            frontend_counts=self.frontend.report(),
             connection_pool_counts=dict(self.pool.counts),
             datagram_counts=dict(self.peer_port.counts) if self.peer_port else {},
         )
--- a/anisefront/resp_gateway/resp_codec.py
+++ b/anisefront/resp_gateway/resp_codec.py
@@ -36,6 +36,11 @@
         """Tell whether bytes follow the last complete command or reply."""
         return bool(self._buffer) or self._parts is not None
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Count the bytes held of an incomplete command or reply."""
+        return len(self._buffer) + sum(map(len, self._parts or ()))
+
     def _read_line(self, max_bytes: int) -> bytes | None:
         """Return the next line without its end, None while it is incomplete."""
         data = self._buffer
--- a/anisefront/resp_gateway/resp_frontend.py
+++ b/anisefront/resp_gateway/resp_frontend.py
@@ -31,6 +31,7 @@
     ConnectionLimits,
     ConnectionState,
 )
+from anisefront.resp_gateway.incoming_bytes import IncomingBytes
 from anisefront.resp_gateway.resp_requests import RespRequests
 
 MAX_READ_DELAY_MS = 100.0  # time a request may have waited to be read before its deadline counts
@@ -43,6 +44,7 @@
     Attributes:
         counts: Events by the keys of the state report.
         buffered: Bytes of values and replies held for open requests, and of buffered input.
+        incoming: Bytes of incomplete commands.
         descriptors: Connections that hold a descriptor, including those aborted in this event loop iteration.
         draining: Connections close once they are idle.
         latest_reply_ms: Deadlines are capped to this time on the request table's clock.
@@ -75,6 +77,7 @@
         self.limits = limits
         self.counts: Counter[str] = Counter()
         self.buffered = ByteBudget(limits.max_buffered_bytes)
+        self.incoming = IncomingBytes()
         self.descriptors = 0
         self.draining = False
         self.latest_reply_ms = float("inf")
@@ -88,6 +91,12 @@
         """Count the open connections, without those that are closing."""
         return sum(len(self.by_state[state]) for state in OPEN_STATES)
 
+    def report(self) -> dict[str, int]:
+        """Return the counts, and the bytes of incomplete commands if there were any, by the state report's keys."""
+        if not self.incoming.peak:
+            return dict(self.counts)
+        return dict(self.counts) | {"incoming_bytes": self.incoming.used, "incoming_bytes_peak": self.incoming.peak}
+
     def deadline_ms(self, timeout_ms: float) -> float:
         """Return the time by which a request that is read now must have its reply.
 
--- a/tests/test_node_front.py
+++ b/tests/test_node_front.py
@@ -339,6 +339,18 @@
     assert not harness.frontend.by_state["busy"] and not harness.frontend.by_state["half"]
 
 
+def test_state_report_tells_the_bytes_of_incomplete_commands():
+    """Guards against memory that no report shows: bytes of commands that never become complete."""
+    harness = GatewayHarness()
+    client = harness.client()
+    harness.send(client, ASK)
+    assert "incoming_bytes" not in harness.frontend.report()
+    client.protocol.dataReceived(b"*2\r\n$4\r\nPING\r\n$50\r\n" + b"x" * 40)
+    assert harness.frontend.report()["incoming_bytes"] == 44
+    client.protocol.dataReceived(b"x" * 10 + b"\r\n")
+    assert harness.frontend.report() == {"incoming_bytes": 0, "incoming_bytes_peak": 44}
+
+
 def test_partial_command_timeout_restarts_with_each_completed_command():
     harness = GatewayHarness()
     client = harness.client()
