The pause of a connection's input ends with a protocol error

Cause: behind two invalid commands and malformed bytes in one pause, the second pause begins in the same read in which the parser fails. From then on nothing is buffered, yet the connection counted as paused, and its timer ran, for up to 1.6 s. A caller saw nothing of it: bytes after a protocol error are discarded anyway.

Change: ClientConnection._protocol_error ends the pause.

--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -249,6 +249,7 @@
     def _protocol_error(self, line: bytes) -> None:
         """Stop parsing. Commands received completely before still get their replies; then this error line is sent."""
         self.frontend.counts["unreadable"] += 1
+        self.input.end(self.resume_reading)  # what still comes is discarded, not buffered
         if self.reader.error is None:
             self.reader.error = RespProtocolError("nothing more is read")
         self.replies.append(PendingReply(resp_codec.encode_error(line)))
--- a/tests/test_connection_search.py
+++ b/tests/test_connection_search.py
@@ -41,6 +41,12 @@
     assert first_violation() is None
 
 
+@pytest.mark.parametrize("order", ["uuzttmm", "uuzttmahkgon"])
+def test_pause_ends_with_a_protocol_error(order):
+    """Guards against input that stays paused behind malformed bytes, although nothing is buffered any more."""
+    run_events(order)
+
+
 def without_closing_check(function):
     """Return `_handle_request` without the check whether the connection is closing."""
 
