Incomplete commands of all clients have one cap: half commands filled the memory

Cause: the parser holds up to eight values of 64 KiB of a command that is not complete. Each connection was limited alone; no budget covered all of them.

Change: IncomingBytes, a cap of a sixteenth of the memory limit on the incomplete commands and paused input of all connections. Above it the connection that holds most gives up its bytes; its command is skipped as it comes and gets -BUSY, safe to repeat, and the connection continues. It works since the bytes are counted where they arrive, and one discarding frees at least what one read has added. Paused input no longer counts with the values of open requests. test_commands_that_overflow_the_pause_buffer sets the new cap in place of the old.

--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -40,6 +40,7 @@
 from anisefront.resp_gateway.incoming_bytes import IncomingBytes
 from anisefront.resp_gateway.input_pause import InputPause
 from anisefront.resp_gateway.reply_queue import PendingReply, ReplyQueue
+from anisefront.resp_gateway.resp_codec import DISCARDED
 from anisefront.resp_gateway.resp_requests import FAILED_REPLY, RespRequests
 from anisefront.resp_gateway.socket_state import has_unread_close
 
@@ -90,7 +91,7 @@
         self.replies = ReplyQueue(frontend.buffered, frontend.requests.client_disconnected)
         self.state: ConnectionState | None = None
         self.state_since_s = 0.0
-        self.input = InputPause(frontend.reactor, frontend.buffered, self._resume_input)
+        self.input = InputPause(frontend.reactor, self._resume_input)
         self._rejected = rejected
         self._received_command = False
         self._received_request = False
@@ -126,8 +127,17 @@
             self._process(data)
         self._count_incoming()
 
+    def discard_incoming(self) -> None:
+        """Reject the commands that wait behind a pause, and the incomplete one when the rest of it has come."""
+        self.frontend.counts["incoming_discarded"] += 1
+        if self.input.active:
+            self._reject_buffered()
+        self.reader.discard_command()
+        self._count_incoming()
+
     def _count_incoming(self) -> None:
-        self.frontend.incoming.update(self, self.reader.incomplete_bytes)
+        size = len(self.input.buffered) + self.reader.incomplete_bytes
+        self.frontend.incoming.update(self, size)
 
     def _discard_limit_reached(self) -> None:
         """Write the outstanding replies and close; abort the connection if as many bytes follow again."""
@@ -141,8 +151,11 @@
         """Buffer bytes received during a pause; on overflow reject the commands in the buffer and stop reading."""
         self.input.buffer(data)
         if self.input.overflowed:
-            self.input.pause_reading(self.pause_reading)
-            self._process(self.input.take_buffered(), reject=True)
+            self._reject_buffered()
+
+    def _reject_buffered(self) -> None:
+        self.input.pause_reading(self.pause_reading)
+        self._process(self.input.take_buffered(), reject=True)
 
     def _process(self, data: bytes, reject: bool = False) -> None:
         """Parse bytes, handle each complete command and write the replies that are ready."""
@@ -164,7 +177,7 @@
         self._received_command = True
         if len(self.replies.pending) >= MAX_OPEN_COMMANDS:
             self._write_ready()  # replies that are ready do not count
-        if reject or len(self.replies.pending) >= MAX_OPEN_COMMANDS:
+        if reject or parts is DISCARDED or len(self.replies.pending) >= MAX_OPEN_COMMANDS:
             self.frontend.counts["refused"] += 1
             self._received_request = True
             self.replies.append(REJECTED)
@@ -345,6 +358,7 @@
         self.input.cancel_timer()
         self.input.take_buffered()
         self.replies.clear()
+        self._count_incoming()
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         """Release all resources of the connection."""
--- a/anisefront/resp_gateway/connection_limits.py
+++ b/anisefront/resp_gateway/connection_limits.py
@@ -41,12 +41,14 @@
         max_closing: Closing connections beside them: the client must still read what was written to it.
         idle_close_threshold: Connections with commands above which those idle for `IDLE_TIMEOUT_S` are closed.
         max_buffered_bytes: Bytes of values and replies held for all open requests.
+        max_incoming_bytes: Bytes of incomplete commands and of paused input, over all connections.
     """
 
     max_connections: int = 100
     max_closing: int = 16
     idle_close_threshold: int = 30
     max_buffered_bytes: int = 8 << 20
+    max_incoming_bytes: int = 4 << 20
 
 
 class ByteBudget:
@@ -59,11 +61,6 @@
         self.limit = limit
         self.used = 0
 
-    @property
-    def exceeded(self) -> bool:
-        """Tell whether more is used than the cap allows."""
-        return self.used > self.limit
-
     def fits(self, size: int) -> bool:
         """Tell whether `size` more bytes stay within the cap."""
         return self.used + size <= self.limit
--- a/anisefront/resp_gateway/incoming_bytes.py
+++ b/anisefront/resp_gateway/incoming_bytes.py
@@ -1,32 +1,55 @@
-"""Count of the bytes that clients have sent and that are part of no request yet, over all connections."""
+"""Cap on the bytes that clients have sent and that are part of no request yet, over all connections.
+
+A client may announce a command of several long values and stop in the middle of it. Each connection alone stays within
+the protocol's lengths then, but all of them together may hold more than the process has memory. Above the cap the
+connection that holds most gives up its bytes: a client that sends an ordinary command keeps its own.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from typing import Protocol
+
+
+class Holder(Protocol):
+    """A connection that holds bytes of incomplete commands or of paused input."""
+
+    def discard_incoming(self) -> None:
+        """Free the bytes, and report by `IncomingBytes.update` how few are left."""
 
 
 class IncomingBytes:
-    """Bytes of incomplete commands, by the connection that holds them.
+    """Bytes that are part of no request yet, by the connection that holds them.
 
     Attributes:
+        limit: Bytes that all connections together may hold.
         used: Bytes held now.
         peak: The most that were ever held.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limit: int) -> None:
         """Start with nothing held."""
+        self.limit = limit
         self.used = 0
         self.peak = 0
-        self._by_holder: dict[Hashable, int] = {}
+        self._by_holder: dict[Holder, int] = {}
 
-    def update(self, holder: Hashable, size: int) -> None:
-        """Record that a connection holds `size` bytes now."""
+    def update(self, holder: Holder, size: int) -> None:
+        """Record that a connection holds `size` bytes now; above the cap the largest holder discards its bytes.
+
+        One discarding is enough: the largest holder has at least the bytes that this connection has more than before.
+        """
         previous = self._by_holder.get(holder, 0)
         if size == previous:
             return
         self.used += size - previous
-        self.peak = max(self.peak, self.used)
         if size:
             self._by_holder[holder] = size
         else:
             del self._by_holder[holder]
+        if size > previous and self.used > self.limit:
+            self._largest().discard_incoming()
+        self.peak = max(self.peak, self.used)
+
+    def _largest(self) -> Holder:
+        """Return the connection that holds most; among equals the one that has held bytes for the longest time."""
+        return max(self._by_holder, key=self._by_holder.__getitem__)
--- a/anisefront/resp_gateway/input_pause.py
+++ b/anisefront/resp_gateway/input_pause.py
@@ -12,8 +12,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from anisefront.resp_gateway.connection_limits import ByteBudget
-
 PAUSE_S = 0.1  # after a long batch, and when the buffer is full
 MAX_PAUSE_S = 1.6  # after an invalid command: doubled by each one from `PAUSE_S` up to this
 MAX_BUFFERED = (64 << 10) + 1024  # bytes that wait during a pause: one command of the maximum length
@@ -28,27 +26,25 @@
         buffered: Bytes received since parsing was paused.
     """
 
-    def __init__(self, reactor: Any, budget: ByteBudget, resume: Callable[[], None]) -> None:
+    def __init__(self, reactor: Any, resume: Callable[[], None]) -> None:
         """Start without a pause.
 
         Args:
             reactor: Runs the timer.
-            budget: Counts the buffered bytes.
             resume: Called when the pause has elapsed; it calls `end`.
         """
         self.active = False
         self.reading_paused = False
         self.buffered = bytearray()
         self._reactor = reactor
-        self._budget = budget
         self._resume = resume
         self._invalid_commands = 0
         self._timer: Any = None
 
     @property
     def overflowed(self) -> bool:
-        """Tell whether more bytes wait than this connection, or all connections, may buffer."""
-        return len(self.buffered) > MAX_BUFFERED or self._budget.exceeded
+        """Tell whether more bytes wait than this connection may buffer."""
+        return len(self.buffered) > MAX_BUFFERED
 
     def start(self) -> None:
         """Pause parsing after a long batch, unless it is paused."""
@@ -68,13 +64,11 @@
     def buffer(self, data: bytes) -> None:
         """Buffer bytes until the end of the pause."""
         self.buffered += data
-        self._budget.reserve(len(data))
 
     def take_buffered(self) -> bytes:
         """Empty the buffer and return what was in it."""
         data = bytes(self.buffered)
         self.buffered = bytearray()
-        self._budget.release(len(data))
         return data
 
     def pause_reading(self, stop_reading: Callable[[], None]) -> None:
--- a/anisefront/resp_gateway/instance.py
+++ b/anisefront/resp_gateway/instance.py
@@ -41,7 +41,9 @@
 MIN_CLOSING = 8
 DESCRIPTORS_PER_BODY = 8
 
+# Division of the memory limit.
 BODY_MEMORY_FRACTION = 1 / 8
+INCOMING_MEMORY_FRACTION = 1 / 16  # incomplete commands and paused input of all clients
 OPEN_REQUESTS_PER_MB = 16
 MIN_OPEN_REQUESTS = 64
 
@@ -138,11 +140,13 @@
         self.resp_requests = RespRequests(self.request_table, self.pool, config.settings.load_report_fields)
 
     def _create_frontend(self, config: InstanceConfig, budget: DescriptorBudget) -> None:
+        memory_bytes = config.memory_mb * (1 << 20)
         limits = ConnectionLimits(
-            budget.clients,
-            budget.closing,
-            config.sockets // DESCRIPTORS_PER_BODY,
-            int(config.memory_mb * (1 << 20) * BODY_MEMORY_FRACTION),
+            max_connections=budget.clients,
+            max_closing=budget.closing,
+            idle_close_threshold=config.sockets // DESCRIPTORS_PER_BODY,
+            max_buffered_bytes=int(memory_bytes * BODY_MEMORY_FRACTION),
+            max_incoming_bytes=int(memory_bytes * INCOMING_MEMORY_FRACTION),
         )
         self.frontend = RespFrontend(
             self.reactor, self.resp_requests, CommandMapper(config.settings), self.clock, limits
--- a/anisefront/resp_gateway/resp_codec.py
+++ b/anisefront/resp_gateway/resp_codec.py
@@ -5,6 +5,7 @@
 
 A length above its cap is rejected when it is read, before anything is buffered for it, and no memory is allocated for
 bytes that were only announced. A protocol error ends the reader. Cost is linear in the bytes, however they are split.
+A command can be discarded while it is incomplete: its values are freed, and the rest of it is skipped as it arrives.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 MAX_REPLY_LINE_BYTES = 512  # a line of a worker's reply
 WORKER_REPLY_PARTS = 3  # the payload, the usage figures, the load report
 NO_LENGTH = -1  # the next value's length line has not been read
+DISCARDED: list[bytes] = []  # in place of the parts of a command that was discarded before it was complete
 
 
 class _Reader:
@@ -95,11 +97,15 @@
     def __init__(self) -> None:
         """Start without received bytes."""
         super().__init__()
-        self._expected_parts = 0
+        self._missing_parts = 0  # of the array being read
+        self._discarding = False
         self.error: RespProtocolError | None = None
 
     def feed(self, data: bytes) -> list[list[bytes]]:
-        """Return the commands that these bytes complete; a protocol error is stored in `error`."""
+        """Return the commands that these bytes complete, `DISCARDED` for one that was discarded.
+
+        A protocol error is stored in `error`.
+        """
         commands: list[list[bytes]] = []
         if self.error is not None:
             return commands
@@ -110,34 +116,67 @@
                 commands.append(command)
                 command = self._read_command()
         except RespProtocolError as error:
-            self.error = error
-            self._buffer.clear()
-            self._parts = None
+            self.fail(error)
             return commands
         self._discard_consumed()
         return commands
 
+    def fail(self, error: RespProtocolError) -> None:
+        """Read nothing more, and free what is held of an incomplete command."""
+        self.error = error
+        self._buffer.clear()
+        self._parts = None
+
+    def discard_command(self) -> None:
+        """Free the values of the command that is being read, and skip the rest of it as it arrives.
+
+        Of a command whose first line is incomplete, only a few bytes are held: they stay.
+        """
+        if self._parts is None:
+            return
+        self._parts = []
+        self._discarding = True
+        self._skip_received()
+        self._discard_consumed()
+
     def _read_command(self) -> list[bytes] | None:
-        parts = self._parts
-        if parts is None:
+        if self._parts is None:
             if not self._read_array_head():
                 return None
-            parts = self._parts = []
-        while len(parts) < self._expected_parts:
-            if self._length < 0:
-                line = self._read_line(MAX_LENGTH_LINE_BYTES)
-                if line is None:
-                    return None
-                if line[:1] != b"$":
-                    raise RespProtocolError("expected '$'")
-                self._length = self._parse_length(line[1:], MAX_VALUE_BYTES, "bulk")
-            value = self._read_value()
+            self._parts = []
+        parts = self._parts
+        while self._missing_parts:
+            value = self._read_part()
             if value is None:
                 return None
-            parts.append(value)
+            self._missing_parts -= 1
+            if not self._discarding:
+                parts.append(value)
         self._parts = None
+        if self._discarding:
+            self._discarding = False
+            return DISCARDED
         return parts
 
+    def _read_part(self) -> bytes | None:
+        """Return the next value, None while it is incomplete."""
+        if self._length == NO_LENGTH:
+            line = self._read_line(MAX_LENGTH_LINE_BYTES)
+            if line is None:
+                return None
+            if line[:1] != b"$":
+                raise RespProtocolError("expected '$'")
+            self._length = self._parse_length(line[1:], MAX_VALUE_BYTES, "bulk")
+        if self._discarding:
+            self._skip_received()
+        return self._read_value()
+
+    def _skip_received(self) -> None:
+        """Skip the received bytes of the value whose length was read."""
+        skipped = min(max(0, self._length), len(self._buffer) - self._position)
+        self._position += skipped
+        self._length -= skipped
+
     def _read_array_head(self) -> bool:
         """Read how many parts follow, False while the line is incomplete."""
         line = self._read_line(MAX_LENGTH_LINE_BYTES)
@@ -147,8 +186,8 @@
             return False
         if line[:1] != b"*":
             raise RespProtocolError("expected '*'")
-        self._expected_parts = self._parse_length(line[1:], MAX_COMMAND_PARTS, "multibulk")
-        if not self._expected_parts:
+        self._missing_parts = self._parse_length(line[1:], MAX_COMMAND_PARTS, "multibulk")
+        if not self._missing_parts:
             raise RespProtocolError("invalid multibulk length")
         return True
 
--- a/anisefront/resp_gateway/resp_frontend.py
+++ b/anisefront/resp_gateway/resp_frontend.py
@@ -43,8 +43,8 @@
 
     Attributes:
         counts: Events by the keys of the state report.
-        buffered: Bytes of values and replies held for open requests, and of buffered input.
-        incoming: Bytes of incomplete commands.
+        buffered: Bytes of values and replies held for open requests.
+        incoming: Bytes of incomplete commands and of paused input.
         descriptors: Connections that hold a descriptor, including those aborted in this event loop iteration.
         draining: Connections close once they are idle.
         latest_reply_ms: Deadlines are capped to this time on the request table's clock.
@@ -77,7 +77,7 @@
         self.limits = limits
         self.counts: Counter[str] = Counter()
         self.buffered = ByteBudget(limits.max_buffered_bytes)
-        self.incoming = IncomingBytes()
+        self.incoming = IncomingBytes(limits.max_incoming_bytes)
         self.descriptors = 0
         self.draining = False
         self.latest_reply_ms = float("inf")
@@ -92,7 +92,7 @@
         return sum(len(self.by_state[state]) for state in OPEN_STATES)
 
     def report(self) -> dict[str, int]:
-        """Return the counts, and the bytes of incomplete commands if there were any, by the state report's keys."""
+        """Return the counts, and the incoming bytes if there were any, by the state report's keys."""
         if not self.incoming.peak:
             return dict(self.counts)
         return dict(self.counts) | {"incoming_bytes": self.incoming.used, "incoming_bytes_peak": self.incoming.peak}
--- a/tests/connection_model.py
+++ b/tests/connection_model.py
@@ -38,10 +38,13 @@
     "o": "more bytes after an unsupported command than may be buffered",
     "z": "a command, followed by malformed bytes",
     "n": "an unsupported command, and the first half of the next",
+    "b": "most of a long command: more bytes than incomplete commands may hold",
 }
 CAPS = {"MAX_OPEN_COMMANDS": 5, "MAX_BATCH": 8, "MAX_PENDING_REPLIES": 15}  # small limits
 PAUSE = {"MAX_BUFFERED": 400, "PAUSE_S": 1.1}  # a pause longer than an incomplete command may take
 VALUES = 700  # bytes
+INCOMING = 500  # bytes of incomplete commands and of paused input
+LONG_BODY = 600  # bytes
 BUSY = b"-BUSY"
 ASKED = (b"$5\r\nva\r\nl", BUSY, b"-ERR failed")
 
@@ -119,11 +122,14 @@
 
     def __init__(self, turned_away=False):
         room = {"max_connections": 0} if turned_away else {}
-        self.house, self.wire = GatewayHarness(max_buffered_bytes=VALUES, **room), ModelTransport()
+        self.house, self.wire = (
+            GatewayHarness(max_buffered_bytes=VALUES, max_incoming_bytes=INCOMING, **room),
+            ModelTransport(),
+        )
         self.wire.protocol = self.house.frontend.buildProtocol(None)
         self.wire.protocol.makeConnection(self.wire)
         self.read = []  # allowed replies to the complete commands read before our write side closed
-        self.number, self.half = 0, b""
+        self.number, self.half = 0, b""  # the rest of an incomplete command
         self.behind = 0  # bytes that were read at this moment although reading was paused
         self.client_closed = self.draining = self.overdue = False
         self.sent, self.workers = set(), []
@@ -178,18 +184,27 @@
 
     def _h(self):
         if not self.half:
-            self.half = resp_codec.encode_command(self._command())
-            self._deliver(more=self.half[:20], whole=False)
+            self._deliver(more=self._split(self._command(), 20), whole=False)
+
+    def _b(self):
+        if not self.half:
+            parts = [*self._command(DO)[:4], b"x" * LONG_BODY]
+            self._deliver(more=self._split(parts, LONG_BODY), whole=False)
+
+    def _split(self, parts, size):
+        """Return the first bytes of a command, and keep the rest for the event "r"."""
+        data = resp_codec.encode_command(parts)
+        self.half = data[size:]
+        return data[:size]
 
     def _r(self):
         if self.half:
-            rest, self.half = self.half[20:], b""
+            rest, self.half = self.half, b""
             self._deliver(more=rest)
 
     def _n(self):
         if not self.half:
-            self.half = resp_codec.encode_command(self._command())
-            self._deliver([b"FLUSHALL"], more=self.half[:20], whole=False)
+            self._deliver([b"FLUSHALL"], more=self._split(self._command(), 20), whole=False)
 
     def _u(self):
         if not self.half:
@@ -292,6 +307,11 @@
             or (len(self.wire.protocol.replies.pending) > CAPS["MAX_PENDING_REPLIES"] + 1)
         ):
             raise InvariantViolation("more is buffered than the limits allow")
+        held = len(self.wire.protocol.input.buffered) + self.wire.protocol.reader.incomplete_bytes
+        if self.wire.is_lost:
+            held = 0  # whatever the ended connection still has is freed with it
+        if held > INCOMING or self.house.frontend.incoming.used != held:
+            raise InvariantViolation("more bytes of incomplete commands are held than counted, or than allowed")
 
     def finish(self):
         """End the drain, write the last data, and let all timeouts elapse."""
--- a/tests/test_connection_search.py
+++ b/tests/test_connection_search.py
@@ -10,6 +10,7 @@
 from anisefront.gateway.request_table import RequestTable
 from anisefront.resp_gateway import client_connection
 from anisefront.resp_gateway import resp_codec
+from anisefront.resp_gateway.resp_codec import CommandReader
 from anisefront.resp_gateway.resp_requests import RespRequests
 from anisefront.resp_gateway.client_connection import ClientConnection
 from anisefront.resp_gateway.input_pause import InputPause
@@ -120,6 +121,8 @@
     (ClientConnection, "command_overdue", fail_overdue_command),
     (InputPause, "pause_reading", lambda self, stop_reading: None),
     (ClientConnection, "_fail_open", lambda self: None),
+    (ClientConnection, "discard_incoming", lambda self: None),
+    (CommandReader, "discard_command", lambda self: None),
     (ClientConnection, "_handle_ping", ignore_reservation),
     (ReplyQueue, "release", lambda self, slot: None),
     (ClientConnection, "_process", allow_unlimited_replies),
--- a/tests/test_node_front.py
+++ b/tests/test_node_front.py
@@ -229,13 +229,13 @@
 
 
 def test_commands_that_overflow_the_pause_buffer_are_rejected():
-    harness = GatewayHarness(max_buffered_bytes=1000)
+    harness = GatewayHarness(max_incoming_bytes=1000)
     client = harness.client()
     harness.send(client, [b"FLUSHALL"])
     harness.send(client, *[command_with_id(n) for n in range(5)])
     harness.send(client, *[command_with_id(n) for n in range(5, 10)])
     assert client.take().endswith(b"'FLUSHALL'\r\n" + b"-BUSY 250\r\n" * 10) and not client.disconnecting
-    assert not harness.controller.arrivals and harness.frontend.buffered.used == 0 and client.paused
+    assert not harness.controller.arrivals and harness.frontend.incoming.used == 0 and client.paused
     harness.reactor.advance(input_pause.PAUSE_S)
     harness.send(client, command_with_id(11))
     assert len(harness.controller.arrivals) == 1 and not client.paused
@@ -339,6 +339,55 @@
     assert not harness.frontend.by_state["busy"] and not harness.frontend.by_state["half"]
 
 
+HALF_LONG_COMMAND = b"*8\r\n" + resp_codec.encode_bulk(b"x" * 20_000) * 4  # 80,000 bytes, the rest never comes
+
+
+def test_incomplete_commands_of_all_clients_together_stay_within_their_cap():
+    """Guards against clients that stop in the middle of a command and together fill the memory of an instance."""
+    harness = GatewayHarness(max_incoming_bytes=300_000)
+    usual = harness.client()
+    whole = resp_codec.encode_command([*command_with_id(1, DO)[:4], b"v" * 10_000])
+    usual.protocol.dataReceived(whole[:9_000])
+    clients = [harness.client() for _ in range(40)]
+    for start in range(0, len(HALF_LONG_COMMAND), 16_384):
+        for client in clients:
+            client.protocol.dataReceived(HALF_LONG_COMMAND[start : start + 16_384])
+            held = sum(each.protocol.reader.incomplete_bytes for each in (usual, *clients))
+            assert held == harness.frontend.incoming.used <= 300_000
+    usual.protocol.dataReceived(whole[9_000:])
+    harness.run_iteration()
+    assert len(harness.controller.arrivals) == 1  # the longest commands were discarded, not the usual client's
+    for _ in range(12):
+        harness.reactor.advance(0.1)
+    assert all(client.take().endswith(b"in time\r\n") and client.disconnecting for client in clients)
+
+
+def test_discarded_command_is_rejected_once_it_is_complete_and_the_connection_continues():
+    """Guards against a connection that loses a command, or its place, when its bytes are freed."""
+    harness = GatewayHarness(max_incoming_bytes=5_000)
+    client = harness.client()
+    long = resp_codec.encode_command([*command_with_id(1, DO)[:4], b"v" * 10_000])
+    client.protocol.dataReceived(long[:6_000])
+    assert harness.frontend.incoming.used < 30 and client.take() == b""
+    client.protocol.dataReceived(long[6_000:])
+    assert client.take() == b"-BUSY 250\r\n"
+    harness.send(client, command_with_id(2))
+    assert [arrival.id for arrival in harness.controller.arrivals] == [1] and not client.disconnecting
+
+
+def test_paused_input_of_all_clients_together_stays_within_the_same_cap():
+    """Guards against clients whose input waits behind invalid commands: their bytes count with incomplete ones."""
+    harness = GatewayHarness(max_incoming_bytes=100_000)
+    clients = [harness.client() for _ in range(10)]
+    flood = resp_codec.encode_command([*command_with_id(1, DO)[:4], b"v" * 10_000])
+    for client in clients:
+        harness.send(client, [b"FLUSHALL"])
+        client.protocol.dataReceived(flood + flood[:5_000])
+        assert harness.frontend.incoming.used <= 100_000 and harness.frontend.buffered.used == 0
+    assert harness.frontend.incoming.used > 80_000
+    assert [client.take().count(b"-BUSY") for client in clients].count(1) == 4 and not harness.controller.arrivals
+
+
 def test_state_report_tells_the_bytes_of_incomplete_commands():
     """Guards against memory that no report shows: bytes of commands that never become complete."""
     harness = GatewayHarness()
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -311,6 +311,31 @@
     assert gateway.process.poll() is None
 
 
+def resident_mb(process):
+    """Return the memory that a process has for itself, without files."""
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) / 1024 for line in status if line.startswith("RssAnon"))
+
+
+def test_clients_that_stop_within_a_command_do_not_exceed_the_memory_limit(managed):
+    """Guards against an instance killed for memory: half commands of many clients counted in no budget."""
+    worker = managed(Worker())
+    row = endpoint_row("s1", worker.address)
+    limits = {"memory_mb": 64, "sockets": 512}
+    gateway = managed(GatewayProcess(managed.folder, managed(Discovery(row)).address, row, **limits))
+    value = resp_codec.encode_bulk(b"x" * resp_codec.MAX_VALUE_BYTES)
+    half_command = b"*%d\r\n" % resp_codec.MAX_COMMAND_PARTS + value * (resp_codec.MAX_COMMAND_PARTS - 1)
+    stopped = [socket.create_connection(("127.0.0.1", gateway.port)) for _ in range(150)]
+    client = gateway.client()
+    for number, connection in enumerate(stopped, 1):
+        connection.settimeout(3)
+        connection.sendall(half_command)
+        if number % 15 == 0:
+            assert send_request(client, number) == b"value for %016x" % number
+        assert resident_mb(gateway.process) < limits["memory_mb"]
+    assert all(connection.recv(100).startswith(b"-") for connection in stopped)
+
+
 def test_reload_applies_a_new_discovery_address_and_ignores_invalid_configurations(managed):
     first_worker, second_worker = managed(Worker()), managed(Worker())
     old, new = (
--- a/tests/test_node_wire.py
+++ b/tests/test_node_wire.py
@@ -68,6 +68,30 @@
     assert not reader.feed(resp_codec.encode_command([b"PING"])) and not reader.has_partial
 
 
+def test_command_discarded_at_any_byte_is_skipped_and_the_next_one_is_parsed():
+    """Guards against a parser that loses its place in the stream after it has freed an incomplete command."""
+    first = resp_codec.encode_command(DO)
+    data = first + resp_codec.encode_command([b"PING"])
+    for cut in range(len(first)):
+        for step in (1, 7, len(data)):
+            reader = resp_codec.CommandReader()
+            assert not reader.feed(data[:cut])
+            reader.discard_command()
+            assert reader.incomplete_bytes <= len(b"$\r") + resp_codec.MAX_LENGTH_LINE_BYTES
+            found = [each for at in range(cut, len(data), step) for each in reader.feed(data[at : at + step])]
+            has_started = cut >= len(b"*5\r\n")  # before that, nothing is held that could be discarded
+            assert found == [resp_codec.DISCARDED if has_started else DO, [b"PING"]]
+            assert not reader.has_partial and reader.error is None
+
+
+def test_discarded_command_with_a_wrong_length_is_a_protocol_error():
+    """Guards against a skipped value whose end is not checked: what follows would be parsed as a command."""
+    reader = resp_codec.CommandReader()
+    reader.feed(b"*2\r\n$4\r\nPI")
+    reader.discard_command()
+    assert not reader.feed(b"NGPING") and reader.error is not None
+
+
 def test_announced_length_allocates_no_memory():
     reader = resp_codec.CommandReader()
     reader.feed(b"*4\r\n$65536\r\n")
