Bytes of an incomplete command are freed when nothing more is parsed

What callers saw: nothing by itself; with the cap on incomplete commands, clients that had already got their error would have held it for 2 s more, and long commands of sound clients would have been rejected meanwhile.

Cause: ClientConnection._protocol_error marked the parser of an overdue command as failed and left its buffer, and so did the end of our half and of the connection, where the bytes stayed uncounted until the next garbage collection.

Change: _stop_parsing frees the parser's bytes and those of paused input, at the error, at the end of our half and at the end of the connection.

--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -263,11 +263,17 @@
         """Stop parsing. Commands received completely before still get their replies; then this error line is sent."""
         self.frontend.counts["unreadable"] += 1
         self.input.end(self.resume_reading)  # what still comes is discarded, not buffered
-        if self.reader.error is None:
-            self.reader.error = RespProtocolError("nothing more is read")
+        self._stop_parsing()
         self.replies.append(PendingReply(resp_codec.encode_error(line)))
         self._flush()
 
+    def _stop_parsing(self) -> None:
+        """Parse nothing more, and free the bytes of a command that will not be complete."""
+        self.input.take_buffered()
+        if self.reader.error is None:
+            self.reader.fail(RespProtocolError("nothing more is read"))
+        self._count_incoming()
+
     def _write_ready(self) -> None:
         """Write the replies up to the first open request."""
         data = self.replies.take_ready()
@@ -319,6 +325,7 @@
     def writeConnectionLost(self) -> None:
         """Discard what is received from now on: all is written and our half is closed."""
         self._write_closed = True
+        self._stop_parsing()
 
     def readConnectionLost(self) -> None:
         """Cancel open requests and close: the client has closed its half."""
@@ -356,9 +363,8 @@
 
     def _cancel_all(self) -> None:
         self.input.cancel_timer()
-        self.input.take_buffered()
         self.replies.clear()
-        self._count_incoming()
+        self._stop_parsing()
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         """Release all resources of the connection."""
@@ -367,5 +373,4 @@
         self.frontend.descriptors -= 1
         self.cancel_write_timeout()
         self._cancel_all()
-        self.frontend.incoming.update(self, 0)
         self.frontend.remove(self)
--- a/tests/test_node_front.py
+++ b/tests/test_node_front.py
@@ -375,6 +375,29 @@
     assert [arrival.id for arrival in harness.controller.arrivals] == [1] and not client.disconnecting
 
 
+@pytest.mark.parametrize("end", ["overdue", "malformed", "write side closed", "client has closed", "lost"])
+def test_bytes_of_an_incomplete_command_are_freed_when_nothing_more_is_parsed(end):
+    """Guards against bytes that stay in memory until a connection is gone, seconds after its error reply."""
+    harness = GatewayHarness()
+    client = harness.client()
+    client.protocol.dataReceived(HALF_LONG_COMMAND)
+    assert harness.frontend.incoming.used == 80_000
+    if end == "overdue":
+        for _ in range(12):
+            harness.reactor.advance(0.1)
+    elif end == "malformed":
+        client.protocol.dataReceived(b"no length\r\n")
+    elif end == "write side closed":
+        client.protocol.writeConnectionLost()
+    elif end == "client has closed":
+        client.protocol.readConnectionLost()
+    else:
+        client.protocol.connectionLost(Failure(error.ConnectionLost()))
+    assert harness.frontend.incoming.used == client.protocol.reader.incomplete_bytes == 0
+    client.protocol.dataReceived(HALF_LONG_COMMAND)
+    assert harness.frontend.incoming.used == client.protocol.reader.incomplete_bytes == 0
+
+
 def test_paused_input_of_all_clients_together_stays_within_the_same_cap():
     """Guards against clients whose input waits behind invalid commands: their bytes count with incomplete ones."""
     harness = GatewayHarness(max_incoming_bytes=100_000)
