Replies that can't be sent have a cap: slow readers could fill the memory

What callers saw: nothing in service. By calculation 25 clients that send 64 requests each and do not read take an instance to 96 MB, and it is killed. Found on the paths related to half commands: bytes that no budget limits.

Cause: the budget let go of a reply when it was handed to the transport, whether or not the client reads, and values that wait behind an earlier request were counted, yet not refused above the cap.

Change: bytes written while a write buffer is full count in a budget of a sixteenth of the memory limit, until the buffer has drained. A value that would have to wait and does not fit becomes `-ERR failed`; one that can be sent at once is always sent.

--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -46,6 +46,7 @@
 
 WRITE_TIMEOUT_S = 5.0  # a client that does not read its replies for this time is aborted
 MAX_DISCARDED = 1 << 20  # bytes received while closing, or after a protocol error; above this the connection is aborted
+MAX_UNCOUNTED_REPLY = 64  # bytes; rejections and failures are shorter
 MAX_OPEN_COMMANDS = 64  # commands of one connection without a reply; further ones are rejected
 MAX_BATCH = 256  # commands of one read; after a longer batch parsing pauses
 MAX_PENDING_REPLIES = (
@@ -61,6 +62,7 @@
     commands: CommandMapper
     counts: Counter[str]
     buffered: ByteBudget
+    unsent: ByteBudget
     incoming: IncomingBytes
     descriptors: int
     draining: bool
@@ -97,6 +99,7 @@
         self._received_request = False
         self._closing = False  # no request is accepted any more
         self._write_closed = False  # our half is closed
+        self._unsent = 0  # bytes written since the write buffer became full
         self._discarded = 0  # bytes
 
     @property
@@ -227,6 +230,9 @@
 
         def complete(reply: bytes) -> None:
             """Write the request's reply when all earlier ones are written."""
+            if not self._has_memory_for(entry, reply):
+                frontend.counts["reply_discarded"] += 1
+                reply = FAILED_REPLY
             self.replies.complete(entry, reply)
             self._flush()
 
@@ -236,6 +242,14 @@
         if entry.request is None:
             self._reject_for_capacity(entry)
 
+    def _has_memory_for(self, entry: PendingReply, reply: bytes) -> bool:
+        """Tell whether a reply is written and sent at once, or may wait: for earlier ones, or for a client to read."""
+        if len(reply) <= MAX_UNCOUNTED_REPLY:
+            return True
+        if self.replies.pending[0] is not entry and not self.frontend.buffered.fits(len(reply) - entry.buffered_bytes):
+            return False
+        return not self._write_buffer_full or self.frontend.unsent.fits(len(reply))
+
     def has_disconnected(self) -> bool:
         """Tell whether the client has closed, even if the event loop has not reported it yet."""
         return has_unread_close(self.transport.getHandle())
@@ -277,8 +291,21 @@
     def _write_ready(self) -> None:
         """Write the replies up to the first open request."""
         data = self.replies.take_ready()
-        if data:
-            self.transport.write(data)
+        if not data:
+            return
+        self.transport.write(data)
+        if self._write_buffer_full:
+            self._unsent += len(data)
+            self.frontend.unsent.reserve(len(data))
+
+    def resumeProducing(self) -> None:
+        """Release the bytes that the client has read, and read again."""
+        self._release_unsent()
+        super().resumeProducing()
+
+    def _release_unsent(self) -> None:
+        self.frontend.unsent.release(self._unsent)
+        self._unsent = 0
 
     def _flush(self) -> None:
         """Write the replies that are ready, then enter the state that follows."""
@@ -325,6 +352,7 @@
     def writeConnectionLost(self) -> None:
         """Discard what is received from now on: all is written and our half is closed."""
         self._write_closed = True
+        self._release_unsent()
         self._stop_parsing()
 
     def readConnectionLost(self) -> None:
@@ -372,5 +400,6 @@
         self._write_closed = True
         self.frontend.descriptors -= 1
         self.cancel_write_timeout()
+        self._release_unsent()
         self._cancel_all()
         self.frontend.remove(self)
--- a/anisefront/resp_gateway/connection_limits.py
+++ b/anisefront/resp_gateway/connection_limits.py
@@ -41,6 +41,7 @@
         max_closing: Closing connections beside them: the client must still read what was written to it.
         idle_close_threshold: Connections with commands above which those idle for `IDLE_TIMEOUT_S` are closed.
         max_buffered_bytes: Bytes of values and replies held for all open requests.
+        max_unsent_bytes: Bytes of replies written to clients that do not read, over all connections.
         max_incoming_bytes: Bytes of incomplete commands and of paused input, over all connections.
     """
 
@@ -48,6 +49,7 @@
     max_closing: int = 16
     idle_close_threshold: int = 30
     max_buffered_bytes: int = 8 << 20
+    max_unsent_bytes: int = 4 << 20
     max_incoming_bytes: int = 4 << 20
 
 
--- a/anisefront/resp_gateway/instance.py
+++ b/anisefront/resp_gateway/instance.py
@@ -43,6 +43,7 @@
 
 # Division of the memory limit.
 BODY_MEMORY_FRACTION = 1 / 8
+UNSENT_MEMORY_FRACTION = 1 / 16  # replies that clients do not read
 INCOMING_MEMORY_FRACTION = 1 / 16  # incomplete commands and paused input of all clients
 OPEN_REQUESTS_PER_MB = 16
 MIN_OPEN_REQUESTS = 64
@@ -146,6 +147,7 @@
             max_closing=budget.closing,
             idle_close_threshold=config.sockets // DESCRIPTORS_PER_BODY,
             max_buffered_bytes=int(memory_bytes * BODY_MEMORY_FRACTION),
+            max_unsent_bytes=int(memory_bytes * UNSENT_MEMORY_FRACTION),
             max_incoming_bytes=int(memory_bytes * INCOMING_MEMORY_FRACTION),
         )
         self.frontend = RespFrontend(
--- a/anisefront/resp_gateway/resp_frontend.py
+++ b/anisefront/resp_gateway/resp_frontend.py
@@ -44,6 +44,7 @@
     Attributes:
         counts: Events by the keys of the state report.
         buffered: Bytes of values and replies held for open requests.
+        unsent: Bytes of replies written to connections whose write buffer is full.
         incoming: Bytes of incomplete commands and of paused input.
         descriptors: Connections that hold a descriptor, including those aborted in this event loop iteration.
         draining: Connections close once they are idle.
@@ -77,6 +78,7 @@
         self.limits = limits
         self.counts: Counter[str] = Counter()
         self.buffered = ByteBudget(limits.max_buffered_bytes)
+        self.unsent = ByteBudget(limits.max_unsent_bytes)
         self.incoming = IncomingBytes(limits.max_incoming_bytes)
         self.descriptors = 0
         self.draining = False
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -163,6 +163,57 @@
     assert not stage.requests.open_requests and not stage.frontend.connections and stage.frontend.buffered.used == 0
 
 
+def unsent_bytes(stage):
+    """Return the bytes that wait in the transports of all client connections."""
+    transports = [each.transport for place in stage.frontend.by_state.values() for each in place]
+    return sum(len(each.dataBuffer) + sum(map(len, each._tempDataBuffer)) for each in transports)
+
+
+def serve_value(stage, number, value):
+    """End an open request with a value of a worker."""
+    entry = stage.requests.close_request(number)
+    stage.requests.deliver_response(entry, resp_codec.WorkerReply(value), "s1")
+
+
+def test_replies_to_clients_that_do_not_read_stay_within_their_cap():
+    """Guards against values in the write buffers of many slow readers, which filled the memory of an instance."""
+    stage = SocketHarness(max_connections=30, max_unsent_bytes=400_000)
+    clients = [
+        stage.client(*(command_with_id(100 * client + number) for number in range(1, 41))) for client in range(10)
+    ]
+    for number in range(1, 401):
+        serve_value(stage, number, b"v" * 65_000)
+        if number % 40 == 0:
+            stage.turns(30)  # the kernel's buffers fill first
+        assert unsent_bytes(stage) <= 400_000 + len(clients) * 66_000  # and one reply for each, which may be read
+    received = b""
+    while received.count(b"$65000\r\n") + received.count(b"-ERR failed") < 40:
+        received += clients[-1].recv(1 << 20)
+        stage.turns()
+    assert b"$65000" in received and b"-ERR failed" in received
+    for client in clients:
+        client.close()
+    stage.turns(20)
+    assert stage.frontend.unsent.used == 0 and stage.frontend.counts["reply_discarded"] > 0
+    stage.close()
+
+
+def test_replies_that_wait_for_an_earlier_one_stay_within_the_cap():
+    """Guards against values of many requests behind an open one: their bytes were counted, but never refused."""
+    stage = SocketHarness(max_buffered_bytes=200_000)
+    client = stage.client(*(command_with_id(number) for number in range(1, 41)))
+    for number in range(40, 1, -1):
+        serve_value(stage, number, b"v" * 65_000)
+        assert stage.frontend.buffered.used <= 200_000
+    stage.decide(Reject(1, 0.0))
+    received = b""
+    while received.count(b"-") + received.count(b"$") < 40:
+        stage.turns()
+        received += client.recv(1 << 20)
+    assert received.startswith(b"-BUSY\r\n-ERR failed\r\n") and received.count(b"$65000") == 3
+    stage.close()
+
+
 def test_a_reading_client_is_not_aborted_after_two_writes_to_its_full_buffer(stage):
     """The transport pauses its producer at each write into the full buffer, but resumes it only once."""
     pong = [b"PING", b"x" * 20_000]
