A request counts with all its parts: terms of 64 KiB were held uncounted

What callers saw: nothing in service. By calculation the open requests that a limit of 96 MB allows (1,536) hold 96 MB of terms beside their counted bodies.

Cause: ClientConnection asked the budget for the length of the body alone; terms may be as long, as where they have a key in a class that needs none.

Change: the budget is asked for all parts of the command, with which it is released. test_buffered_request_values_are_capped keeps its margin of 40 bytes beside one whole request, where its cap was 40 bytes above one body.

Before: ten requests with terms of 60,000 bytes each are accepted under a cap of 200,000; after: three, and the others get -BUSY.

--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -224,7 +224,8 @@
             # Workers identify requests by id: they would take another request with this id for a hedged one.
             self._invalid_command(entry, "id: a request with this id is open")
             return
-        if not frontend.buffered.fits(len(request.body)):
+        size = sum(map(len, parts))
+        if not frontend.buffered.fits(size):
             self._reject_for_capacity(entry)
             return
 
@@ -236,7 +237,7 @@
             self.replies.complete(entry, reply)
             self._flush()
 
-        self.replies.reserve(entry, len(request.body))
+        self.replies.reserve(entry, size)
         deadline_ms = frontend.deadline_ms(request.timeout_ms)
         entry.request = frontend.requests.submit(request, deadline_ms, complete, self.has_disconnected)
         if entry.request is None:
--- a/anisefront/resp_gateway/connection_limits.py
+++ b/anisefront/resp_gateway/connection_limits.py
@@ -40,7 +40,7 @@
         max_connections: Open connections; closing ones are not counted.
         max_closing: Closing connections beside them: the client must still read what was written to it.
         idle_close_threshold: Connections with commands above which those idle for `IDLE_TIMEOUT_S` are closed.
-        max_buffered_bytes: Bytes of values and replies held for all open requests.
+        max_buffered_bytes: Bytes of requests and of waiting replies, over all connections.
         max_unsent_bytes: Bytes of replies written to clients that do not read, over all connections.
         max_incoming_bytes: Bytes of incomplete commands and of paused input, over all connections.
     """
--- a/anisefront/resp_gateway/reply_queue.py
+++ b/anisefront/resp_gateway/reply_queue.py
@@ -19,7 +19,7 @@
     Attributes:
         reply: The encoded reply, None while the request is open.
         request: Number of the request in the request table while it is open.
-        buffered_bytes: Bytes reserved for the request's value, later for its reply.
+        buffered_bytes: Bytes reserved for the request, later for its reply.
     """
 
     reply: bytes | None = None
@@ -50,12 +50,12 @@
         self.pending.append(entry)
 
     def reserve(self, entry: PendingReply, size: int) -> None:
-        """Reserve bytes for a request's value or for a reply."""
+        """Reserve bytes for a request or for a reply."""
         entry.buffered_bytes = size
         self._budget.reserve(size)
 
     def complete(self, entry: PendingReply, reply: bytes) -> None:
-        """Store the final reply of an open request in place of its value."""
+        """Store the final reply of an open request, and count it in the request's place."""
         entry.reply = reply
         entry.request = None
         self._budget.reserve(len(reply) - entry.buffered_bytes)
--- a/anisefront/resp_gateway/resp_frontend.py
+++ b/anisefront/resp_gateway/resp_frontend.py
@@ -43,7 +43,7 @@
 
     Attributes:
         counts: Events by the keys of the state report.
-        buffered: Bytes of values and replies held for open requests.
+        buffered: Bytes of open requests and of replies that wait for earlier ones.
         unsent: Bytes of replies written to connections whose write buffer is full.
         incoming: Bytes of incomplete commands and of paused input.
         descriptors: Connections that hold a descriptor, including those aborted in this event loop iteration.
--- a/tests/test_node_front.py
+++ b/tests/test_node_front.py
@@ -476,14 +476,28 @@
 
 
 def test_buffered_request_values_are_capped_and_released():
-    harness = GatewayHarness(max_buffered_bytes=100)
+    first = [*DO[:4], b"x" * 60]
+    harness = GatewayHarness(max_buffered_bytes=sum(map(len, first)) + 40)
     client = harness.client()
-    harness.send(client, [*DO[:4], b"x" * 60], [*command_with_id(2, DO)[:4], b"x" * 60])
+    harness.send(client, first, [*command_with_id(2, DO)[:4], b"x" * 60])
     assert len(harness.controller.arrivals) == 1
     harness.run_iteration(Fail(harness.controller.arrivals[0].id))
     assert client.take().endswith(b"-BUSY 250\r\n") and harness.frontend.buffered.used == 0
 
 
+def test_all_parts_of_a_request_count_against_the_cap():
+    """Guards against terms of 60 KB, as a key in a class that needs none, which were held beside the counted body."""
+    harness = GatewayHarness(max_buffered_bytes=200_000)
+    client = harness.client()
+    for number in range(1, 11):
+        parts = command_with_id(number)
+        harness.send(client, [*parts[:3], parts[3] + b",k=" + b"x" * 60_000])
+    assert len(harness.controller.arrivals) == 3 and client.protocol.replies.pending[-1].reply == b"-BUSY 250\r\n"
+    assert 180_000 < harness.frontend.buffered.used <= 200_000
+    harness.run_iteration(*(Reject(number, 0.0) for number in (1, 2, 3)))
+    assert harness.frontend.buffered.used == 0
+
+
 def test_disconnect_cancels_the_attempts_of_a_client():
     harness = GatewayHarness()
     client = harness.client()
