An attempt keeps no second copy of its request once it is written

What callers saw: nothing; an instance with many long requests in flight needed twice the memory that its budget counts for them, from the first byte of each attempt to its end.

Cause: Exchange held the encoded request as long as itself, although the connection hands it to the operating system with the write.

Change: Exchange.connected hands its bytes over.

--- a/anisefront/upstream/pool_exchange.py
+++ b/anisefront/upstream/pool_exchange.py
@@ -68,7 +68,9 @@
         self._connection = connection
         connection.exchange = self
         connection.reader.begin(self._head_only)
-        connection.write(self._data)
+        data = self._data
+        self._data = b""  # the connection holds the bytes until the operating system has them
+        connection.write(data)
 
     def connect_failed(self) -> None:
         """End the exchange: no connection was made, so nothing was written."""
--- a/tests/test_node_front.py
+++ b/tests/test_node_front.py
@@ -1,5 +1,7 @@
 """RESP frontend, worker connections, discovery watch and peer datagrams, in memory and with a simulated clock."""
 
+import gc
+
 import pytest
 from test_node_wire import ASK, DO, SERVED_REPLY, chunked_response
 from test_pool import Transport as PoolTransport
@@ -498,6 +500,18 @@
     assert harness.frontend.buffered.used == 0
 
 
+def test_attempt_keeps_no_copy_of_its_request_once_it_is_written():
+    """Guards against a second copy of each long value, held from the first byte to the end of its attempt."""
+    harness = GatewayHarness()
+    client = harness.client()
+    harness.send(client, [*command_with_id(1, DO)[:4], b"v" * 60_000])
+    harness.run_iteration(StartAttempt(1, "s1", 400.0))
+    worker = harness.connect_worker()
+    assert b"v" * 60_000 in worker.value()
+    exchange = worker.protocol.exchange
+    assert not any(len(each) > 60_000 for each in gc.get_referents(exchange) if isinstance(each, bytes))
+
+
 def test_disconnect_cancels_the_attempts_of_a_client():
     harness = GatewayHarness()
     client = harness.client()
