Incomplete replies of all workers have one cap

What callers saw: nothing in service. By calculation workers that stop in the middle of replies make an instance hold 192 KiB for each of 276 connections, 53 MB of a limit of 96, until their attempts are given up.

Cause: as with half commands, each value has a cap and all connections have none.

Change: IncomingBytes moves to gateway/ and counts the pool's incomplete responses too, under a sixteenth of the memory limit. Above it the longest is given up as an error that may have been executed. An aborted connection frees its bytes at once.

--- a/anisefront/resp_gateway/incoming_bytes.py
+++ b/anisefront/gateway/incoming_bytes.py
@@ -1,8 +1,8 @@
-"""Cap on the bytes that clients have sent and that are part of no request yet, over all connections.
+"""Cap on the received bytes of incomplete messages, over all connections of one kind.
 
-A client may announce a command of several long values and stop in the middle of it. Each connection alone stays within
+A peer may announce a message of several long values and stop in the middle of it. Each connection alone stays within
 the protocol's lengths then, but all of them together may hold more than the process has memory. Above the cap the
-connection that holds most gives up its bytes: a client that sends an ordinary command keeps its own.
+connection that holds most gives up its bytes: a peer that sends an ordinary message keeps its own.
 """
 
 from __future__ import annotations
@@ -11,14 +11,14 @@
 
 
 class Holder(Protocol):
-    """A connection that holds bytes of incomplete commands or of paused input."""
+    """A connection that holds bytes of an incomplete message, or messages that are not parsed yet."""
 
     def discard_incoming(self) -> None:
         """Free the bytes, and report by `IncomingBytes.update` how few are left."""
 
 
 class IncomingBytes:
-    """Bytes that are part of no request yet, by the connection that holds them.
+    """Bytes of incomplete messages, by the connection that holds them.
 
     Attributes:
         limit: Bytes that all connections together may hold.
--- a/anisefront/protocols/http1.py
+++ b/anisefront/protocols/http1.py
@@ -105,6 +105,11 @@
         """Tell whether bytes of an incomplete message were received."""
         return bool(self._buffer) or self._start_line is not None
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Count the bytes held of an incomplete message."""
+        return len(self._buffer) + len(self._body)
+
     def feed(self, data: bytes, only_first: bool = False) -> list[Message | Head | BodyChunk]:
         """Return the events that these bytes complete.
 
--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -24,6 +24,7 @@
 from zope.interface import implementer
 
 from anisefront.frontends.backpressure import Backpressure
+from anisefront.gateway.incoming_bytes import IncomingBytes
 from anisefront.resp_gateway import resp_codec
 from anisefront.resp_gateway.command_mapping import REQUEST_VERBS, CommandMapper
 from anisefront.resp_gateway.connection_limits import (
@@ -37,7 +38,6 @@
 )
 from anisefront.resp_gateway.errors import InvalidCommandError, RespProtocolError
 from anisefront.resp_gateway.fixed_replies import MAX_ERROR_VERB, OK, PONG, REJECTED
-from anisefront.resp_gateway.incoming_bytes import IncomingBytes
 from anisefront.resp_gateway.input_pause import InputPause
 from anisefront.resp_gateway.reply_queue import PendingReply, ReplyQueue
 from anisefront.resp_gateway.resp_codec import DISCARDED
--- a/anisefront/resp_gateway/instance.py
+++ b/anisefront/resp_gateway/instance.py
@@ -44,7 +44,7 @@
 # Division of the memory limit.
 BODY_MEMORY_FRACTION = 1 / 8
 UNSENT_MEMORY_FRACTION = 1 / 16  # replies that clients do not read
-INCOMING_MEMORY_FRACTION = 1 / 16  # incomplete commands and paused input of all clients
+INCOMING_MEMORY_FRACTION = 1 / 16  # incomplete commands and paused input of all clients; as much for workers' replies
 OPEN_REQUESTS_PER_MB = 16
 MIN_OPEN_REQUESTS = 64
 
@@ -130,6 +130,7 @@
 
     def _create_upstream(self, config: InstanceConfig, budget: DescriptorBudget) -> None:
         limits = PoolLimits(
+            max_incoming_bytes=int(config.memory_mb * (1 << 20) * INCOMING_MEMORY_FRACTION),
             connect_timeout_s=config.connect_timeout_ms / 1000,
             idle_timeout_s=config.idle_ms * IDLE_FRACTION / 1000,
             max_idle_per_endpoint=MAX_IDLE_PER_ENDPOINT,
--- a/anisefront/resp_gateway/resp_frontend.py
+++ b/anisefront/resp_gateway/resp_frontend.py
@@ -12,6 +12,7 @@
 
 from twisted.internet import protocol
 
+from anisefront.gateway.incoming_bytes import IncomingBytes
 from anisefront.resp_gateway.client_connection import ClientConnection
 from anisefront.resp_gateway.command_mapping import CommandMapper
 from anisefront.resp_gateway.connection_limits import (
@@ -31,7 +32,6 @@
     ConnectionLimits,
     ConnectionState,
 )
-from anisefront.resp_gateway.incoming_bytes import IncomingBytes
 from anisefront.resp_gateway.resp_requests import RespRequests
 
 MAX_READ_DELAY_MS = 100.0  # time a request may have waited to be read before its deadline counts
--- a/anisefront/resp_gateway/resp_requests.py
+++ b/anisefront/resp_gateway/resp_requests.py
@@ -47,6 +47,11 @@
         """Start without received bytes."""
         self._reader = resp_codec.WorkerReplyReader()
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Count the bytes held of an incomplete reply."""
+        return self._reader.incomplete_bytes
+
     def begin(self, head_only: bool) -> None:
         """Do nothing at the start of a request."""
 
--- a/anisefront/upstream/connection_pool.py
+++ b/anisefront/upstream/connection_pool.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 
 from twisted.internet.abstract import isIPAddress, isIPv6Address
 
+from anisefront.gateway.incoming_bytes import IncomingBytes
 from anisefront.upstream.http_responses import HttpResponseReader
 from anisefront.upstream.pool_connection import PoolConnection, PoolConnectionFactory
 from anisefront.upstream.pool_exchange import Exchange, OnEnd
@@ -32,6 +34,7 @@
         idle_timeout_s: Time after which an idle connection is closed; well below the endpoints' own idle timeout.
         max_idle_per_endpoint: Idle connections to one endpoint; further ones are closed.
         max_body_bytes: Size of a response's body; a longer one is an error.
+        max_incoming_bytes: Bytes of incomplete responses over all connections; 0 for no limit.
         max_connections: Total connections, including those being established; 0 for no limit.
         quiet_period_s: Time after a response in which a connection must stay silent before it is used again.
         stall_timeout_s: Time without a further byte after which an incomplete response is abandoned; 0 for none.
@@ -41,6 +44,7 @@
     idle_timeout_s: float = 2.0
     max_idle_per_endpoint: int = 32
     max_body_bytes: int = 1 << 20
+    max_incoming_bytes: int = 0
     max_connections: int = 0
     quiet_period_s: float = 0.0
     stall_timeout_s: float = 0.0
@@ -76,6 +80,7 @@
         self.address_of = address_of
         self.connections = 0  # open, or being made
         self.counts: Counter[str] = Counter()
+        self.incoming = IncomingBytes(self.limits.max_incoming_bytes or sys.maxsize)
         self._idle: dict[str, deque[PoolConnection]] = {}  # of each endpoint, the longest idle first
         self._sweep_call: Any = None
 
@@ -181,6 +186,7 @@
     def connection_closed(self, connection: PoolConnection) -> None:
         """Record that a connection has ended."""
         self.connections -= 1
+        self.incoming.update(connection, 0)
         self.remove_idle(connection)
 
     def connect_failed(self) -> None:
--- a/anisefront/upstream/http_responses.py
+++ b/anisefront/upstream/http_responses.py
@@ -17,6 +17,11 @@
         """Create a reader; a longer body is an error."""
         self._reader = MessageReader(requests=False, max_body_bytes=max_body_bytes)
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Count the bytes held of an incomplete response."""
+        return self._reader.incomplete_bytes
+
     def begin(self, head_only: bool) -> None:
         """Expect a response; `head_only`: to a HEAD request, whose response has no body."""
         self._reader.head_only = head_only
--- a/anisefront/upstream/pool_connection.py
+++ b/anisefront/upstream/pool_connection.py
@@ -113,8 +113,10 @@
         if found is None:
             if self.pool.limits.stall_timeout_s:
                 self._restart_stall_timer()
+            self.pool.incoming.update(self, self.reader.incomplete_bytes)
             return
         response, is_reusable = found
+        self.pool.incoming.update(self, 0)
         self._cancel_stall_timer()
         self.exchange = None
         if is_reusable and not self.writing:
@@ -123,8 +125,22 @@
             self.transport.loseConnection()
         exchange.finish(None, response)
 
+    def discard_incoming(self) -> None:
+        """Give up an incomplete response: the attempt has failed, and its request may have been executed."""
+        if self.exchange is None:  # it is being aborted
+            self._discard_response()
+            return
+        self.pool.counts["response_discarded"] += 1
+        self._abort(self.exchange, AttemptResult.ERROR)
+
+    def _discard_response(self) -> None:
+        """Free the bytes of an incomplete response: the connection may outlive its abort by an iteration."""
+        self.reader = self.pool.make_reader()
+        self.pool.incoming.update(self, 0)
+
     def _abort(self, exchange: Exchange, result: AttemptResult) -> None:
         self._cancel_stall_timer()
+        self._discard_response()
         self.exchange = None
         self.transport.abortConnection()
         exchange.finish(result, None)
--- a/anisefront/upstream/response_reader.py
+++ b/anisefront/upstream/response_reader.py
@@ -11,6 +11,10 @@
     fault: type[Exception]  # raised by `feed` for a malformed response
     allows_early_response: bool  # whether a response may begin before the whole request is written
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Count the bytes held of an incomplete response."""
+
     def begin(self, head_only: bool) -> None:
         """Expect the response to a request that is being written.
 
--- a/tests/test_node_front.py
+++ b/tests/test_node_front.py
@@ -81,7 +81,10 @@
         self.pool = ConnectionPool(
             self.reactor,
             PoolLimits(
-                quiet_period_s=0.01, stall_timeout_s=0.4, max_connections=limits.pop("max_connections_to_endpoints", 0)
+                quiet_period_s=0.01,
+                stall_timeout_s=0.4,
+                max_connections=limits.pop("max_connections_to_endpoints", 0),
+                max_incoming_bytes=limits.pop("max_incoming_bytes_from_endpoints", 0),
             ),
             WorkerConnectionCodec,
             self.address.get,
@@ -592,6 +595,29 @@
     assert worker.aborted and harness.controller.ends[0].result is AttemptResult.ERROR
 
 
+def test_incomplete_replies_of_all_workers_together_stay_within_their_cap():
+    """Guards against workers that stop in the middle of long replies and together fill the memory of an instance."""
+    harness = GatewayHarness(max_incoming_bytes_from_endpoints=200_000)
+    client = harness.client()
+    workers = []
+    for number in range(1, 13):
+        harness.send(client, command_with_id(number))
+        harness.run_iteration(StartAttempt(number, "s1", 400.0))
+        workers.append(harness.connect_worker())
+        size = 10_000 if number == 1 else 60_000  # the first one sends an ordinary reply
+        workers[-1].protocol.dataReceived(b"*3\r\n$%d\r\n" % size + b"v" * (size - 5))
+        held = sum(each.protocol.reader.incomplete_bytes for each in workers)
+        assert held == harness.pool.incoming.used <= 200_000
+    workers[0].protocol.dataReceived(b"v" * 5 + b"\r\n$-1\r\n$-1\r\n")
+    harness.run_iteration()
+    ended = [end.result for end in harness.controller.ends]
+    assert ended == [AttemptResult.ERROR] * 8 + [AttemptResult.OK]
+    assert harness.pool.counts["response_discarded"] == 8 and client.take().startswith(b"$10000\r\nvv")
+    for worker in workers:
+        worker.protocol.connectionLost(Failure(error.ConnectionLost()))
+    assert harness.pool.incoming.used == 0
+
+
 @pytest.mark.parametrize("more", [SERVED_REPLY, b"noise"])
 def test_bytes_after_a_reply_end_the_connection(more):
     harness = GatewayHarness()
