The division of descriptors and memory has its own module

Need: the fractions of the memory limit had grown to four beside those of the descriptors, spread over the wiring of the instance, one under a name that told nothing of its use (DESCRIPTORS_PER_BODY, the threshold for idle connections).

Change: resource_budgets.py divides both limits into typed budgets; the wiring takes its figures from there.

--- a/anisefront/resp_gateway/instance.py
+++ b/anisefront/resp_gateway/instance.py
@@ -27,27 +27,13 @@
 from anisefront.resp_gateway.endpoint_changes import EndpointChange, EndpointDirectory
 from anisefront.resp_gateway.errors import InstanceConfigError
 from anisefront.resp_gateway.instance_config import InstanceConfig
+from anisefront.resp_gateway.resource_budgets import descriptor_budget, memory_budget
 from anisefront.resp_gateway.resp_frontend import RespFrontend
 from anisefront.resp_gateway.resp_requests import RespRequests, WorkerConnectionCodec
 from anisefront.resp_gateway.state_report import STATE_KEYS, RespStateReport
 from anisefront.resp_gateway.unauthenticated_datagrams import UnauthenticatedDatagrams
 from anisefront.upstream.connection_pool import ConnectionPool, PoolLimits
 
-# Division of the file descriptors.
-OTHER_DESCRIPTORS = 24  # standard streams, event loop, listener, datagrams, discovery old and new, and a reserve
-MIN_DESCRIPTORS = 32  # for clients and endpoints
-CLIENT_FRACTION = 0.5  # of the descriptors; the rest is for endpoints
-CLOSING_FRACTION = 1 / 8  # of the clients' connections, which may be closing
-MIN_CLOSING = 8
-DESCRIPTORS_PER_BODY = 8
-
-# Division of the memory limit.
-BODY_MEMORY_FRACTION = 1 / 8
-UNSENT_MEMORY_FRACTION = 1 / 16  # replies that clients do not read
-INCOMING_MEMORY_FRACTION = 1 / 16  # incomplete commands and paused input of all clients; as much for workers' replies
-OPEN_REQUESTS_PER_MB = 16
-MIN_OPEN_REQUESTS = 64
-
 REUSE_DELAY_S = 0.01  # after a response, before its connection is used again
 RESPONSE_STALL_S = 0.4  # the longest gap within a response
 IDLE_FRACTION = 0.6  # of the time after which the platform closes an idle connection
@@ -64,23 +50,6 @@
 COLLECT_INTERVAL_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DescriptorBudget:
-    """How many descriptors each kind of connection may use."""
-
-    clients: int
-    closing: int
-    endpoints: int
-
-
-def descriptor_budget(descriptors: int) -> DescriptorBudget:
-    """Divide the descriptors of the process."""
-    available = max(MIN_DESCRIPTORS, descriptors - OTHER_DESCRIPTORS)
-    clients = int(available * CLIENT_FRACTION)
-    closing = max(MIN_CLOSING, int(clients * CLOSING_FRACTION))
-    return DescriptorBudget(clients - closing, closing, available - clients)
-
-
 class RespGatewayInstance:
     """One gateway instance, which is created, started, drained and ended once.
 
@@ -95,25 +64,20 @@
         on_fault: Callable[[Exception], None] | None = None,
     ) -> None:
         """Create all parts; no socket is opened yet."""
-        settings = config.settings
         self.config = config
         self.reactor = reactor
         self.clock = clock or Clock()
         self.log = structlog.get_logger().bind(gatekeeper=config.name)
-        self.peer_port: PeerPort | None = None
-        if config.peer_listen is not None and settings.peer_messages_enabled:
-            datagrams = UnauthenticatedDatagrams(settings.number, config.peers)
-            self.peer_port = PeerPort(
-                datagrams, lambda sender, data: self.request_table.receive_peer_message(sender, data)
-            )
-        max_open = max(MIN_OPEN_REQUESTS, int(config.memory_mb * OPEN_REQUESTS_PER_MB))
+        self.peer_port = self._create_peer_port(config)
+        self._descriptors = descriptor_budget(config.sockets)
+        self._memory = memory_budget(config.memory_mb)
+        max_open = self._memory.open_requests
         self.request_table = create_request_table(
-            reactor, self.clock, self.log, settings, config.seed, self.peer_port, max_open, on_fault
+            reactor, self.clock, self.log, config.settings, config.seed, self.peer_port, max_open, on_fault
         )
         self.endpoint_directory = EndpointDirectory()
-        budget = descriptor_budget(config.sockets)
-        self._create_upstream(config, budget)
-        self._create_frontend(config, budget)
+        self._create_upstream(config)
+        self._create_frontend(config)
         self.watch = DiscoveryWatch(
             reactor,
             config.discovery,
@@ -128,28 +92,34 @@
         self._drain_began_ms = 0.0
         self._kill_ms = 0.0
 
-    def _create_upstream(self, config: InstanceConfig, budget: DescriptorBudget) -> None:
+    def _create_peer_port(self, config: InstanceConfig) -> PeerPort | None:
+        """Return the port for messages of other instances, None where there are none."""
+        if config.peer_listen is None or not config.settings.peer_messages_enabled:
+            return None
+        datagrams = UnauthenticatedDatagrams(config.settings.number, config.peers)
+        return PeerPort(datagrams, lambda sender, data: self.request_table.receive_peer_message(sender, data))
+
+    def _create_upstream(self, config: InstanceConfig) -> None:
         limits = PoolLimits(
-            max_incoming_bytes=int(config.memory_mb * (1 << 20) * INCOMING_MEMORY_FRACTION),
+            max_incoming_bytes=self._memory.incoming_reply_bytes,
             connect_timeout_s=config.connect_timeout_ms / 1000,
             idle_timeout_s=config.idle_ms * IDLE_FRACTION / 1000,
             max_idle_per_endpoint=MAX_IDLE_PER_ENDPOINT,
-            max_connections=budget.endpoints,
+            max_connections=self._descriptors.endpoints,
             quiet_period_s=REUSE_DELAY_S,
             stall_timeout_s=RESPONSE_STALL_S,
         )
         self.pool = ConnectionPool(self.reactor, limits, WorkerConnectionCodec, self.endpoint_directory.address_of)
         self.resp_requests = RespRequests(self.request_table, self.pool, config.settings.load_report_fields)
 
-    def _create_frontend(self, config: InstanceConfig, budget: DescriptorBudget) -> None:
-        memory_bytes = config.memory_mb * (1 << 20)
+    def _create_frontend(self, config: InstanceConfig) -> None:
         limits = ConnectionLimits(
-            max_connections=budget.clients,
-            max_closing=budget.closing,
-            idle_close_threshold=config.sockets // DESCRIPTORS_PER_BODY,
-            max_buffered_bytes=int(memory_bytes * BODY_MEMORY_FRACTION),
-            max_unsent_bytes=int(memory_bytes * UNSENT_MEMORY_FRACTION),
-            max_incoming_bytes=int(memory_bytes * INCOMING_MEMORY_FRACTION),
+            max_connections=self._descriptors.clients,
+            max_closing=self._descriptors.closing,
+            idle_close_threshold=self._descriptors.idle_clients,
+            max_buffered_bytes=self._memory.request_bytes,
+            max_unsent_bytes=self._memory.unsent_reply_bytes,
+            max_incoming_bytes=self._memory.incoming_command_bytes,
         )
         self.frontend = RespFrontend(
             self.reactor, self.resp_requests, CommandMapper(config.settings), self.clock, limits
--- a/anisefront/resp_gateway/resp_codec.py
+++ b/anisefront/resp_gateway/resp_codec.py
@@ -97,7 +97,7 @@
     def __init__(self) -> None:
         """Start without received bytes."""
         super().__init__()
-        self._missing_parts = 0  # of the array being read
+        self._missing_values = 0  # of the array being read
         self._discarding = False
         self.error: RespProtocolError | None = None
 
@@ -145,11 +145,11 @@
                 return None
             self._parts = []
         parts = self._parts
-        while self._missing_parts:
-            value = self._read_part()
+        while self._missing_values:
+            value = self._read_next_value()
             if value is None:
                 return None
-            self._missing_parts -= 1
+            self._missing_values -= 1
             if not self._discarding:
                 parts.append(value)
         self._parts = None
@@ -158,7 +158,7 @@
             return DISCARDED
         return parts
 
-    def _read_part(self) -> bytes | None:
+    def _read_next_value(self) -> bytes | None:
         """Return the next value, None while it is incomplete."""
         if self._length == NO_LENGTH:
             line = self._read_line(MAX_LENGTH_LINE_BYTES)
@@ -186,8 +186,8 @@
             return False
         if line[:1] != b"*":
             raise RespProtocolError("expected '*'")
-        self._missing_parts = self._parse_length(line[1:], MAX_COMMAND_PARTS, "multibulk")
-        if not self._missing_parts:
+        self._missing_values = self._parse_length(line[1:], MAX_COMMAND_PARTS, "multibulk")
+        if not self._missing_values:
             raise RespProtocolError("invalid multibulk length")
         return True
 
--- a/tests/test_instance_wiring.py
+++ b/tests/test_instance_wiring.py
@@ -14,7 +14,7 @@
 from anisefront.daemon.peer_port import PeerPort
 from anisefront.daemon.report_document import to_document
 from anisefront.resp_gateway.unauthenticated_datagrams import UnauthenticatedDatagrams
-from anisefront.resp_gateway.instance import descriptor_budget
+from anisefront.resp_gateway.resource_budgets import descriptor_budget
 
 SECRET = b"sixteen bytes at least"
 ADDRESSES = (("127.0.0.1", 7001), ("127.0.0.1", 7002))
