--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -325,11 +325,13 @@
     gateway = managed(GatewayProcess(managed.folder, managed(Discovery(row)).address, row, **limits))
     value = resp_codec.encode_bulk(b"x" * resp_codec.MAX_VALUE_BYTES)
     half_command = b"*%d\r\n" % resp_codec.MAX_COMMAND_PARTS + value * (resp_codec.MAX_COMMAND_PARTS - 1)
-    stopped = [socket.create_connection(("127.0.0.1", gateway.port)) for _ in range(150)]
+    stopped = []
     client = gateway.client()
-    for number, connection in enumerate(stopped, 1):
+    for number in range(1, 151):
+        connection = socket.create_connection(("127.0.0.1", gateway.port))
         connection.settimeout(3)
         connection.sendall(half_command)
+        stopped.append(connection)
         if number % 15 == 0:
             assert send_request(client, number) == b"value for %016x" % number
         assert resident_mb(gateway.process) < limits["memory_mb"]
