A keyed request that may have been executed is not refused as safe to retry

Cause: is_rejection_safe took `keyed scope all` as harmless to repeat at any time. Endpoints drop a repeat only within the window, counted from the first attempt; a refusal sets no time for the retry, and the instance that refuses can't bound it: the retry may wait for its whole deadline, counts the window of its further attempts from its own first one, and may be refused unsent and come back later still. So no margin before the window's end is safe either.

Change: a request that may have been executed is refused only if its class is idempotent, else it fails; one that no endpoint executed is refused as before, in each scope.

--- a/anisefront/policy/actions.py
+++ b/anisefront/policy/actions.py
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Reject:
-    """Final answer after which a client may retry: nothing was executed, or a second execution is harmless.
+    """Final answer after which a client may retry at any time: nothing was executed, or the class is idempotent.
 
     `retry_after_ms` is advice to the client; 0 means none.
     """
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Fail:
-    """Final answer for a request that may or may not have been executed."""
+    """Final answer for a request that may or may not have been executed, and whose retry may not be safe."""
 
     id: int
 
--- a/anisefront/policy/retries.py
+++ b/anisefront/policy/retries.py
@@ -35,8 +35,12 @@
 
 
 def is_rejection_safe(request: Request) -> bool:
-    """Return whether a client may retry the request: it was not executed, or a second execution is harmless."""
-    return not request.uncertain_attempts or request.request_class.is_repeatable_anywhere
+    """Return whether a client may retry the request at any time: it was not executed, or may be executed again.
+
+    A keyed request that may have been executed is not: its endpoints drop a second execution only within their
+    deduplication window, and nothing limits the time of a client's retry after a rejection.
+    """
+    return not request.uncertain_attempts or request.request_class.idempotency is Idempotency.IDEMPOTENT
 
 
 class RetryPolicy:
--- a/anisefront/testbed/audit.py
+++ b/anisefront/testbed/audit.py
@@ -197,8 +197,7 @@
             verdict.cases += 1
             runs_by_request[request["wish"]] += runs[name]
             refused = any(answer["how"] == "refused" for answer in self.answers[name])
-            harmless = request_class["repeat"] == "keyed" and request_class["scope"] == "all"
-            if refused and runs[name] and not harmless:
+            if refused and runs[name]:
                 verdict.breaches.append(f"{name} ({request['cls']}): refused as safe to repeat, but it ran")
             if request_class["repeat"] == "keyed" and len(self.arrivals[name]) > 1:
                 groups = {
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -14,10 +14,10 @@
 from anisefront.testbed.audit import Auditor
 
 
-def audit_one_request(responded_ms=2000.0, stalls=(), blocked=(), outcome="served", **records_by_file):
+def audit_one_request(responded_ms=2000.0, stalls=(), blocked=(), outcome="served", repeat="safe", **records_by_file):
     records = {"clients": [], "workers": [], "proxies": [], "day": []}
     records["day"] = [
-        {"at": 0, "kind": "class", "name": "look", "repeat": "safe", "scope": "all"},
+        {"at": 0, "kind": "class", "name": "look", "repeat": repeat, "scope": "all"},
         *({"at": until, "kind": "stood", "since": since, "until": until, "ms": ms} for since, until, ms in stalls),
         *(
             {"at": until, "kind": "blocked", "number": number, "since": since, "until": until}
@@ -44,6 +44,15 @@
     return Auditor({**records, **records_by_file})
 
 
+@pytest.mark.parametrize(("repeat", "breaches"), [("safe", 0), ("keyed", 1), ("unsafe", 1)])
+def test_a_request_that_ran_and_was_refused_breaks_the_rule_unless_it_is_idempotent(repeat, breaches):
+    # Guards against a double effect that no day shows: a keyed retry after the window was taken for harmless.
+    auditor = audit_one_request(
+        outcome="refused", workers=[{"at": 1500, "kind": "run", "id": "a", "worker": "w", "cell": 0}], repeat=repeat
+    )
+    assert len(auditor.no_effect_twice().breaches) == breaches
+
+
 def one_answer_breaches(auditor):
     return auditor.one_answer().breaches
 
--- a/tests/test_policy_retries.py
+++ b/tests/test_policy_retries.py
@@ -5,14 +5,22 @@
 import pytest
 from test_rules import settings
 
-from anisefront.policy.actions import Fail, Reject, RejectionReason
+from anisefront.policy.actions import Fail, Reject, RejectionReason, StartAttempt
 from anisefront.policy.admission import final_answer
 from anisefront.policy.concurrency_limit import ConcurrencyLimit
 from anisefront.policy.controller import Controller
 from anisefront.policy.customer_account import CustomerAccount
 from anisefront.policy.endpoint_registry import EndpointRegistry
 from anisefront.policy.endpoint_state import EndpointState
-from anisefront.policy.events import Arrival, AttemptResult, Endpoint, EndpointList, EndpointStatus, PriorAttempts
+from anisefront.policy.events import (
+    Arrival,
+    AttemptEnded,
+    AttemptResult,
+    Endpoint,
+    EndpointList,
+    EndpointStatus,
+    PriorAttempts,
+)
 from anisefront.policy.request import QuotaClaim, Request
 from anisefront.policy.response_times import ResponseTimes
 from anisefront.policy.retries import INITIAL_BUDGET, MAX_BUDGET, UNCONSTRAINED, RetryPolicy
@@ -94,13 +102,43 @@
 
 
 @pytest.mark.parametrize(
-    ("class_name", "answer"), [("look", Reject), ("seat", Reject), ("hold", Fail), ("book", Fail), ("debit", Fail)]
+    ("class_name", "answer"), [("look", Reject), ("seat", Fail), ("hold", Fail), ("book", Fail), ("debit", Fail)]
 )
 def test_an_attempted_request_is_rejected_only_if_a_retry_is_safe(registry, class_name, answer):
     assert isinstance(final_answer(attempted(registry, class_name), 1000.0), answer)
     assert isinstance(final_answer(request(class_name), 1000.0), Reject)
 
 
+KEYED_CLASSES = ("seat", "hold", "book")  # one for each deduplication scope
+
+
+def answers_after_attempt(class_name, result, ended_ms):
+    """Return the types of the answers to a request whose only attempt ends so at this time; None: it does not end."""
+    controller = Controller(settings(max_attempts=1), 1)
+    controller.handle(0.0, [EndpointList((ENDPOINTS[0],))])
+    actions = controller.handle(0.0, [Arrival(1, "c", class_name, "open", 2500.0)])
+    assert [action.id for action in actions if isinstance(action, StartAttempt)] == [1]
+    events = [] if result is None else [AttemptEnded(1, 0, "s0", ended_ms, result, False)]
+    actions = controller.handle(ended_ms, events)
+    return [type(action) for action in actions if isinstance(action, Reject | Fail)]
+
+
+@pytest.mark.parametrize("class_name", KEYED_CLASSES)
+@pytest.mark.parametrize(
+    ("result", "ended_ms"),
+    [(AttemptResult.ERROR, 10.0), (AttemptResult.RESET, 1190.0), (AttemptResult.TIMEOUT, 1210.0), (None, 2500.0)],
+)
+def test_a_keyed_request_that_may_have_been_executed_is_not_rejected_as_safe(class_name, result, ended_ms):
+    # Guards against a second effect: the client's retry, shortly before the window's end too, comes after it.
+    assert answers_after_attempt(class_name, result, ended_ms) == [Fail]
+
+
+@pytest.mark.parametrize("class_name", KEYED_CLASSES)
+@pytest.mark.parametrize("result", [each for each in AttemptResult if each.never_executed])
+def test_a_keyed_request_that_no_endpoint_executed_is_rejected_as_safe(class_name, result):
+    assert answers_after_attempt(class_name, result, 1210.0) == [Reject]
+
+
 def test_the_rejection_names_its_reason(registry):
     waiting, queued, failed = request(), request(), attempted(registry, "look")
     queued.record_admitted()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -146,11 +146,7 @@
         request_class = self.classes[arrival.class_name]
         assert now <= arrival.deadline_at_ms + ANSWER_SLACK_MS, "rule 1: answered after the deadline"
         if rejected and self.uncertain_attempts(number):
-            deduplicated_everywhere = (
-                request_class.idempotency is Idempotency.KEYED
-                and request_class.deduplication_scope is DeduplicationScope.ALL
-            )
-            assert request_class.idempotency is Idempotency.IDEMPOTENT or deduplicated_everywhere, (
+            assert request_class.idempotency is Idempotency.IDEMPOTENT, (
                 "rule 2: rejected as safe to retry, but may have been executed"
             )
         self.ended.add(number)
