A request that loses its backup is not refused as safe if an ended attempt may have run

With `unprotected refuse` a keyed request whose attempt was reset, and whose next one waited for its backup, was refused as safe to retry when the backup was lost; the retry may run in another zone or cell, or after the window of repeats.

Cause: RequestTable.reject_unprotected looked at attempts of a failed instance and at those in flight, not at its own that had ended.

Change: PendingRequest.may_have_executed is set by prior attempts and by each end that proves nothing; such a request fails.

Evidence: test_an_unprotected_request_whose_ended_attempt_may_have_been_executed_is_not_rejected_as_safe[reset] failed before; with connect_failed it is refused before and after. tests/test_attempt_accounting, test_guard, test_core: 91 passed.

--- a/anisefront/gateway/pending_request.py
+++ b/anisefront/gateway/pending_request.py
@@ -54,6 +54,8 @@
         accepted_ms: When it was accepted.
         attempts: Number of attempts started by the controller, including those of earlier gateway instances.
         in_flight: Its attempts that have not ended, by number.
+        may_have_executed: Whether an attempt that has ended, here or at an earlier gateway instance, may have been
+            executed.
         ended: Whether it has its final response or its client has disconnected.
         transferred: Whether another gateway instance has taken it over: this one sends no further attempt.
         withheld_rejection: Its rejection, while the replication guard withholds it.
@@ -65,6 +67,7 @@
     accepted_ms: float
     attempts: int = 0
     in_flight: dict[int, AttemptInFlight] = field(default_factory=dict)
+    may_have_executed: bool = False
     ended: bool = False
     transferred: bool = False
     withheld_rejection: Reject | None = None
--- a/anisefront/gateway/request_table.py
+++ b/anisefront/gateway/request_table.py
@@ -99,8 +99,10 @@
             return None
         self._last_request_number += 1
         arrival = _arrival(self._last_request_number, terms, allows_hedging, prior_attempts)
-        attempts = prior_attempts.attempts if prior_attempts else 0
-        request = PendingRequest(arrival, handler, self.now_ms(), attempts, replica=replica)
+        request = PendingRequest(arrival, handler, self.now_ms(), replica=replica)
+        if prior_attempts is not None:
+            request.attempts = prior_attempts.attempts
+            request.may_have_executed = prior_attempts.uncertain > 0
         if self.guard is not None and not self.guard.try_protect(request):
             self.counts["unprotected_refused"] += 1
             return None
@@ -134,7 +136,9 @@
             self._end(request)
             self.counts["served"] += 1
         self.counts[f"attempts_{result.value}"] += 1
-        if self.guard is not None and result.never_executed:
+        if not result.never_executed:
+            request.may_have_executed = True
+        elif self.guard is not None:
             self.guard.attempt_never_executed(request_number, attempt_number)
         if duration_ms is None:
             duration_ms = self.now_ms() - ended.started_ms
@@ -249,8 +253,7 @@
             return
         self.counts["unprotected_refused"] += 1
         self.batches.post_before_later_attempt_ends(ClientDisconnected(request_number))
-        prior_attempts = request.arrival.prior_attempts
-        if prior_attempts is not None and prior_attempts.uncertain:  # a failed instance may have had it executed
+        if request.may_have_executed:
             self.fail(request)
             self.remove_if_complete(request)
             return
--- a/tests/test_attempt_accounting.py
+++ b/tests/test_attempt_accounting.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 from test_core import CLASSES, SERVERS, ProxyHarness
+from test_guard import guarded_desk
 from twisted.internet.task import Clock
 
 from anisefront.gateway.request_table import RequestTable
@@ -93,6 +94,28 @@
     assert not desk.request_table.requests
 
 
+@pytest.mark.parametrize(
+    ("result", "response"), [(AttemptResult.CONNECT_FAILED, "reject"), (AttemptResult.RESET, "fail")]
+)
+def test_an_unprotected_request_whose_ended_attempt_may_have_been_executed_is_not_rejected_as_safe(result, response):
+    # Guards against a second execution: only attempts of a failed instance and those in flight were looked at.
+    desk, guard = guarded_desk()
+    answers = []
+    handler = SimpleNamespace(
+        start_attempt=lambda *values: None,
+        reject=lambda number, retry_after_ms, reason: answers.append("reject"),
+        fail=lambda number: answers.append("fail"),
+    )
+    number = desk.request_table.accept(handler, terms(desk.request_table, 2000.0, "keyed"))
+    desk.run(0.01)
+    desk.request_table.release_attempt(number, 0)
+    desk.request_table.attempt_ended(number, 0, result)
+    desk.run(0.01)
+    assert [attempt for _, attempt, _ in guard.attempts] == [0, 1]  # the second one is withheld
+    desk.request_table.reject_unprotected(number)
+    assert answers == [response]
+
+
 class Handler:
     """An attempt handler whose next call can be made to raise, before or after its work."""
 
