A request that waits for a keyed one is executed in its place only within the window

With `serve` and backups, a client whose keyed request (scope all) waits at a second instance was executed there at the deadline of the first one, also after the endpoints had forgotten its key.

Cause: who waits was told NEVER_EXECUTED of a keyed request that may have been executed by the scope of repeats alone (RequestClass.is_repeatable_anywhere). And a request that followed the instance which took it over forgot its own attempts: started again, it had no window to keep and could be refused as safe.

Change: RequestClass.repeatable_until_ms takes its place: another request may replace it while a whole deadline of the class lies in the window, counted from when the first was accepted or, at a backup, from its first attempt; an unknown start counts as over. Else MAY_HAVE_EXECUTED is told, as for a narrower scope. A request that starts again counts its attempts as prior ones.

Five calls of LocalRequest in test_request_takeover say "never" for True.

--- a/anisefront/cluster/local_requests.py
+++ b/anisefront/cluster/local_requests.py
@@ -62,6 +62,11 @@
         """Attempts that are recorded but have not started."""
         return self.awaiting_ack | self.awaiting_lock
 
+    @property
+    def uncertain_attempts(self) -> dict[int, str]:
+        """Endpoints of the started attempts that may have executed, by number."""
+        return {number: endpoint for number, endpoint in self.attempts.items() if number not in self.not_started}
+
     @property
     def is_pinned(self) -> bool:
         """Whether duplicates must be detected at its backup, or both requests would run."""
--- a/anisefront/cluster/primary.py
+++ b/anisefront/cluster/primary.py
@@ -277,9 +277,12 @@
     def may_have_executed(self, request: int) -> bool | None:
         """Return whether a started attempt of a request may have executed; None if the request is not replicated."""
         local = self._requests.get(request)
-        if local is None:
-            return None
-        return bool(local.attempts.keys() - local.not_started)
+        return None if local is None else bool(local.uncertain_attempts)
+
+    def uncertain_attempts(self, request: int) -> dict[int, str]:
+        """Return the endpoints of the started attempts that may have executed, by number."""
+        local = self._requests.get(request)
+        return {} if local is None else local.uncertain_attempts
 
     def has_lock(self, request: int) -> bool:
         """Return whether a request holds the lock of its identity, so that no other of its identity has started."""
--- a/anisefront/daemon/duplicate_requests.py
+++ b/anisefront/daemon/duplicate_requests.py
@@ -33,11 +33,12 @@
 
     Attributes:
         identity: Its identity.
-        must_not_repeat: Whether a second execution would be harmful, by its class when it was accepted.
+        repeatable_until_ms: Latest time at which another request of its identity may replace it if it may have been
+            executed, by its class when it was accepted.
     """
 
     identity: bytes
-    must_not_repeat: bool
+    repeatable_until_ms: float
 
 
 @dataclass(slots=True, eq=False)
@@ -85,9 +86,9 @@
 
     # ---- requests in flight here -----------------------------------------------------------------
 
-    def add(self, request: int, identity: bytes, must_not_repeat: bool) -> None:
+    def add(self, request: int, identity: bytes, repeatable_until_ms: float) -> None:
         """Add a request; the first one of an identity represents it."""
-        self._local[request] = LocalRequest(identity, must_not_repeat)
+        self._local[request] = LocalRequest(identity, repeatable_until_ms)
         self._request_numbers.setdefault(identity, []).append(request)
 
     def demote(self, request: int) -> None:
--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -7,6 +7,7 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from typing import Any
 
 from anisefront.cluster import replication_actions as actions
@@ -44,6 +45,7 @@
 from anisefront.daemon.request_takeover import DIRECT_REQUEST_KIND, RequestTakeover
 from anisefront.gateway.pending_request import PendingRequest
 from anisefront.gateway.request_table import RequestTable
+from anisefront.policy.events import Arrival, PriorAttempts
 from anisefront.policy.settings import Idempotency
 from anisefront.upstream.deduplication import Deduplicator, request_identity
 from anisefront.upstream.delegated_requests import DelegatedRequests
@@ -153,8 +155,9 @@
         now_ms = self._clock()
         accepted = self._accepted(now_ms, request)
         if accepted.excludes_duplicates:
-            must_not_repeat = not self._classes[request.arrival.class_name].is_repeatable_anywhere
-            self.duplicates.add(accepted.request, accepted.identity, must_not_repeat)
+            request_class = self._classes[request.arrival.class_name]
+            repeatable_until_ms = request_class.repeatable_until_ms(request.first_attempt_after_ms)
+            self.duplicates.add(accepted.request, accepted.identity, repeatable_until_ms)
         inherited = self.takeover.inherited_locks.take(accepted.identity)
         predecessor = inherited.owner if inherited is not None else None
         has_yielded = self._has_yielded(now_ms, accepted.identity)
@@ -218,10 +221,9 @@
     def request_completed(self, request_number: int) -> None:
         """Record that a request has ended."""
         self._owned_elsewhere.pop(request_number, None)
-        may_have_executed = self._may_have_executed(request_number)
+        is_uncertain = self._is_uncertain(request_number)
         represents_identity = self.duplicates.represents(request_number)
         local = self.duplicates.remove(request_number)
-        is_uncertain = may_have_executed and local is not None and local.must_not_repeat
         is_retained = local is not None and local.identity in self.deduplicator
         had_lock = self.primary.has_lock(request_number)
         backup = self.primary.backup_of(request_number)
@@ -236,6 +238,13 @@
         elif backup is not None:  # the response follows; the backup may have changed since the takeover
             self.duplicates.wait_for(local.identity, {backup})
 
+    def _is_uncertain(self, request_number: int) -> bool:
+        """Return whether a request may have been executed, so that no other of its identity may replace it now."""
+        local = self.duplicates.get(request_number)
+        if local is None or self._clock() <= local.repeatable_until_ms:
+            return False
+        return self._may_have_executed(request_number)
+
     def _may_have_executed(self, request_number: int) -> bool:
         request = self._request_table.requests[request_number]
         prior_attempts = request.arrival.prior_attempts
@@ -517,14 +526,14 @@
     def try_follow_owner(self, request: PendingRequest) -> bool:
         """Let the client of a request that another instance owns wait for the outcome there, as for a duplicate.
 
-        A request that may have been executed here and must not be repeated fails: its owner does not repeat it.
+        One that may have been executed here and that no other may replace fails: its owner does not repeat it.
         """
         request_number = request.arrival.id
         informed = self._owned_elsewhere.get(request_number)
         local = self.duplicates.get(request_number)
         if not informed or local is None or request.replica.handler_kind != DIRECT_REQUEST_KIND:
             return False
-        if local.must_not_repeat and self._may_have_executed(request_number):
+        if self._is_uncertain(request_number):
             return False
         self.counts["followed_owner"] += 1
         self._yield_to_duplicate(request_number, informed)
@@ -542,10 +551,24 @@
         )
         self._yielding = request_number
         self._informed = informed  # for `wait_for_outcome`, which the attempt handler calls
-        request.handler.yield_to_duplicate(request.arrival, request.replica.idempotency_key)
+        request.handler.yield_to_duplicate(self._arrival_with_attempts(request), request.replica.idempotency_key)
         self._informed = ()
         self._yielding = None
 
+    def _arrival_with_attempts(self, request: PendingRequest) -> Arrival:
+        """Return a request as it starts again here: its attempts that may have been executed count as prior ones."""
+        uncertain = self.primary.uncertain_attempts(request.arrival.id)
+        if not uncertain:
+            return request.arrival
+        prior_attempts = PriorAttempts(
+            attempts=request.attempts,
+            uncertain=len(uncertain),
+            endpoint=uncertain[min(uncertain)],
+            started_ms=request.first_attempt_after_ms,
+            quota_debited=True,
+        )
+        return replace(request.arrival, prior_attempts=prior_attempts)
+
     def _on_released(self, owner: LockOwner, replica: ReplicatedRequest) -> None:
         """Resolve the requests that wait for one which is not stored here any more."""
         if not replica.excludes_duplicates:
--- a/anisefront/daemon/request_takeover.py
+++ b/anisefront/daemon/request_takeover.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -70,14 +71,19 @@
     def uncertain_outcome(self, replica: ReplicatedRequest) -> Outcome:
         """Return the outcome of a request that may have executed.
 
-        Another request with its idempotency key may run if all endpoints drop repeated executions. It may not if only
-        the endpoints of one zone or cell do: it is unknown here which endpoint received the first.
+        Another request with its idempotency key may run if all endpoints drop repeated executions until its deadline.
+        It may not if only the endpoints of one zone or cell do: it is unknown here which endpoint received the first.
         """
         record = decode_record(replica.record, self._classes)
-        if record is not None and self._classes[record.class_name].is_repeatable_anywhere:
+        if record is not None and self._is_repeatable(record.class_name, replica.attempts):
             return Outcome.NEVER_EXECUTED
         return Outcome.MAY_HAVE_EXECUTED
 
+    def _is_repeatable(self, class_name: str, attempts: dict[int, tuple[str, float]]) -> bool:
+        """Return whether another request may replace one with these attempts: endpoint and start, by number."""
+        first_attempt_ms = min((started_ms for _, started_ms in attempts.values()), default=math.inf)
+        return self._clock() <= self._classes[class_name].repeatable_until_ms(first_attempt_ms)
+
     def blocks(self, identity: bytes) -> bool:
         """Return whether a delegated request taken over blocks others of its identity; otherwise it is released.
 
@@ -87,7 +93,8 @@
         if inherited is None or not inherited.is_awaited:
             return False
         class_name = inherited.terms.class_name
-        if inherited.uncertain_attempts and not self._classes[class_name].is_repeatable_anywhere:
+        attempts = inherited.uncertain_attempts
+        if attempts and not self._is_repeatable(class_name, attempts):
             self._inherited[identity] = inherited
             return True
         self._delegated_requests.inherited.release(inherited)
--- a/anisefront/gateway/pending_request.py
+++ b/anisefront/gateway/pending_request.py
@@ -73,6 +73,12 @@
     withheld_rejection: Reject | None = None
     replica: ReplicaRecord | None = None
 
+    @property
+    def first_attempt_after_ms(self) -> float:
+        """Lower bound of the time at which its first attempt started; -inf if it is unknown."""
+        prior = self.arrival.prior_attempts
+        return self.accepted_ms if prior is None or not prior.uncertain else prior.started_ms
+
     @property
     def withheld_attempts(self) -> list[int]:
         """Numbers of the attempts that the replication guard withholds."""
--- a/anisefront/policy/settings.py
+++ b/anisefront/policy/settings.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -62,12 +63,22 @@
         if not isinstance(self.idempotency, Idempotency):
             raise ValueError(f"idempotency: expected a member of Idempotency, got {self.idempotency!r}")
 
-    @property
-    def is_repeatable_anywhere(self) -> bool:
-        """Whether a second execution is harmless, whichever endpoint receives it."""
-        if self.idempotency is Idempotency.KEYED:
-            return self.deduplication_scope is DeduplicationScope.ALL
-        return self.idempotency is Idempotency.IDEMPOTENT
+    def repeatable_until_ms(self, first_attempt_ms: float) -> float:
+        """Return the latest time at which a request of the same identity may replace one that may have been executed.
+
+        Any endpoint may receive it, at any time until its deadline, and must still drop it as a second execution.
+
+        Args:
+            first_attempt_ms: Lower bound of the time at which the first attempt started; -inf if it is unknown.
+
+        Returns:
+            The time; inf if a second execution is harmless at any time, -inf if no request may replace it.
+        """
+        if self.idempotency is Idempotency.IDEMPOTENT:
+            return math.inf
+        if self.idempotency is Idempotency.KEYED and self.deduplication_scope is DeduplicationScope.ALL:
+            return first_attempt_ms + self.deduplication_window_ms - self.deadline_ms
+        return -math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/replication_fleet.py
+++ b/tests/replication_fleet.py
@@ -30,6 +30,7 @@
 
 LEASE_MS = 600.0
 DEADLINE_S = 8.0
+WINDOW_S = 5.0  # of the class whose deduplication window ends before its deadline
 SERVICE_S = 0.005  # duration of an attempt
 TRANSIT_S = 0.0005  # duration of a datagram's transit
 ENDPOINTS = EndpointList(tuple(Endpoint(f"10.0.0.{n}:80", "", 0, EndpointStatus.READY) for n in range(4)))
@@ -39,6 +40,7 @@
 CLASSES = (
     RequestClass("pay", 4000, DEADLINE_S * 1000, 3.0, Idempotency.NON_IDEMPOTENT),
     RequestClass("order", 4000, DEADLINE_S * 1000, 2.0, Idempotency.KEYED, deduplication_window_ms=20_000),
+    RequestClass("ticket", 4000, DEADLINE_S * 1000, 2.0, Idempotency.KEYED, deduplication_window_ms=WINDOW_S * 1000),
 )
 
 
--- a/tests/test_request_takeover.py
+++ b/tests/test_request_takeover.py
@@ -1,5 +1,6 @@
 """Takeover: the lock of a failed primary's request is continued by exactly one local request or released."""
 
+import math
 import types
 from collections import Counter
 
@@ -19,6 +20,7 @@
 
 IDENTITY = b"identity"
 DEADLINE_MS = 8000.0
+NEVER_MS = -math.inf
 JOB = DirectRequest("POST", "/pay", {}, b"")
 DATA = {"method": JOB.method, "target": JOB.target, "headers": {}, "body": ""}
 RECORD = RequestRecord(DIRECT_REQUEST_KIND, "k", "stall", "pay", "wide", 1.0, 0, 1, DATA).encode()
@@ -69,9 +71,9 @@
         """Accept a local request of the identity, which requests its lock."""
         self.continued.append(self.takeover.inherited_locks.take(IDENTITY).owner)
 
-    def take_over(self, attempts=(), record=RECORD):
+    def take_over(self, attempts=(), record=RECORD, started_ms=0.0):
         replica = ReplicatedRequest(OWNER.request, True, DEADLINE_MS, IDENTITY, record)
-        replica.attempts.update(dict.fromkeys(attempts, ("w:1", 0.0)))
+        replica.attempts.update(dict.fromkeys(attempts, ("w:1", started_ms)))
         self.takeover.take_over(OWNER.number, OWNER.incarnation, replica)
 
     def wait(self, request_lock):
@@ -144,15 +146,30 @@
     assert [answer.reason for answer in harness.responses] == ([] if continues else ["ended-elsewhere"])
 
 
+@pytest.mark.parametrize(
+    ("window_ms", "started_ms", "continues"),
+    [(DEADLINE_MS, 0.0, True), (DEADLINE_MS - 1, 0.0, False), (2 * DEADLINE_MS, -math.inf, False)],
+)
+def test_a_request_that_waits_for_a_keyed_one_that_may_have_executed_continues_within_its_window(
+    harness, window_ms, started_ms, continues
+):
+    # Guards against a second execution: the endpoints forget the first one before this one's deadline.
+    harness.set_class(Idempotency.KEYED, 0.0, DeduplicationScope.ALL, window_ms)
+    harness.wait(harness.request_lock_again)
+    harness.take_over(attempts=(0,), started_ms=started_ms)
+    assert harness.continued == ([OWNER] if continues else [])
+    assert [answer.reason for answer in harness.responses] == ([] if continues else ["ended-elsewhere"])
+
+
 def test_a_local_request_that_is_requesting_its_lock_continues_that_of_the_failed_one(harness):
-    harness.duplicates.add(1, IDENTITY, True)
+    harness.duplicates.add(1, IDENTITY, NEVER_MS)
     harness.take_over()
     assert (harness.continued, harness.released, harness.resumed) == ([OWNER], [], [])
 
 
 def test_a_local_request_that_was_refused_its_lock_continues_that_of_the_failed_one(harness):
     # Guards against a lock that no request continues: the refusal was decided but not carried out yet.
-    harness.duplicates.add(1, IDENTITY, True)
+    harness.duplicates.add(1, IDENTITY, NEVER_MS)
     harness.is_undecided = False
     harness.take_over()
     assert IDENTITY in harness.takeover.inherited_locks
@@ -161,7 +178,7 @@
 
 
 def test_the_lock_of_a_failed_request_is_released_where_the_local_one_has_the_majority(harness):
-    harness.duplicates.add(1, IDENTITY, True)
+    harness.duplicates.add(1, IDENTITY, NEVER_MS)
     harness.has_lock = True
     harness.take_over()
     assert (harness.released, harness.continued) == ([OWNER], [])
@@ -169,14 +186,14 @@
 
 def test_a_local_request_yields_to_a_failed_one_that_may_have_executed_and_its_outcome_is_remembered(harness):
     # Guards against a wait until the deadline: the outcome of a request that was not continued was never sent.
-    harness.duplicates.add(1, IDENTITY, True)
+    harness.duplicates.add(1, IDENTITY, NEVER_MS)
     harness.take_over(attempts=(0,))
     assert harness.transferred == [1] and harness.duplicates._outcomes[IDENTITY] is Outcome.MAY_HAVE_EXECUTED
 
 
 def test_a_local_request_that_another_instance_owns_does_not_prevent_a_takeover(harness):
     # Guards against a wait until the deadline: the local request had lost its epoch, with an attempt in flight.
-    harness.duplicates.add(1, IDENTITY, True)
+    harness.duplicates.add(1, IDENTITY, NEVER_MS)
     harness.is_lost = True
     harness.take_over()
     assert len(harness.resumed) == 1 and harness.continued == [OWNER]
