A request taken over that can't be accepted is not refused as safe if it may have run

A keyed or non-idempotent request that may have been executed at a lost instance was refused as safe by the one that took it over where that did not accept it: deadline just passed, plan unknown there, table of customers full.

Cause: Controller._on_arrival answered each request that it can't accept with a rejection, as if it were new.

Change: answer_unaccepted fails it unless its class is idempotent; one that was never executed is refused as before.

--- a/anisefront/policy/admission.py
+++ b/anisefront/policy/admission.py
@@ -15,12 +15,13 @@
 from anisefront.policy.actions import Fail, Reject, RejectionReason
 from anisefront.policy.concurrency_limit import ConcurrencyLimit
 from anisefront.policy.control_period import MIN_SAMPLES
+from anisefront.policy.events import Arrival
 from anisefront.policy.fuzzy_controller import FuzzyController
 from anisefront.policy.request import Request
 from anisefront.policy.request_queue import QueueGroup, RequestQueue
 from anisefront.policy.response_times import RESPONSE_FRACTION, max_queueing_ms
 from anisefront.policy.retries import is_rejection_safe
-from anisefront.policy.settings import Plan, RequestClass, Settings
+from anisefront.policy.settings import Idempotency, Plan, RequestClass, Settings
 
 MAX_BLOCKED = 1000  # requests without an eligible endpoint that end one round of dispatching
 MAX_OVER_QUOTA_UTILIZATION = 0.5  # fraction of the concurrency limit below which over-quota requests are dispatched
@@ -50,6 +51,19 @@
     return Reject(request.arrival.id, retry_after_ms, _rejection_reason(request))
 
 
+def answer_unaccepted(arrival: Arrival, request_class: RequestClass | None, reason: RejectionReason) -> Reject | Fail:
+    """Return the answer for an arriving request that is not accepted; it fails if a client's retry is not safe.
+
+    A request taken over from a failed instance may have been executed there.
+    """
+    prior_attempts = arrival.prior_attempts
+    may_have_executed = prior_attempts is not None and prior_attempts.uncertain > 0
+    is_idempotent = request_class is not None and request_class.idempotency is Idempotency.IDEMPOTENT
+    if may_have_executed and not is_idempotent:
+        return Fail(arrival.id)
+    return Reject(arrival.id, 0.0, reason)
+
+
 def _rejection_reason(request: Request) -> RejectionReason:
     # A request taken over from a failed instance that had debited its units is not waiting for its quota.
     if request.awaiting_quota and not request.claim.debited_units:
--- a/anisefront/policy/controller.py
+++ b/anisefront/policy/controller.py
@@ -15,8 +15,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from anisefront.policy.actions import Action, Reject, RejectionReason, Subscribe
-from anisefront.policy.admission import Admission, admits_over_quota, dispatch_deadline_ms, final_answer
+from anisefront.policy.actions import Action, RejectionReason, Subscribe
+from anisefront.policy.admission import (
+    Admission,
+    admits_over_quota,
+    answer_unaccepted,
+    dispatch_deadline_ms,
+    final_answer,
+)
 from anisefront.policy.attempt_tracker import AttemptTracker
 from anisefront.policy.concurrency_limit import ConcurrencyLimit
 from anisefront.policy.control_period import PERIOD_MS
@@ -217,11 +223,11 @@
         plan = self.plans.get(arrival.plan_name)
         expired = arrival.deadline_at_ms <= self._now_ms
         if request_class is None or plan is None or expired or arrival.id in self.requests:
-            self._actions.append(Reject(arrival.id, 0.0, RejectionReason.INVALID))
+            self._actions.append(answer_unaccepted(arrival, request_class, RejectionReason.INVALID))
             return
         claim = self.quota_borrower.open_claim(self._now_ms, arrival, plan)
         if isinstance(claim, RejectionReason):
-            self._actions.append(Reject(arrival.id, 0.0, claim))
+            self._actions.append(answer_unaccepted(arrival, request_class, claim))
             return
         self._arrivals += 1
         request = Request(
--- a/tests/test_policy_retries.py
+++ b/tests/test_policy_retries.py
@@ -139,6 +139,26 @@
     assert answers_after_attempt(class_name, result, 1210.0) == [Reject]
 
 
+@pytest.mark.parametrize(
+    ("class_name", "uncertain", "answer"),
+    [(name, 0, Reject) for name in (*KEYED_CLASSES, "debit", "look")]
+    + [(name, 1, Fail) for name in (*KEYED_CLASSES, "debit", "none")]
+    + [("look", 1, Reject)],
+)
+@pytest.mark.parametrize(
+    ("plan_name", "deadline_at_ms", "max_customers"), [("open", 10.0, 10), ("none", 2500.0, 10), ("open", 2500.0, 0)]
+)
+def test_a_request_taken_over_that_is_not_accepted_is_rejected_only_if_a_retry_is_safe(
+    class_name, uncertain, answer, plan_name, deadline_at_ms, max_customers
+):
+    # Guards against a second effect: expired, of an unknown plan or without an account it was rejected in any class.
+    controller = Controller(settings(max_customers=max_customers), 1)
+    prior_attempts = PriorAttempts(1, uncertain, "s0", 0.0, True)
+    arrival = Arrival(1, "c", class_name, plan_name, deadline_at_ms, prior_attempts=prior_attempts)
+    actions = controller.handle(10.0, [EndpointList(tuple(ENDPOINTS)), arrival])
+    assert [type(action) for action in actions if isinstance(action, Reject | Fail)] == [answer]
+
+
 def test_the_rejection_names_its_reason(registry):
     waiting, queued, failed = request(), request(), attempted(registry, "look")
     queued.record_admitted()
