--- a/anisefront/daemon/replication.py
+++ b/anisefront/daemon/replication.py
@@ -5,9 +5,8 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Callable, Iterator
-from dataclasses import replace
 from typing import Any
 
 from anisefront.cluster import replication_actions as actions
@@ -35,6 +34,7 @@
 )
 from anisefront.cluster.witness import Witness
 from anisefront.config.types import Config
+from anisefront.daemon.attempt_history import arrival_to_start_again, prior_endpoints
 from anisefront.daemon.completed_requests import CompletedRequest, CompletedRequests
 from anisefront.daemon.deferred_timer import DeferredTimer
 from anisefront.daemon.duplicate_requests import DuplicateRequests
@@ -43,9 +43,9 @@
 from anisefront.daemon.message_relay import MessageRelay
 from anisefront.daemon.request_records import RequestRecord, content_digest, decode_record, decode_response
 from anisefront.daemon.request_takeover import DIRECT_REQUEST_KIND, RequestTakeover
+from anisefront.daemon.yielded_requests import YieldedRequests
 from anisefront.gateway.pending_request import PendingRequest
 from anisefront.gateway.request_table import RequestTable
-from anisefront.policy.events import Arrival, PriorAttempts
 from anisefront.policy.settings import Idempotency
 from anisefront.upstream.deduplication import Deduplicator, request_identity
 from anisefront.upstream.delegated_requests import DelegatedRequests
@@ -109,7 +109,7 @@
         self.update_config(config)
         self._timer = DeferredTimer(reactor, clock, self._on_timer, STALL_MS)
         self._is_processing = False
-        self._yielded: OrderedDict[bytes, float] = OrderedDict()  # deadlines of requests that have yielded, by identity
+        self._yielded = YieldedRequests()
         self._yielding: int | None = None  # the request that is yielding now
         self._informed: tuple[int, ...] = ()  # instances that know of the request to which it yields
         # Local requests that other instances own, with the instances that know of them.
@@ -160,8 +160,8 @@
             self.duplicates.add(accepted.request, accepted.identity, repeatable_until_ms)
         inherited = self.takeover.inherited_locks.take(accepted.identity)
         predecessor = inherited.owner if inherited is not None else None
-        has_yielded = self._has_yielded(now_ms, accepted.identity)
-        reason = self._replicate(now_ms, accepted, predecessor, has_yielded, _prior_attempts(request))
+        has_yielded = self._yielded.has(now_ms, accepted.identity)
+        reason = self._replicate(now_ms, accepted, predecessor, has_yielded, prior_endpoints(request))
         if reason is None:
             self.counts["protected"] += 1
             return True
@@ -175,12 +175,6 @@
         self.primary.accept_without_backup(now_ms, accepted, predecessor, has_yielded)
         return True
 
-    def _has_yielded(self, now_ms: float, identity: bytes) -> bool:
-        """Return whether a request of an identity has yielded here and its deadline has not passed."""
-        while self._yielded and next(iter(self._yielded.values())) <= now_ms:
-            self._yielded.popitem(last=False)
-        return identity in self._yielded
-
     def _accepted(self, now_ms: float, request: PendingRequest) -> Accepted:
         arrival = request.arrival
         has_identity = bool(request.replica.idempotency_key)
@@ -282,7 +276,7 @@
         primary = self.backup.find_primary(self._clock(), identity)
         if primary is None or self._idempotency(class_name) is Idempotency.IDEMPOTENT:
             return False
-        self._yielded[identity] = deadline_at_ms
+        self._yielded.add(identity, deadline_at_ms)
         self.duplicates.add_waiting_request(identity, request, deadline_at_ms, on_response, start_anew, primary)
         return True
 
@@ -546,29 +540,16 @@
         request = self._request_table.requests.get(request_number)
         if request is None or request.ended:
             return
-        self._yielded[self._identity(request.arrival.customer, request.replica.idempotency_key)] = (
-            request.arrival.deadline_at_ms
-        )
+        arrival = request.arrival
+        idempotency_key = request.replica.idempotency_key
+        self._yielded.add(self._identity(arrival.customer, idempotency_key), arrival.deadline_at_ms)
         self._yielding = request_number
         self._informed = informed  # for `wait_for_outcome`, which the attempt handler calls
-        request.handler.yield_to_duplicate(self._arrival_with_attempts(request), request.replica.idempotency_key)
+        uncertain_attempts = self.primary.uncertain_attempts(request_number)
+        request.handler.yield_to_duplicate(arrival_to_start_again(request, uncertain_attempts), idempotency_key)
         self._informed = ()
         self._yielding = None
 
-    def _arrival_with_attempts(self, request: PendingRequest) -> Arrival:
-        """Return a request as it starts again here: its attempts that may have been executed count as prior ones."""
-        uncertain = self.primary.uncertain_attempts(request.arrival.id)
-        if not uncertain:
-            return request.arrival
-        prior_attempts = PriorAttempts(
-            attempts=request.attempts,
-            uncertain=len(uncertain),
-            endpoint=uncertain[min(uncertain)],
-            started_ms=request.first_attempt_after_ms,
-            quota_debited=True,
-        )
-        return replace(request.arrival, prior_attempts=prior_attempts)
-
     def _on_released(self, owner: LockOwner, replica: ReplicatedRequest) -> None:
         """Resolve the requests that wait for one which is not stored here any more."""
         if not replica.excludes_duplicates:
@@ -612,14 +593,6 @@
         return self.primary, self.backup, self.locks, self.voter, self.deduplicator
 
 
-def _prior_attempts(request: PendingRequest) -> dict[int, str]:
-    """Return the attempts of a failed instance that may have been executed, all with the endpoint of the first."""
-    prior = request.arrival.prior_attempts
-    if prior is None:
-        return {}
-    return dict.fromkeys(range(prior.attempts - prior.uncertain, prior.attempts), prior.endpoint)
-
-
 def _placement(config: Config) -> LockPlacement:
     """Return the placement of votes; zones are used only if all instances have one, so that all of them agree."""
     instances = range(config.settings.gateways)
--- a/anisefront/daemon/request_takeover.py
+++ b/anisefront/daemon/request_takeover.py
@@ -15,6 +15,7 @@
 from anisefront.cluster.lock_requester import LockRequester
 from anisefront.cluster.primary import Primary
 from anisefront.cluster.replication_messages import NO_IDENTITY, Outcome
+from anisefront.daemon.attempt_history import attempts_of_replica
 from anisefront.daemon.duplicate_requests import DuplicateRequests
 from anisefront.daemon.inherited_locks import InheritedLock, InheritedLocks
 from anisefront.daemon.request_records import RequestRecord, content_digest, decode_record
@@ -120,7 +121,7 @@
             self._counts["taken_in_hand"] += 1
             self._continue_local(local_request_number, replica, owner)
             return
-        prior_attempts = _prior_attempts(replica)
+        prior_attempts = attempts_of_replica(replica)
         self._log.info(
             "taken_over",
             origin=primary,
@@ -236,15 +237,6 @@
             self._duplicates.notify(identity, Outcome.RESPONDED, response)
 
 
-def _prior_attempts(replica: ReplicatedRequest) -> PriorAttempts:
-    """Return what the controller must know about the attempts of a failed primary."""
-    attempts = sorted(replica.attempts.items())
-    if not attempts:
-        return PriorAttempts(0, 0, "", 0.0, False)
-    endpoint, started_ms = attempts[0][1]
-    return PriorAttempts(attempts[-1][0] + 1, len(attempts), endpoint, started_ms, True)
-
-
 def _terms(record: RequestRecord, replica: ReplicatedRequest) -> RequestTerms:
     """Return the terms under which the failed primary accepted a request."""
     return RequestTerms(
--- a/tests/test_suspects_red.py
+++ b/tests/test_suspects_red.py
@@ -1,4 +1,4 @@
-"""Suspects that were shown and are not mended: run from the worktree's root, with this folder copied to tests/."""
+"""Suspects that a test showed: those that are not mended are listed in KNOWN-RED.txt."""
 
 import time
 from collections import defaultdict
