The pause after an invalid command grows only while invalid commands follow each other

Cause: InputPause doubled the pause with each invalid command of a connection, up to 1.6 s, and never unlearned it. Beside it: the doubling overflowed a float at the 1,025th invalid command, and the connection stayed paused.

Change: a valid request returns the connection to 0.1 s, and the longest pause is 0.4 s, so that a request behind it is answered within its time and half a second. The test of a half command during a pause sets a longer pause itself, since the longest one is shorter than that command's timeout now; it is as strict as before.

--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -224,6 +224,7 @@
             # Workers identify requests by id: they would take another request with this id for a hedged one.
             self._invalid_command(entry, "id: a request with this id is open")
             return
+        self.input.valid_request_received()
         size = sum(map(len, parts))
         if not frontend.buffered.fits(size):
             self._reject_for_capacity(entry)
--- a/anisefront/resp_gateway/input_pause.py
+++ b/anisefront/resp_gateway/input_pause.py
@@ -5,6 +5,9 @@
 1. Parsing is paused. The transport is still read, into a bounded buffer, so that the end of the connection is noticed
    and the client's open requests are cancelled. Begins after an invalid command or a very long batch.
 2. Reading is paused too. Begins when the buffer is full; the kernel's flow control then stops the client.
+
+A connection may carry requests of many clients, valid ones of some and invalid ones of others. So only invalid commands
+in a row make the pause longer, and even the longest pause leaves a request time to be served or rejected.
 """
 
 from __future__ import annotations
@@ -13,7 +16,7 @@
 from typing import Any
 
 PAUSE_S = 0.1  # after a long batch, and when the buffer is full
-MAX_PAUSE_S = 1.6  # after an invalid command: doubled by each one from `PAUSE_S` up to this
+MAX_PAUSE_S = 0.4  # after an invalid command: doubled by each one in a row from `PAUSE_S` up to this
 MAX_BUFFERED = (64 << 10) + 1024  # bytes that wait during a pause: one command of the maximum length
 
 
@@ -38,7 +41,7 @@
         self.buffered = bytearray()
         self._reactor = reactor
         self._resume = resume
-        self._invalid_commands = 0
+        self._next_pause_s = PAUSE_S  # after an invalid command
         self._timer: Any = None
 
     @property
@@ -54,8 +57,12 @@
     def start_after_invalid(self) -> None:
         """Pause parsing after an invalid command, twice as long after each further one, unless it is paused."""
         if not self.active:
-            self._begin(min(MAX_PAUSE_S, PAUSE_S * 2**self._invalid_commands))
-            self._invalid_commands += 1
+            self._begin(self._next_pause_s)
+            self._next_pause_s = min(MAX_PAUSE_S, 2 * self._next_pause_s)
+
+    def valid_request_received(self) -> None:
+        """Return to the shortest pause: the connection does not carry invalid commands alone."""
+        self._next_pause_s = PAUSE_S
 
     def _begin(self, duration_s: float) -> None:
         self.active = True
--- /dev/null
+++ b/tests/test_busy_connections.py
@@ -0,0 +1,75 @@
+"""Requests beside paused input, floods and closes behind unread bytes of others; mostly on the real clock."""
+
+import socket
+import time
+
+import pytest
+from test_node_front import GatewayHarness, command_with_id
+from test_node_loopback import Discovery, GatewayProcess, Worker, managed  # noqa: F401
+from test_node_wire import ASK, endpoint_row
+
+from anisefront.resp_gateway import input_pause, resp_codec
+
+ALLOWED_OVER_S = 0.55  # after its deadline a request's reply still counts; 50 ms of it are for the sockets
+ALONE = [*ASK[:3], b"c=look,t=rated,d=480,units=1,spread=1,first=0"]  # a request to the only instance of its tier
+INVALID = [*ASK[:3], ASK[3].replace(b"units=2", b"units=9")]
+
+
+@pytest.fixture
+def gateway(managed):  # noqa: F811
+    """Start a gateway process with one worker."""
+    worker = managed(Worker())
+    discovery = managed(Discovery(endpoint_row("s1", worker.address)))
+    made = managed(GatewayProcess(managed.folder, discovery.address, endpoint_row("s1", worker.address), sockets=1024))
+    made.worker = worker
+    return made
+
+
+class Connection:
+    """A client's connection that reads replies one by one."""
+
+    def __init__(self, port):
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=20)
+        self.file = self.socket.makefile("rb")
+
+    def ask(self, parts):
+        """Send a command; return its reply and the seconds until it had come."""
+        started_s = time.monotonic()
+        self.socket.sendall(resp_codec.encode_command(parts))
+        reply = self.read_reply()
+        return reply, time.monotonic() - started_s
+
+    def read_reply(self):
+        """Return a value, or an error line."""
+        line = self.file.readline()
+        return self.file.readline() if line.startswith(b"$") else line
+
+
+def test_requests_behind_invalid_commands_of_others_on_one_connection_are_served_in_time(gateway):
+    """Guards against a pause that each invalid command makes longer, for as long as the connection lasts."""
+    connection = Connection(gateway.port)
+    for number in range(1, 8):
+        assert connection.ask(INVALID)[0].startswith(b"-ERR units")
+        reply, after_s = connection.ask(command_with_id(number, ALONE))
+        assert reply.startswith(b"value for") and after_s < 0.48 + ALLOWED_OVER_S
+
+
+def test_the_pause_after_an_invalid_command_grows_only_without_valid_requests():
+    """Guards against a pause that is never unlearned."""
+    harness = GatewayHarness()
+    client = harness.client()
+    for number in range(1, 6):
+        harness.send(client, INVALID)
+        harness.send(client, command_with_id(number))
+        harness.reactor.advance(input_pause.PAUSE_S + 0.01)
+        assert len(harness.controller.arrivals) == number
+
+
+def test_any_number_of_invalid_commands_in_a_row_is_answered():
+    """Guards against a doubling without end: it overflowed at the 1,025th."""
+    harness = GatewayHarness()
+    client = harness.client()
+    for _ in range(1100):
+        harness.send(client, INVALID)
+        harness.reactor.advance(input_pause.MAX_PAUSE_S + 0.01)
+    assert client.take().count(b"-ERR units") == 1100
--- a/tests/test_node_front.py
+++ b/tests/test_node_front.py
@@ -13,6 +13,7 @@
 from anisefront.upstream.connection_pool import ConnectionPool, PoolLimits
 from anisefront.gateway.request_table import RequestTable
 from anisefront.resp_gateway import client_connection
+from anisefront.resp_gateway import connection_limits
 from anisefront.resp_gateway import input_pause
 from anisefront.resp_gateway import resp_codec
 from anisefront.resp_gateway.resp_requests import RespRequests, WorkerConnectionCodec
@@ -258,7 +259,8 @@
     assert client.take() == b"+PONG\r\n-BUSY 250\r\n-ERR Protocol error: expected '*'\r\n"
 
 
-def test_partial_command_completed_during_a_pause_is_not_overdue():
+def test_partial_command_completed_during_a_pause_is_not_overdue(monkeypatch):
+    monkeypatch.setattr(input_pause, "MAX_PAUSE_S", 2 * connection_limits.FIRST_COMMAND_TIMEOUT_S)
     harness = GatewayHarness()
     client = harness.client()
     for _ in range(4):
