All connections' commands are parsed for 4 ms an iteration, in turns, so that floods starve nobody

Cause: an iteration was bounded for each connection and for the controller, not for all connections together. Ruled out: accepting, the controller, writing, the collector.

Change: InputScheduler gives each connection bounded turns within 4 ms an iteration; who waits is not read. First turns are short and go before later ones. No turn begins while 64 requests wait for the controller. A pause after invalid commands begins when all that came with them is parsed, as before. A read is so small that the input of all connections may wait within its cap. The mutations of the connection search return the count of commands, as the method that they replace does.

--- a/anisefront/gateway/event_batches.py
+++ b/anisefront/gateway/event_batches.py
@@ -19,6 +19,7 @@
 
 SLICE_EVENTS = 16  # events of each queue in one batch for the controller
 MAX_ITERATION_MS = 4.0  # time after which an iteration starts no further slice; a slice takes less than 1 ms
+MAX_WAITING_REQUESTS = 64  # queued events of requests above which frontends accept no further ones for a while
 MAX_PEER_MESSAGES = 10_000  # queued peer messages; further ones are dropped
 STALL_RETRY_S = 0.001  # delay of an iteration that a stall defers
 
@@ -43,6 +44,11 @@
         """Return the number of queued events."""
         return len(self._requests) + len(self._attempt_ends) + len(self._peer_messages) + len(self._endpoint_lists)
 
+    @property
+    def waiting_requests(self) -> int:
+        """Return the number of queued events of requests: arrivals, and clients that disconnected."""
+        return len(self._requests)
+
     def add(self, event: Event) -> bool:
         """Append an event to its queue.
 
@@ -116,6 +122,10 @@
         """Return the number of events that no iteration has taken yet."""
         return len(self._queues)
 
+    def is_behind(self) -> bool:
+        """Return whether so many requests wait that frontends should accept further ones later."""
+        return self._queues.waiting_requests >= MAX_WAITING_REQUESTS and not self.stopped
+
     def post(self, event: Event) -> None:
         """Queue an event for the next iteration."""
         if self._queues.add(event):
--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -24,6 +24,7 @@
 from zope.interface import implementer
 
 from anisefront.frontends.backpressure import Backpressure
+from anisefront.frontends.input_scheduler import TURN_BYTES, InputScheduler
 from anisefront.gateway.incoming_bytes import IncomingBytes
 from anisefront.resp_gateway import resp_codec
 from anisefront.resp_gateway.command_mapping import REQUEST_VERBS, CommandMapper
@@ -48,7 +49,9 @@
 MAX_DISCARDED = 1 << 20  # bytes received while closing, or after a protocol error; above this the connection is aborted
 MAX_UNCOUNTED_REPLY = 64  # bytes; rejections and failures are shorter
 MAX_OPEN_COMMANDS = 64  # commands of one connection without a reply; further ones are rejected
-MAX_BATCH = 256  # commands of one read; after a longer batch parsing pauses
+MAX_BATCH = 256  # commands received at once; after a longer batch parsing pauses
+TURN_REQUESTS = 2  # submitted in one turn, since each of them costs the controller much more than its parsing
+SLICE_BYTES = 256  # parsed at once within a turn
 MAX_PENDING_REPLIES = (
     4_096  # replies behind an open request; above this the open requests fail, so that all are written
 )
@@ -64,6 +67,8 @@
     buffered: ByteBudget
     unsent: ByteBudget
     incoming: IncomingBytes
+    input_scheduler: InputScheduler
+    read_bytes: int
     descriptors: int
     draining: bool
 
@@ -99,6 +104,9 @@
         self._received_request = False
         self._closing = False  # no request is accepted any more
         self._write_closed = False  # our half is closed
+        self._is_waiting = False  # for a turn to process the buffered input
+        self._turn_requests = 0  # submitted in this turn
+        self._batch_commands = 0  # received since nothing was buffered
         self._unsent = 0  # bytes written since the write buffer became full
         self._discarded = 0  # bytes
 
@@ -112,6 +120,7 @@
         self.transport.setTcpNoDelay(True)
         self.frontend.descriptors += 1
         self.start_backpressure(self.frontend.reactor, WRITE_TIMEOUT_S, self.abort)
+        self.transport.bufferSize = self.frontend.read_bytes
         self._closing = self._rejected
         self.frontend.set_state(self, CLOSING if self._rejected else NEW)
 
@@ -126,14 +135,68 @@
             return
         if self.input.active:
             self._buffer_input(data)
-        else:
+        elif not self.input.buffered and self.reader.completes_nothing(len(data)):
             self._process(data)
+        else:
+            self.input.buffer(data)
+            self._process_in_turn()
         self._count_incoming()
 
+    def _process_in_turn(self) -> None:
+        """Process what was received in turns; on a closing connection the first one is at once, before the close."""
+        if not self._closing or self._is_waiting or self.take_turn(TURN_BYTES):
+            self.frontend.input_scheduler.submit(self)
+
+    def take_turn(self, max_bytes: int) -> bool:
+        """Process some of the buffered commands, at least one that is complete; return whether bytes are left."""
+        if self.input.buffered:
+            self._batch_commands += self._parse_part(max_bytes)
+            self._write_replies()
+        if self._is_waiting:
+            self._count_incoming()
+        if self.input.buffered:
+            return True
+        self._end_batch()
+        return False
+
+    def _parse_part(self, max_bytes: int) -> int:
+        """Parse as many of the buffered bytes as a turn allows, and return how many commands they completed."""
+        pause = self.input
+        bytes_left_after = len(pause.buffered) - max_bytes
+        self._turn_requests = 0
+        commands = 0
+        while pause.buffered:
+            commands += self._parse(pause.take_part(SLICE_BYTES))
+            is_used_up = len(pause.buffered) <= bytes_left_after or self._turn_requests >= TURN_REQUESTS
+            if commands and is_used_up:
+                break
+        return commands
+
+    def _end_batch(self) -> None:
+        """Begin the pause that is due after what was received, if any."""
+        if self._batch_commands > MAX_BATCH:
+            self.input.long_batch_received()
+        self._batch_commands = 0
+        if not self._closing and self.reader.error is None:
+            self.input.begin_if_due()
+
+    def begin_waiting(self) -> None:
+        """Stop reading until the buffered commands have had their turns."""
+        self._is_waiting = True
+        self.pause_reading()
+        if self.state in (NEW, IDLE, PARTIAL_COMMAND):
+            self.frontend.set_state(self, BUSY)
+
+    def end_waiting(self) -> None:
+        """Read again, unless the connection has ended its wait itself."""
+        if self._is_waiting:
+            self._is_waiting = False
+            self.resume_reading()
+
     def discard_incoming(self) -> None:
         """Reject the commands that wait behind a pause, and the incomplete one when the rest of it has come."""
         self.frontend.counts["incoming_discarded"] += 1
-        if self.input.active:
+        if self.input.buffered:
             self._reject_buffered()
         self.reader.discard_command()
         self._count_incoming()
@@ -157,24 +220,34 @@
             self._reject_buffered()
 
     def _reject_buffered(self) -> None:
-        self.input.pause_reading(self.pause_reading)
+        if self.input.active:
+            self.input.pause_reading(self.pause_reading)
         self._process(self.input.take_buffered(), reject=True)
 
     def _process(self, data: bytes, reject: bool = False) -> None:
         """Parse bytes, handle each complete command and write the replies that are ready."""
+        self._parse(data, reject)
+        self._write_replies()
+
+    def _parse(self, data: bytes, reject: bool = False) -> int:
+        """Parse bytes, handle each complete command, and return how many there were."""
         commands = self.reader.feed(data)
         if commands and self.state is PARTIAL_COMMAND:
             self.frontend.set_state(self, PARTIAL_COMMAND)  # restarts the timeout for the next command
         for parts in commands:
             self._handle_command(parts, reject)
+        if self.reader.error is not None:
+            self.input.take_buffered()  # nothing more is parsed
+        return len(commands)
+
+    def _write_replies(self) -> None:
+        """Write the replies that are ready, and end the connection after a protocol error."""
         if len(self.replies.pending) > MAX_PENDING_REPLIES:
             self._fail_open()
-        if len(commands) > MAX_BATCH and not self._closing:
-            self.input.start()
         if self.reader.error is not None:
             self._protocol_error(self.reader.error.error_line)
-            return
-        self._flush()
+        else:
+            self._flush()
 
     def _handle_command(self, parts: list[bytes], reject: bool) -> None:
         self._received_command = True
@@ -240,6 +313,7 @@
 
         self.replies.reserve(entry, size)
         deadline_ms = frontend.deadline_ms(request.timeout_ms)
+        self._turn_requests += 1
         entry.request = frontend.requests.submit(request, deadline_ms, complete, self.has_disconnected)
         if entry.request is None:
             self._reject_for_capacity(entry)
@@ -265,14 +339,22 @@
         self.frontend.counts["unfit"] += 1
         entry.reply = resp_codec.encode_error(b"ERR " + reason.encode("ascii", "replace"))
         if not self._closing:
-            self.input.start_after_invalid()
+            self.input.invalid_command_received()
 
     def _resume_input(self) -> None:
         """End the pause and process what was buffered during it."""
         self.input.end(self.resume_reading)
-        data = self.input.take_buffered()
-        if data and self.reader.error is None:
-            self._process(data)
+        if self.input.buffered and self.reader.error is None:
+            self.frontend.input_scheduler.submit(self)
+        self._count_incoming()
+
+    def _process_all_buffered(self) -> None:
+        """Process what was received before our half is closed."""
+        self.input.end(self.resume_reading)
+        self.frontend.input_scheduler.remove(self)
+        self.end_waiting()
+        if self.input.buffered and self.reader.error is None:
+            self._process(self.input.take_buffered())
         self._count_incoming()
 
     def _protocol_error(self, line: bytes) -> None:
@@ -313,7 +395,7 @@
         """Write the replies that are ready, then enter the state that follows."""
         self._write_ready()
         if self._closing:
-            if self._rejected and (self._received_command or self.reader.error is not None):
+            if self._rejected and not self.input.buffered and self._has_something_to_reject:
                 self._rejected = False
                 self._close_write_half()
             return
@@ -327,11 +409,17 @@
         if self.frontend.draining and state is IDLE and self._received_request:
             self.shutdown_write()
 
+    @property
+    def _has_something_to_reject(self) -> bool:
+        return self._received_command or self.reader.error is not None
+
     def _next_state(self) -> ConnectionState:
         if self.reader.error is not None:
             return BUSY
         if not self._received_command:
             return NEW
+        if self._is_waiting and self.input.buffered:
+            return BUSY
         if self.reader.has_partial:
             return PARTIAL_COMMAND
         return BUSY if self.replies.pending else IDLE
@@ -342,7 +430,7 @@
             return
         self._closing = True
         self.frontend.set_state(self, CLOSING)
-        self._resume_input()  # what is buffered was received before our half is closed
+        self._process_all_buffered()
         self._close_write_half()
 
     def _close_write_half(self) -> None:
@@ -392,6 +480,7 @@
         self.transport.abortConnection()
 
     def _cancel_all(self) -> None:
+        self.frontend.input_scheduler.remove(self)
         self.input.cancel_timer()
         self.replies.clear()
         self._stop_parsing()
--- a/anisefront/resp_gateway/input_pause.py
+++ b/anisefront/resp_gateway/input_pause.py
@@ -3,7 +3,8 @@
 There are two stages. They differ in what the gateway still notices:
 
 1. Parsing is paused. The transport is still read, into a bounded buffer, so that the end of the connection is noticed
-   and the client's open requests are cancelled. Begins after an invalid command or a very long batch.
+   and the client's open requests are cancelled. Begins after an invalid command or a very long batch, once all that was
+   received with it is parsed.
 2. Reading is paused too. Begins when the buffer is full; the kernel's flow control then stops the client.
 
 A connection may carry requests of many clients, valid ones of some and invalid ones of others. So only invalid commands
@@ -21,12 +22,12 @@
 
 
 class InputPause:
-    """State of the pause, and the bytes received during it.
+    """State of the pause, and the received bytes that are not parsed yet.
 
     Attributes:
         active: Commands are not parsed now.
         reading_paused: The transport is not read either.
-        buffered: Bytes received since parsing was paused.
+        buffered: Bytes that wait for the end of the pause, or for the connection's turn.
     """
 
     def __init__(self, reactor: Any, resume: Callable[[], None]) -> None:
@@ -41,6 +42,7 @@
         self.buffered = bytearray()
         self._reactor = reactor
         self._resume = resume
+        self._due_s = 0.0  # the pause that begins when nothing is buffered; 0 for none
         self._next_pause_s = PAUSE_S  # after an invalid command
         self._timer: Any = None
 
@@ -49,29 +51,38 @@
         """Tell whether more bytes wait than this connection may buffer."""
         return len(self.buffered) > MAX_BUFFERED
 
-    def start(self) -> None:
-        """Pause parsing after a long batch, unless it is paused."""
-        if not self.active:
-            self._begin(PAUSE_S)
+    def long_batch_received(self) -> None:
+        """Have a pause begin after a long batch, unless one is due or has begun."""
+        if not (self.active or self._due_s):
+            self._due_s = PAUSE_S
 
-    def start_after_invalid(self) -> None:
-        """Pause parsing after an invalid command, twice as long after each further one, unless it is paused."""
-        if not self.active:
-            self._begin(self._next_pause_s)
+    def invalid_command_received(self) -> None:
+        """Have a pause begin after an invalid command, twice as long as after the one before, unless one is due."""
+        if not (self.active or self._due_s):
+            self._due_s = self._next_pause_s
             self._next_pause_s = min(MAX_PAUSE_S, 2 * self._next_pause_s)
 
     def valid_request_received(self) -> None:
         """Return to the shortest pause: the connection does not carry invalid commands alone."""
         self._next_pause_s = PAUSE_S
 
-    def _begin(self, duration_s: float) -> None:
-        self.active = True
-        self._timer = self._reactor.callLater(duration_s, self._resume)
+    def begin_if_due(self) -> None:
+        """Pause parsing now if that is due."""
+        if self._due_s:
+            self.active = True
+            self._timer = self._reactor.callLater(self._due_s, self._resume)
+            self._due_s = 0.0
 
     def buffer(self, data: bytes) -> None:
-        """Buffer bytes until the end of the pause."""
+        """Buffer bytes until they can be parsed."""
         self.buffered += data
 
+    def take_part(self, max_bytes: int) -> bytes:
+        """Remove and return the first bytes of the buffer."""
+        data = bytes(self.buffered[:max_bytes])
+        del self.buffered[:max_bytes]
+        return data
+
     def take_buffered(self) -> bytes:
         """Empty the buffer and return what was in it."""
         data = bytes(self.buffered)
@@ -88,9 +99,10 @@
         self._timer = self._reactor.callLater(PAUSE_S, self._resume)
 
     def end(self, continue_reading: Callable[[], None]) -> None:
-        """End both stages."""
+        """End both stages, and a pause that is due."""
         self.cancel_timer()
         self.active = False
+        self._due_s = 0.0
         if self.reading_paused:
             self.reading_paused = False
             continue_reading()
--- a/anisefront/resp_gateway/resp_codec.py
+++ b/anisefront/resp_gateway/resp_codec.py
@@ -121,6 +121,10 @@
         self._discard_consumed()
         return commands
 
+    def completes_nothing(self, size: int) -> bool:
+        """Tell whether the next `size` bytes only continue a value, so that parsing them is cheap."""
+        return self._length - len(self._buffer) > size
+
     def fail(self, error: RespProtocolError) -> None:
         """Read nothing more, and free what is held of an incomplete command."""
         self.error = error
--- a/anisefront/resp_gateway/resp_frontend.py
+++ b/anisefront/resp_gateway/resp_frontend.py
@@ -12,6 +12,8 @@
 
 from twisted.internet import protocol
 
+from anisefront.frontends.backpressure import READ_BYTES
+from anisefront.frontends.input_scheduler import InputScheduler
 from anisefront.gateway.incoming_bytes import IncomingBytes
 from anisefront.resp_gateway.client_connection import ClientConnection
 from anisefront.resp_gateway.command_mapping import CommandMapper
@@ -34,6 +36,7 @@
 )
 from anisefront.resp_gateway.resp_requests import RespRequests
 
+MIN_READ_BYTES = 2 << 10
 MAX_READ_DELAY_MS = 100.0  # time a request may have waited to be read before its deadline counts
 MAX_READ_DELAY_FRACTION = 0.1  # of the client's timeout, where that is less
 
@@ -45,7 +48,9 @@
         counts: Events by the keys of the state report.
         buffered: Bytes of open requests and of replies that wait for earlier ones.
         unsent: Bytes of replies written to connections whose write buffer is full.
-        incoming: Bytes of incomplete commands and of paused input.
+        incoming: Bytes of incomplete commands and of input that waits to be parsed.
+        input_scheduler: Decides when a connection's input is parsed.
+        read_bytes: Of one connection at once, so few that the input of all may wait to be parsed.
         descriptors: Connections that hold a descriptor, including those aborted in this event loop iteration.
         draining: Connections close once they are idle.
         latest_reply_ms: Deadlines are capped to this time on the request table's clock.
@@ -80,6 +85,9 @@
         self.buffered = ByteBudget(limits.max_buffered_bytes)
         self.unsent = ByteBudget(limits.max_unsent_bytes)
         self.incoming = IncomingBytes(limits.max_incoming_bytes)
+        self.input_scheduler = InputScheduler(reactor, requests.is_behind)
+        fair_read_bytes = limits.max_incoming_bytes // (2 * max(1, limits.max_connections))
+        self.read_bytes = min(READ_BYTES, max(MIN_READ_BYTES, fair_read_bytes))
         self.descriptors = 0
         self.draining = False
         self.latest_reply_ms = float("inf")
--- a/anisefront/resp_gateway/resp_requests.py
+++ b/anisefront/resp_gateway/resp_requests.py
@@ -122,6 +122,10 @@
         """Tell whether a request with this id has no reply yet."""
         return request_id in self._ids
 
+    def is_behind(self) -> bool:
+        """Tell whether so many submitted requests wait for the controller that further ones should come later."""
+        return self._request_table.batches.is_behind()
+
     def submit(
         self,
         request: ClientRequest,
--- a/tests/test_busy_connections.py
+++ b/tests/test_busy_connections.py
@@ -1,11 +1,14 @@
 """Requests beside paused input, floods and closes behind unread bytes of others; mostly on the real clock."""
 
 import socket
+import subprocess
+import sys
+import threading
 import time
 
 import pytest
 from test_node_front import GatewayHarness, command_with_id
-from test_node_loopback import Discovery, GatewayProcess, Worker, managed  # noqa: F401
+from test_node_loopback import ROOT, Discovery, GatewayProcess, Worker, managed  # noqa: F401
 from test_node_wire import ASK, endpoint_row
 
 from anisefront.resp_gateway import input_pause, resp_codec
@@ -73,3 +76,33 @@
         harness.send(client, INVALID)
         harness.reactor.advance(input_pause.MAX_PAUSE_S + 0.01)
     assert client.take().count(b"-ERR units") == 1100
+
+
+# ---- floods --------------------------------------------------------------------------------------
+
+FLOOD_S = 4
+FLOODS = [("invalid-reconnect", 300), ("invalid", 300), ("valid", 300), ("ping", 30_000)]
+
+
+@pytest.mark.parametrize(("kind", "commands"), FLOODS)
+def test_requests_of_others_are_answered_in_time_beside_a_flood(gateway, kind, commands):
+    """Guards against iterations of the event loop that parse, for seconds, all that hundreds of clients have sent."""
+    arguments = [str(gateway.port), kind, "250", str(commands), str(FLOOD_S)]
+    flood = subprocess.Popen([sys.executable, "-m", "anisefront.testbed.flood", *arguments], cwd=ROOT, stdout=-3)
+    waits_s = []
+
+    def ask(first):
+        connection = Connection(gateway.port)
+        for number in range(first, first + 1000):
+            if flood.poll() is not None:
+                return
+            parts = command_with_id(number, [*ALONE[:3], ALONE[3].replace(b"d=480", b"d=1000")])
+            waits_s.append(connection.ask(parts)[1])
+            time.sleep(0.1)
+
+    threads = [threading.Thread(target=ask, args=(1000 * number,)) for number in range(1, 6)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert flood.wait() == 0 and len(waits_s) > 5 * FLOOD_S and max(waits_s) < 1.0 + ALLOWED_OVER_S
--- a/tests/test_connection_search.py
+++ b/tests/test_connection_search.py
@@ -66,10 +66,11 @@
     commands = self.reader.feed(data)
     if len(self.replies.pending) + len(commands) > client_connection.MAX_OPEN_COMMANDS:
         self._protocol_error(b"ERR")
-        return
+        return len(commands)
     for parts in commands:
         self._handle_command(parts, reject)
     self._flush()
+    return len(commands)
 
 
 def drop_excess_input(self, data):
@@ -91,7 +92,7 @@
 
 def allow_unlimited_replies(self, data, reject=False):
     with mock.patch.object(client_connection, "MAX_PENDING_REPLIES", 10**6):
-        PROCESS(self, data, reject)
+        return PROCESS(self, data, reject)
 
 
 def drop_pending_replies(self, line):
