A client's close is seen behind unread bytes, and no attempt begins for it

Cause: has_unread_close, the last check before an attempt, found a close only where no byte was unread. A connection that is not read doesn't tell its end otherwise.

Change: where a byte is unread, poll tells whether the other side has hung up. Such a connection is dropped in the next iteration, with all its requests; one that waited for its turn is asked before the turn.

Not reached: a close behind more than the buffers hold does not arrive until we read on.

--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -149,6 +149,9 @@
 
     def take_turn(self, max_bytes: int) -> bool:
         """Process some of the buffered commands, at least one that is complete; return whether bytes are left."""
+        if self._is_waiting and has_unread_close(self.transport.getHandle()):
+            self.readConnectionLost()
+            return False
         if self.input.buffered:
             self._batch_commands += self._parse_part(max_bytes)
             self._write_replies()
@@ -327,8 +330,18 @@
         return not self._write_buffer_full or self.frontend.unsent.fits(len(reply))
 
     def has_disconnected(self) -> bool:
-        """Tell whether the client has closed, even if the event loop has not reported it yet."""
-        return has_unread_close(self.transport.getHandle())
+        """Tell whether the client has closed, even if the event loop has not reported it yet.
+
+        While the connection is not read, the event loop would report it only after the unread bytes.
+        """
+        if not has_unread_close(self.transport.getHandle()):
+            return False
+        self.frontend.reactor.callLater(0, self._drop_if_open)
+        return True
+
+    def _drop_if_open(self) -> None:
+        if self.connected and not self._write_closed:
+            self.readConnectionLost()
 
     def _reject_for_capacity(self, entry: PendingReply) -> None:
         self.frontend.counts["full"] += 1
--- a/anisefront/resp_gateway/socket_state.py
+++ b/anisefront/resp_gateway/socket_state.py
@@ -2,18 +2,29 @@
 
 from __future__ import annotations
 
+import select
 import socket
 
+CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
 
 def has_unread_close(connection: socket.socket) -> bool:
-    """Tell whether the peer has closed the connection, by peeking at the first unread byte.
+    """Tell whether the peer has closed or reset the connection, also behind bytes that are unread.
 
-    After a stall of the process a close may be unread in the socket. An attempt that starts before the event loop
-    reads it would be made for a client that has disconnected.
+    After a stall of the process, and while a connection is not read, a close may be unread in the socket. An attempt
+    that starts before the event loop reads it would be made for a client that has disconnected.
     """
     try:
-        return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        first_byte = connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
         return False
     except OSError:
         return True
+    return not first_byte or _is_hung_up(connection)
+
+
+def _is_hung_up(connection: socket.socket) -> bool:
+    """Ask the system, as the first unread byte does not tell what is behind it."""
+    poller = select.poll()
+    poller.register(connection, CLOSED_EVENTS)
+    return any(events & CLOSED_EVENTS for _, events in poller.poll(0))
--- a/tests/test_busy_connections.py
+++ b/tests/test_busy_connections.py
@@ -1,15 +1,17 @@
 """Requests beside paused input, floods and closes behind unread bytes of others; mostly on the real clock."""
 
+import fcntl
 import socket
 import subprocess
 import sys
+import termios
 import threading
 import time
 
 import pytest
 from test_node_front import GatewayHarness, command_with_id
 from test_node_loopback import ROOT, Discovery, GatewayProcess, Worker, managed  # noqa: F401
-from test_node_wire import ASK, endpoint_row
+from test_node_wire import ASK, DO, WIRE_SETTINGS, endpoint_row
 
 from anisefront.resp_gateway import input_pause, resp_codec
 
@@ -19,8 +21,9 @@
 
 
 @pytest.fixture
-def gateway(managed):  # noqa: F811
-    """Start a gateway process with one worker."""
+def gateway(managed, monkeypatch):  # noqa: F811
+    """Start a gateway process with one worker and a wide quota."""
+    monkeypatch.setitem(WIRE_SETTINGS, "packages", [{"name": "rated", "perSecond": 5000.0, "storeSize": 5000.0}])
     worker = managed(Worker())
     discovery = managed(Discovery(endpoint_row("s1", worker.address)))
     made = managed(GatewayProcess(managed.folder, discovery.address, endpoint_row("s1", worker.address), sockets=1024))
@@ -106,3 +109,50 @@
     for thread in threads:
         thread.join()
     assert flood.wait() == 0 and len(waits_s) > 5 * FLOOD_S and max(waits_s) < 1.0 + ALLOWED_OVER_S
+
+
+# ---- closes --------------------------------------------------------------------------------------
+
+CLIENTS, COMMANDS, ROUNDS = 60, 100, 3
+LEFT_S = 0.15  # after its client's close no attempt begins; 50 ms of it are for the sockets
+
+
+class TimedList(list):
+    """List of commands received, each with its time."""
+
+    def append(self, item):
+        super().append((item[0], time.monotonic()))
+
+
+def unacknowledged(sock):
+    """Return how many bytes the other side's system has not acknowledged yet."""
+    return int.from_bytes(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+
+
+def send_much_and_go(port, first):
+    """Send commands on many connections, and close each once all its bytes have arrived; return the times by id."""
+    closed_s, sent = {}, {}
+    for client in range(CLIENTS):
+        numbers = range(first + client * COMMANDS, first + (client + 1) * COMMANDS)
+        commands = [command_with_id(number, [*DO[:3], b"", b"x" * 400]) for number in numbers]
+        for number, parts in zip(numbers, commands, strict=True):
+            parts[3] = b"c=book,t=rated,d=2500,k=%x,units=1,spread=1,first=0" % number
+        sock = socket.create_connection(("127.0.0.1", port))
+        sock.sendall(b"".join(map(resp_codec.encode_command, commands)))
+        sent[sock] = [parts[2] for parts in commands]
+    while sent:
+        for sock in [sock for sock in sent if not unacknowledged(sock)]:
+            closed_s |= dict.fromkeys(sent.pop(sock), time.monotonic())
+            sock.close()
+    return closed_s
+
+
+def test_no_attempt_begins_for_clients_that_send_much_at_once_and_go(gateway):
+    """Guards against attempts for requests whose client's close is behind commands that are not read yet."""
+    gateway.worker.received = TimedList()
+    closed_s = {}
+    for number in range(ROUNDS):
+        closed_s |= send_much_and_go(gateway.port, 1 + number * CLIENTS * COMMANDS)
+        time.sleep(1.5)
+    began_s = [moment - closed_s[request_id] for request_id, moment in gateway.worker.received]
+    assert began_s and max(began_s) < LEFT_S
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,5 +1,7 @@
 """Clients that leave while their request waits: withdrawn within a turn, and no attempt for it begins after."""
 
+import contextlib
+
 import pytest
 from socket_harness import SocketHarness, reset, read_to_end
 from test_node_front import GatewayHarness, command_with_id
@@ -57,6 +59,48 @@
     assert len(stage.controller.arrivals) == 1 and stage.frontend.buffered.used == 0
 
 
+def fill(client):
+    """Send as much as the other side's system takes without its process reading."""
+    client.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            client.send(b"x" * 4096)
+
+
+SEND = {
+    "nothing": lambda client: None,
+    "a byte": lambda client: client.sendall(b"*"),
+    "60 KB": lambda client: client.sendall(b"*2\r\n$4\r\nPING\r\n$60000\r\n" + b"x" * 60_000),
+    "all that fits": fill,
+}
+LEAVE = {"closes": lambda client: client.close(), "closes its half": lambda client: client.shutdown(1), "resets": reset}
+PAUSES = {
+    "its write buffer is full": lambda connection: connection.pauseProducing(),
+    "its input waits for a turn": lambda connection: connection.begin_waiting(),
+    "invalid commands filled the buffer": lambda connection: connection.pause_reading(),
+}
+
+
+# A close behind more than fits does not reach this system before the bytes are read.
+LEFT = [(sent, leave) for sent in SEND for leave in LEAVE if sent != "all that fits" or leave == "resets"]
+
+
+@pytest.mark.parametrize("pause", PAUSES)
+@pytest.mark.parametrize(("sent", "leave"), LEFT)
+def test_no_attempt_begins_for_a_client_that_has_left_behind_unread_bytes(stage, sent, leave, pause):
+    """Guards against attempts that begin after a close which nobody reads, since reading is paused."""
+    client = stage.client(ASK)
+    (connection,) = stage.frontend.by_state["busy"]
+    PAUSES[pause](connection)
+    SEND[sent](client)
+    LEAVE[leave](client)
+    stage.perform(StartAttempt(1, "s1", 400.0))
+    assert stage.accept().recv(1000) == b"" and stage.pool.counts["not_begun"] == 1
+    stage.turns()
+    assert [type(end) for end in stage.controller.ends if isinstance(end, ClientDisconnected)] == [ClientDisconnected]
+    assert not stage.requests.open_requests and not stage.frontend.connections and stage.frontend.buffered.used == 0
+
+
 def test_what_waits_behind_an_unfit_command_has_a_cap_and_each_has_an_answer(stage):
     """They were dropped at the cap, and the request before them was called off."""
     client = stage.client(ASK, UNFIT)
