Lateness that the process itself worked through is not taken for a stall

Callers saw: beside a flood the controller's timers fired up to seconds late, since iterations over 250 ms late were deferred, up to 20 in a row.

Cause: the stall detector looked at lateness alone.

Change: the processor time since the last iteration is subtracted from the lateness. A process that was stopped or got no core has used none: that stays as it was (the test of it is unchanged).

Test, failed on the text before: the timer of an iteration that is late by its own work is not deferred.

--- a/anisefront/daemon/clock.py
+++ b/anisefront/daemon/clock.py
@@ -15,3 +15,8 @@
     def __call__(self) -> float:
         """Return the current time."""
         return self._base_ms + time.monotonic() * 1000
+
+
+def cpu_time_ms() -> float:
+    """Return the processor time that all threads of this process have used, in milliseconds."""
+    return time.process_time() * 1000
--- a/anisefront/daemon/request_table.py
+++ b/anisefront/daemon/request_table.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from anisefront.daemon.clock import cpu_time_ms
 from anisefront.daemon.peer_port import PeerPort
 from anisefront.gateway.request_table import RequestTable
 from anisefront.policy.controller import Controller
@@ -45,6 +46,7 @@
         max_open_requests=max_open,
         on_controller_error=on_fault,
         on_action_error=lambda error: log.error("action_raised", exc_info=error),
+        cpu_time_ms=cpu_time_ms,
     )
 
 
--- a/anisefront/gateway/event_batches.py
+++ b/anisefront/gateway/event_batches.py
@@ -93,6 +93,7 @@
         now_ms: Callable[[], float],
         timers: Timers,
         counts: Counter[str],
+        cpu_time_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Create a runner without events.
 
@@ -101,6 +102,8 @@
             now_ms: The clock.
             timers: The event loop's timers.
             counts: Where stalls and dropped messages are counted.
+            cpu_time_ms: Returns the processor time that the process has used: lateness that it spent working is no
+                stall.
         """
         self.before_iteration: list[Callable[[], None]] = []
         self.after_iteration: list[Callable[[], None]] = []  # frontends flush the responses of an iteration
@@ -111,6 +114,8 @@
         self._now_ms = now_ms
         self._timers = timers
         self._counts = counts
+        self._cpu_time_ms = cpu_time_ms
+        self._cpu_time_before_ms = cpu_time_ms()  # at the end of the last iteration
         self._queues = EventQueues(counts)
         self._controller_timers = CoarseTimers(timers, self.schedule_iteration)
         self._stall = StallDetector()
@@ -158,7 +163,8 @@
         now_ms = self._now_ms()
         self._scheduled = False
         self.lateness_ms = self._controller_timers.lateness_ms(now_ms)
-        if self._stall.should_defer(self.lateness_ms, self._queues.received):
+        working_ms = self._cpu_time_ms() - self._cpu_time_before_ms
+        if self._stall.should_defer(self.lateness_ms - working_ms, self._queues.received):
             self._defer_iteration()
             return
         fired = self._controller_timers.pop_expired(now_ms)
@@ -176,6 +182,7 @@
         if self.waiting:  # more than fits into one iteration, or ends of attempts that the batch itself caused
             self.schedule_iteration()
         self._controller_timers.arm(now_ms)
+        self._cpu_time_before_ms = self._cpu_time_ms()
 
     def _defer_iteration(self) -> None:
         if self._stall.deferrals == 1:
--- a/anisefront/gateway/process_stall.py
+++ b/anisefront/gateway/process_stall.py
@@ -2,12 +2,13 @@
 
 After a stall (a process that was stopped or got no processor time) the event loop runs its timers first. If they fired
 before the controller receives the responses in the socket buffers, it would fail requests that were served and count
-failures against their endpoints.
+failures against their endpoints. A process that is late since it worked has read its sockets meanwhile: it has not
+stalled, and deferring its timers would make it later still.
 """
 
 from __future__ import annotations
 
-MIN_STALL_MS = 250.0  # lateness of a timer above which the whole process is taken to have stalled
+MIN_STALL_MS = 250.0  # lateness of a timer, without the process's own work, above which it is taken to have stalled
 MAX_IDLE_DEFERRALS = 3  # deferrals without a new event after which the sockets count as fully read
 MAX_DEFERRALS = 20
 
@@ -25,7 +26,7 @@
         """Decide on one iteration.
 
         Args:
-            lateness_ms: How late the earliest timer is.
+            lateness_ms: How late the earliest timer is, without the time that the process worked.
             received_events: Events received since the start of the process.
 
         Returns:
--- a/anisefront/gateway/request_table.py
+++ b/anisefront/gateway/request_table.py
@@ -49,6 +49,7 @@
         max_open_requests: int = 50_000,
         on_controller_error: Callable[[Exception], None] | None = None,
         on_action_error: Callable[[Exception], None] | None = None,
+        cpu_time_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Create an empty table.
 
@@ -61,6 +62,7 @@
             max_open_requests: Limit on open requests; further ones are not accepted.
             on_controller_error: Called after the controller raised and all requests failed; if None, it is raised.
             on_action_error: Called if an action can't be carried out; if None, it is raised.
+            cpu_time_ms: Returns the processor time that the process has used.
         """
         self.controller = controller
         self.now_ms = now_ms
@@ -72,7 +74,7 @@
         self.open_requests = 0  # accepted and not ended
         self._executor = ActionExecutor(self, send_to_peer, subscribe)
         self.processor = self._make_processor()
-        self.batches = EventBatches(self.processor.process, now_ms, timers, self.counts)
+        self.batches = EventBatches(self.processor.process, now_ms, timers, self.counts, cpu_time_ms)
         self._timers = timers
         self._on_controller_error = on_controller_error
         self._on_action_error = on_action_error
--- a/tests/test_gateway_event_batches.py
+++ b/tests/test_gateway_event_batches.py
@@ -35,8 +35,8 @@
         self.clock = Clock()
         self.counts = Counter()
         self.processed = []
-        self.process_ms = 0.0
-        self.batches = EventBatches(self.process, self.now_ms, self.clock, self.counts)
+        self.process_ms = self.cpu_ms = 0.0
+        self.batches = EventBatches(self.process, self.now_ms, self.clock, self.counts, lambda: self.cpu_ms)
 
     def now_ms(self):
         return self.clock.seconds() * 1000
@@ -122,6 +122,27 @@
     assert made.processed == [[ClientDisconnected(1), TimerFired("period")]] and made.counts["standstills"] == 1
 
 
+def test_timers_are_not_deferred_if_the_process_itself_worked_all_the_time(made):
+    """Guards against a flood that is taken for a stall, so that timers are put off for as long as it lasts."""
+    made.batches.set_timer(0.0, 10.0, "period")
+    made.batches.run_iteration()
+    made.processed.clear()
+    made.clock.rightNow += STALL_S
+    made.cpu_ms += 0.9 * STALL_S * 1000
+    made.clock.advance(0)
+    assert made.processed == [[TimerFired("period")]] and not made.counts["standstills"]
+
+
+def test_work_before_the_last_iteration_does_not_hide_a_stall(made):
+    made.cpu_ms = 60_000.0
+    made.batches.set_timer(0.0, 10.0, "period")
+    made.batches.run_iteration()
+    made.processed.clear()
+    made.clock.rightNow += STALL_S
+    made.clock.advance(0)
+    assert not made.processed and made.counts["standstills"] == 1
+
+
 def test_stopped_batches_process_nothing(made):
     made.batches.post(ClientDisconnected(1))
     made.batches.stopped = True
