A request's time counts from when its bytes came, and one that is over is not submitted

Cause: RespFrontend.deadline_ms took the current time, whatever had held the bytes up: a pause, a full write buffer, a turn.

Change: buffered bytes keep the time at which they were read; bytes that were in the socket when reading was resumed count from when it was paused. A request whose time is over when it is parsed gets -BUSY and is never submitted.

Tests, failed on the text before: a deadline of 542 ms after the arrival where 432 are due (a tenth is for the way), and three requests with 480 ms to live, submitted after 500. Two more pass on both: a pause in which nothing came, and (a process) 300 requests with 150 ms to live behind invalid commands, all answered in time.

--- a/anisefront/frontends/backpressure.py
+++ b/anisefront/frontends/backpressure.py
@@ -32,6 +32,11 @@
         self.transport.bufferSize = READ_BYTES
         self.transport.registerProducer(self, True)
 
+    @property
+    def reads(self) -> bool:
+        """Tell whether the client is read from."""
+        return not self._read_pauses and not self._write_buffer_full
+
     def pause_reading(self) -> None:
         """Stop reading until `resume_reading`, as received data is still being processed. Calls nest."""
         self._read_pauses += 1
@@ -40,7 +45,7 @@
     def resume_reading(self) -> None:
         """End one pause; read again when no other is left and the write buffer is not full."""
         self._read_pauses -= 1
-        if not self._read_pauses and not self._write_buffer_full and self.connected:
+        if self.reads and self.connected:
             self.transport.resumeProducing()
 
     def cancel_write_timeout(self) -> None:
@@ -64,7 +69,7 @@
         """Read again: the write buffer has drained."""
         self._write_buffer_full = False
         self.cancel_write_timeout()
-        if not self._read_pauses:
+        if self.reads:
             self.transport.resumeProducing()
 
     def stopProducing(self) -> None:
--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from twisted.internet import protocol
@@ -39,6 +40,7 @@
 )
 from anisefront.resp_gateway.errors import InvalidCommandError, RespProtocolError
 from anisefront.resp_gateway.fixed_replies import MAX_ERROR_VERB, OK, PONG, REJECTED
+from anisefront.resp_gateway.input_arrival import InputArrival
 from anisefront.resp_gateway.input_pause import InputPause
 from anisefront.resp_gateway.reply_queue import PendingReply, ReplyQueue
 from anisefront.resp_gateway.resp_codec import DISCARDED
@@ -72,8 +74,10 @@
     descriptors: int
     draining: bool
 
-    def deadline_ms(self, timeout_ms: float) -> float:
-        """Return the time by which a request that is read now must have its reply."""
+    now_ms: Callable[[], float]
+
+    def deadline_ms(self, arrived_ms: float, timeout_ms: float) -> float:
+        """Return the time by which a request that arrived then must have its reply."""
 
     def set_state(self, client: ClientConnection, state: ConnectionState) -> None:
         """Record that a connection enters a state now."""
@@ -105,6 +109,8 @@
         self._closing = False  # no request is accepted any more
         self._write_closed = False  # our half is closed
         self._is_waiting = False  # for a turn to process the buffered input
+        self._arrival = InputArrival(frontend.now_ms)
+        self._arrived_ms = 0.0  # of the bytes that are parsed now
         self._turn_requests = 0  # submitted in this turn
         self._batch_commands = 0  # received since nothing was buffered
         self._unsent = 0  # bytes written since the write buffer became full
@@ -126,6 +132,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Parse, buffer or discard bytes."""
+        self._arrived_ms = self._arrival.bytes_read()
         if self._closing or self.reader.error is not None:
             self._discarded += len(data)
             if self._discarded > MAX_DISCARDED:
@@ -138,7 +145,7 @@
         elif not self.input.buffered and self.reader.completes_nothing(len(data)):
             self._process(data)
         else:
-            self.input.buffer(data)
+            self.input.buffer(data, self._arrived_ms)
             self._process_in_turn()
         self._count_incoming()
 
@@ -169,7 +176,8 @@
         self._turn_requests = 0
         commands = 0
         while pause.buffered:
-            commands += self._parse(pause.take_part(SLICE_BYTES))
+            data, self._arrived_ms = pause.take_part(SLICE_BYTES)
+            commands += self._parse(data)
             is_used_up = len(pause.buffered) <= bytes_left_after or self._turn_requests >= TURN_REQUESTS
             if commands and is_used_up:
                 break
@@ -218,7 +226,7 @@
 
     def _buffer_input(self, data: bytes) -> None:
         """Buffer bytes received during a pause; on overflow reject the commands in the buffer and stop reading."""
-        self.input.buffer(data)
+        self.input.buffer(data, self._arrived_ms)
         if self.input.overflowed:
             self._reject_buffered()
 
@@ -301,6 +309,10 @@
             self._invalid_command(entry, "id: a request with this id is open")
             return
         self.input.valid_request_received()
+        if self._arrived_ms + request.timeout_ms <= frontend.now_ms():
+            frontend.counts["expired"] += 1
+            entry.reply = REJECTED.reply
+            return
         size = sum(map(len, parts))
         if not frontend.buffered.fits(size):
             self._reject_for_capacity(entry)
@@ -315,7 +327,7 @@
             self._flush()
 
         self.replies.reserve(entry, size)
-        deadline_ms = frontend.deadline_ms(request.timeout_ms)
+        deadline_ms = frontend.deadline_ms(self._arrived_ms, request.timeout_ms)
         self._turn_requests += 1
         entry.request = frontend.requests.submit(request, deadline_ms, complete, self.has_disconnected)
         if entry.request is None:
@@ -395,10 +407,30 @@
             self._unsent += len(data)
             self.frontend.unsent.reserve(len(data))
 
+    def pause_reading(self) -> None:
+        """Stop reading; what comes meanwhile counts as having arrived now."""
+        self._arrival.reading_paused()
+        super().pause_reading()
+
+    def pauseProducing(self) -> None:
+        """Stop reading while the write buffer is full, likewise."""
+        self._arrival.reading_paused()
+        super().pauseProducing()
+
+    def resume_reading(self) -> None:
+        """Read again, unless another pause lasts."""
+        super().resume_reading()
+        self._reading_resumed()
+
     def resumeProducing(self) -> None:
         """Release the bytes that the client has read, and read again."""
         self._release_unsent()
         super().resumeProducing()
+        self._reading_resumed()
+
+    def _reading_resumed(self) -> None:
+        if self.connected and self.reads:
+            self._arrival.reading_resumed(self.transport.getHandle())
 
     def _release_unsent(self) -> None:
         self.frontend.unsent.release(self._unsent)
--- a/anisefront/resp_gateway/input_pause.py
+++ b/anisefront/resp_gateway/input_pause.py
@@ -13,7 +13,9 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 PAUSE_S = 0.1  # after a long batch, and when the buffer is full
@@ -21,6 +23,14 @@
 MAX_BUFFERED = (64 << 10) + 1024  # bytes that wait during a pause: one command of the maximum length
 
 
+@dataclass(slots=True)
+class _Arrival:
+    """Bytes of the buffer that arrived together."""
+
+    size: int
+    at_ms: float
+
+
 class InputPause:
     """State of the pause, and the received bytes that are not parsed yet.
 
@@ -40,6 +50,7 @@
         self.active = False
         self.reading_paused = False
         self.buffered = bytearray()
+        self._arrivals: deque[_Arrival] = deque()  # of the buffered bytes, oldest first
         self._reactor = reactor
         self._resume = resume
         self._due_s = 0.0  # the pause that begins when nothing is buffered; 0 for none
@@ -73,20 +84,27 @@
             self._timer = self._reactor.callLater(self._due_s, self._resume)
             self._due_s = 0.0
 
-    def buffer(self, data: bytes) -> None:
+    def buffer(self, data: bytes, arrived_ms: float) -> None:
         """Buffer bytes until they can be parsed."""
         self.buffered += data
-
-    def take_part(self, max_bytes: int) -> bytes:
-        """Remove and return the first bytes of the buffer."""
-        data = bytes(self.buffered[:max_bytes])
-        del self.buffered[:max_bytes]
-        return data
+        self._arrivals.append(_Arrival(len(data), arrived_ms))
+
+    def take_part(self, max_bytes: int) -> tuple[bytes, float]:
+        """Remove and return the first bytes of the buffer, that arrived together, and when they did."""
+        arrival = self._arrivals[0]
+        size = min(max_bytes, arrival.size)
+        arrival.size -= size
+        if not arrival.size:
+            self._arrivals.popleft()
+        data = bytes(self.buffered[:size])
+        del self.buffered[:size]
+        return data, arrival.at_ms
 
     def take_buffered(self) -> bytes:
         """Empty the buffer and return what was in it."""
         data = bytes(self.buffered)
         self.buffered = bytearray()
+        self._arrivals.clear()
         return data
 
     def pause_reading(self, stop_reading: Callable[[], None]) -> None:
--- a/anisefront/resp_gateway/resp_frontend.py
+++ b/anisefront/resp_gateway/resp_frontend.py
@@ -107,15 +107,19 @@
             return dict(self.counts)
         return dict(self.counts) | {"incoming_bytes": self.incoming.used, "incoming_bytes_peak": self.incoming.peak}
 
-    def deadline_ms(self, timeout_ms: float) -> float:
-        """Return the time by which a request that is read now must have its reply.
+    def deadline_ms(self, arrived_ms: float, timeout_ms: float) -> float:
+        """Return the time by which a request must have its reply.
 
         The client's timeout counts from when it sent the request. The request then waits in the network and in the
-        socket, for a long time if all clients connect at once. A reply at the end of a timeout counted from now would
-        be late by that wait.
+        socket, for a long time if all clients connect at once. A reply at the end of a timeout counted from its arrival
+        would be late by that wait.
+
+        Args:
+            arrived_ms: When the request arrived, at the earliest.
+            timeout_ms: The client's timeout.
         """
         read_delay_ms = min(MAX_READ_DELAY_MS, timeout_ms * MAX_READ_DELAY_FRACTION)
-        return min(self.now_ms() + timeout_ms - read_delay_ms, self.latest_reply_ms)
+        return min(arrived_ms + timeout_ms - read_delay_ms, self.latest_reply_ms)
 
     def buildProtocol(self, address: object) -> ClientConnection | None:
         """Accept a connection, if necessary in place of an unused one.
--- a/tests/test_busy_connections.py
+++ b/tests/test_busy_connections.py
@@ -81,6 +81,61 @@
     assert client.take().count(b"-ERR units") == 1100
 
 
+# ---- time that a request waits in the connection's input --------------------------------------------
+
+
+def test_a_request_that_waits_behind_a_pause_has_the_time_that_its_client_waits():
+    """Guards against a deadline that counts from when a request is parsed."""
+    harness = GatewayHarness()
+    client = harness.client()
+    harness.send(client, INVALID)
+    arrived_ms = harness.frontend.now_ms()
+    harness.send(client, command_with_id(1))
+    harness.reactor.advance(input_pause.PAUSE_S / 2)
+    harness.send(client, command_with_id(2))
+    harness.reactor.advance(input_pause.PAUSE_S / 2 + 0.01)
+    waits_ms = [each.deadline_at_ms - arrived_ms for each in harness.controller.arrivals]
+    assert waits_ms == pytest.approx([480 * 0.9, 480 * 0.9 + 1000 * input_pause.PAUSE_S / 2])
+
+
+@pytest.mark.parametrize("pause", ["pauseProducing", "pause_reading", "begin_waiting"])
+def test_a_request_whose_time_is_over_when_it_is_read_is_rejected_and_not_submitted(pause):
+    """Guards against requests that are executed after their client's time, since nobody read them before."""
+    harness = GatewayHarness()
+    client = harness.client()
+    getattr(client.protocol, pause)()
+    harness.reactor.advance(0.5)
+    client.handle.recv = lambda size, flags: b"*"  # it has arrived meanwhile
+    end = {"pauseProducing": "resumeProducing", "pause_reading": "resume_reading", "begin_waiting": "end_waiting"}
+    getattr(client.protocol, end[pause])()
+    harness.send(client, command_with_id(1))
+    assert client.take() == b"-BUSY 250\r\n" and not harness.controller.arrivals
+    harness.send(client, command_with_id(2))
+    assert len(harness.controller.arrivals) == 1 and harness.frontend.counts["expired"] == 1
+
+
+def test_a_pause_in_which_nothing_arrived_takes_no_time_from_a_later_request():
+    harness = GatewayHarness()
+    client = harness.client()
+    client.protocol.pause_reading()
+    harness.reactor.advance(0.5)
+    client.protocol.resume_reading()
+    harness.send(client, command_with_id(1))
+    assert harness.controller.arrivals[0].deadline_at_ms == harness.frontend.now_ms() + 480 * 0.9
+
+
+def test_a_long_batch_of_requests_with_little_time_is_answered_in_time(gateway):
+    """Guards against requests at the end of a batch that are executed and answered after their time."""
+    connection = Connection(gateway.port)
+    started_s = time.monotonic()
+    short = [*ALONE[:3], ALONE[3].replace(b"d=480", b"d=150")]
+    data = b"".join(resp_codec.encode_command(command_with_id(number, short)) for number in range(1, 301))
+    connection.socket.sendall(resp_codec.encode_command(INVALID) * 5 + data)
+    replies = [connection.read_reply() for _ in range(305)]
+    assert time.monotonic() - started_s < 0.15 + ALLOWED_OVER_S
+    assert all(reply.startswith((b"value for", b"-BUSY", b"-ERR units", b"-ERR failed")) for reply in replies)
+
+
 # ---- floods --------------------------------------------------------------------------------------
 
 FLOOD_S = 4
