JSON-RPC and gRPC process their input in the same turns as the RESP frontend

Callers saw: beside 500 JSON-RPC connections that send calls without a route, a call of another client was answered after 2.3 s.

Change: both frontends of an instance share one InputScheduler. It takes the place of JSON-RPC's own batches of 16 lines.

In memory, frames of a gRPC connection wait while the controller is behind; no flood of gRPC was played.

--- a/anisefront/daemon/gateway_instance.py
+++ b/anisefront/daemon/gateway_instance.py
@@ -36,6 +36,7 @@
 from anisefront.frontends import access_log, authorization
 from anisefront.frontends.grpc_server import GrpcFactory, ServerLimits
 from anisefront.frontends.health import HealthService, ServingStatus
+from anisefront.frontends.input_scheduler import InputScheduler
 from anisefront.frontends.jsonrpc_dispatcher import CallDispatcher
 from anisefront.frontends.jsonrpc_frontend import JsonRpcFactory
 from anisefront.gateway.routing import Router, first_gateway
@@ -162,8 +163,11 @@
             access_log.PATH: access_log.method(self.delegated_requests, config.settings.load_report_fields),
             **self.health.methods(),
         }
-        self.grpc = GrpcFactory(self.reactor, methods, ServerLimits(config.most_connections))
-        self.jsonrpc = JsonRpcFactory(self.reactor, self.dispatcher, config.most_connections)
+        input_scheduler = InputScheduler(self.reactor, self.request_table.batches.is_behind)
+        self.grpc = GrpcFactory(self.reactor, methods, ServerLimits(config.most_connections), input_scheduler)
+        self.jsonrpc = JsonRpcFactory(
+            self.reactor, self.dispatcher, config.most_connections, input_scheduler=input_scheduler
+        )
 
     def _replicate_requests(self, config: Config) -> None:
         """Replicate requests to peers if that is enabled; it needs the membership."""
--- a/anisefront/frontends/grpc_server.py
+++ b/anisefront/frontends/grpc_server.py
@@ -15,6 +15,7 @@
 
 from anisefront.frontends.backpressure import Backpressure
 from anisefront.frontends.grpc_call import Call, Method
+from anisefront.frontends.input_scheduler import InputScheduler
 from anisefront.protocols import grpc
 from anisefront.protocols.http2_connection import Http2Connection
 from anisefront.protocols.http2_events import (
@@ -53,6 +54,7 @@
         self.calls: dict[int, Call] = {}
         self._flush_scheduled = False
         self._request_received = False
+        self._received = bytearray()  # not processed yet
 
     @property
     def reactor(self) -> Any:
@@ -76,14 +78,32 @@
         self.flush()
 
     def dataReceived(self, data: bytes) -> None:
-        """Process bytes and write the immediate responses together."""
+        """Process bytes in turns."""
+        self._received += data
+        self.factory.input_scheduler.submit(self)
+
+    def take_turn(self, max_bytes: int) -> bool:
+        """Process up to so many bytes and write the immediate responses together; return whether bytes are left."""
+        data = bytes(self._received[:max_bytes])
+        del self._received[:max_bytes]
         self._flush_scheduled = True  # it is written below
         self._dispatch(self.http2.receive(data, self.factory.reactor.seconds() * 1000))
         self.flush()
+        return bool(self._received)
+
+    def begin_waiting(self) -> None:
+        """Stop reading until the received bytes have had their turns."""
+        self.pause_reading()
+
+    def end_waiting(self) -> None:
+        """Read again."""
+        self.resume_reading()
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         """Cancel the open calls."""
         self.factory.connections.discard(self)
+        self.factory.input_scheduler.remove(self)
+        self._received.clear()
         self.cancel_write_timeout()
         if self._preface_timer.active():
             self._preface_timer.cancel()
@@ -168,11 +188,18 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, methods: Mapping[bytes, Method], limits: ServerLimits | None = None) -> None:
-        """Create the factory of a listener."""
+    def __init__(
+        self,
+        reactor: Any,
+        methods: Mapping[bytes, Method],
+        limits: ServerLimits | None = None,
+        input_scheduler: InputScheduler | None = None,
+    ) -> None:
+        """Create the factory of a listener; `input_scheduler` is one that other listeners share."""
         self.reactor = reactor
         self.methods = dict(methods)
         self.limits = limits or ServerLimits()
+        self.input_scheduler = input_scheduler or InputScheduler(reactor)
         self.connections: set[GrpcConnection] = set()
         self.counts: Counter[str] = Counter()
         self._unwritten: list[GrpcConnection] = []
--- a/anisefront/frontends/jsonrpc_frontend.py
+++ b/anisefront/frontends/jsonrpc_frontend.py
@@ -18,13 +18,13 @@
 
 from anisefront.frontends.backpressure import Backpressure
 from anisefront.frontends.errors import InvalidParamsError
+from anisefront.frontends.input_scheduler import InputScheduler
 from anisefront.frontends.jsonrpc_dispatcher import CallDispatcher
 from anisefront.frontends.jsonrpc_responses import UNROUTABLE, LineResponse, Response, encode_response
 from anisefront.gateway.errors import UnroutableRequestError
 from anisefront.protocols import jsonrpc
 from anisefront.upstream.direct_requests import FinalResponse
 
-MAX_BATCH_LINES = 16  # processed in one event loop iteration
 MAX_CONNECTIONS = 512
 MAX_LINE_BYTES = 1 << 20
 MAX_OUTSTANDING_CALLS = 1024  # of one connection
@@ -115,32 +115,37 @@
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         """Cancel the open requests."""
         self.factory.connections.discard(self)
+        self.factory.input_scheduler.remove(self)
         self.cancel_write_timeout()
         self._cancel_requests()
 
     # ---- lines ----------------------------------------------------------------------------------
 
     def _enqueue(self, lines: list[bytes]) -> None:
-        is_idle = not self._unprocessed_lines
-        self._unprocessed_lines.extend(lines)
-        if is_idle and self._unprocessed_lines:
-            self._process_batch()
-
-    def _process_batch(self) -> None:
         # One read returns hundreds of short lines. Processed in one event loop iteration, they would delay all other
         # connections.
-        for _ in range(min(MAX_BATCH_LINES, len(self._unprocessed_lines))):
-            self._process_line(self._unprocessed_lines.popleft())
+        self._unprocessed_lines.extend(lines)
         if self._unprocessed_lines:
-            self.pause_reading()
-            self.factory.reactor.callLater(0, self._process_next_batch)
-        else:
-            self.close_if_complete()
+            self.factory.input_scheduler.submit(self)
+
+    def take_turn(self, max_bytes: int) -> bool:
+        """Process lines of up to so many bytes, at least one; return whether some are left."""
+        while self._unprocessed_lines and max_bytes > 0:
+            line = self._unprocessed_lines.popleft()
+            max_bytes -= len(line)
+            self._process_line(line)
+        if self._unprocessed_lines:
+            return True
+        self.close_if_complete()
+        return False
 
-    def _process_next_batch(self) -> None:
+    def begin_waiting(self) -> None:
+        """Stop reading until the lines have had their turns."""
+        self.pause_reading()
+
+    def end_waiting(self) -> None:
+        """Read again."""
         self.resume_reading()
-        if self.connected:
-            self._process_batch()
 
     def _process_line(self, data: bytes) -> None:
         is_batch, calls = jsonrpc.parse_line(data)
@@ -237,14 +242,16 @@
         max_line_bytes: int = MAX_LINE_BYTES,
         max_outstanding_calls: int = MAX_OUTSTANDING_CALLS,
         write_timeout_s: float = WRITE_TIMEOUT_S,
+        input_scheduler: InputScheduler | None = None,
     ) -> None:
-        """Create the factory of a listener."""
+        """Create the factory of a listener; `input_scheduler` is one that other listeners share."""
         self.reactor = reactor
         self.dispatcher = dispatcher
         self.max_connections = max_connections
         self.max_line_bytes = max_line_bytes
         self.max_outstanding_calls = max_outstanding_calls
         self.write_timeout_s = write_timeout_s
+        self.input_scheduler = input_scheduler or InputScheduler(reactor)
         self.connections: set[JsonRpcConnection] = set()
         self.counts: Counter[str] = Counter()
 
--- a/anisefront/testbed/flood.py
+++ b/anisefront/testbed/flood.py
@@ -1,4 +1,4 @@
-"""Clients of a RESP instance that flood it, in a process of their own.
+"""Clients of an instance that flood it, in a process of their own.
 
     python -m anisefront.testbed.flood PORT KIND CLIENTS COMMANDS SECONDS
 
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 import sys
 
@@ -20,9 +21,16 @@
 
 
 def encode_commands(kind: str, count: int) -> bytes:
-    """Encode commands of a kind: PINGs, requests of no class (`invalid`), or requests that can be served (`valid`)."""
+    """Encode commands of a kind: PINGs, requests of no class (`invalid`), or requests that can be served (`valid`).
+
+    The kind `jsonrpc` is calls of JSON-RPC without a route, for the port of that protocol.
+    """
     if kind == "ping":
         return encode_command([b"PING"]) * count
+    if kind == "jsonrpc":
+        params = {"method": "GET", "path": "/no/such/route", "headers": {"x-api-key": "k"}}
+        line = {"jsonrpc": "2.0", "id": 1, "method": "call", "params": params}
+        return (json.dumps(line).encode() + b"\n") * count
     terms = TERMS[kind] + b",spread=1,first=0"
     return b"".join(
         encode_command([b"Q.ASK", b"%016x" % random.getrandbits(33), b"%016x" % random.getrandbits(64), terms])
--- a/tests/test_busy_connections.py
+++ b/tests/test_busy_connections.py
@@ -1,6 +1,7 @@
 """Requests beside paused input, floods and closes behind unread bytes of others; mostly on the real clock."""
 
 import fcntl
+import json
 import socket
 import subprocess
 import sys
@@ -11,6 +12,7 @@
 import pytest
 from test_node_front import GatewayHarness, command_with_id
 from test_node_loopback import ROOT, Discovery, GatewayProcess, Worker, managed  # noqa: F401
+from test_path import Running
 from test_node_wire import ASK, DO, WIRE_SETTINGS, endpoint_row
 
 from anisefront.resp_gateway import input_pause, resp_codec
@@ -166,6 +168,43 @@
     assert flood.wait() == 0 and len(waits_s) > 5 * FLOOD_S and max(waits_s) < 1.0 + ALLOWED_OVER_S
 
 
+SERVE_SETTINGS = """language 2
+gatekeeper 0 of 1 zone here
+listen grpc 127.0.0.1:0
+listen jsonrpc 127.0.0.1:0
+pool main embedded 2
+class look aim 500ms deadline 1s repeat safe
+quota wide rate 1000000/s burst 1000000
+plan wide quota wide
+customers header x-api-key plan wide
+route GET /list class look pool main
+"""
+CALL = {"method": "GET", "path": "/list", "headers": {"x-api-key": "k"}}
+
+
+def test_json_rpc_calls_of_others_are_answered_in_time_beside_a_flood(tmp_path):
+    """Guards against the same in `serve`: some lines of each connection add up to seconds."""
+    file = tmp_path / "gatekeeper.conf"
+    file.write_text(SERVE_SETTINGS)
+    running = Running(file)
+    try:
+        port = running.where["jsonrpc"].split(":")[1]
+        arguments = [port, "jsonrpc", "500", "2000", str(FLOOD_S)]
+        flood = subprocess.Popen([sys.executable, "-m", "anisefront.testbed.flood", *arguments], cwd=ROOT, stdout=-3)
+        connection = Connection(int(port))
+        waits_s = []
+        while flood.poll() is None:
+            started_s = time.monotonic()
+            line = {"jsonrpc": "2.0", "id": 1, "method": "call", "params": CALL}
+            connection.socket.sendall(json.dumps(line).encode() + b"\n")
+            assert json.loads(connection.file.readline())["id"] == 1
+            waits_s.append(time.monotonic() - started_s)
+            time.sleep(0.1)
+    finally:
+        running.stop()
+    assert flood.wait() == 0 and len(waits_s) > FLOOD_S and max(waits_s) < 1.0 + ALLOWED_OVER_S
+
+
 # ---- closes --------------------------------------------------------------------------------------
 
 CLIENTS, COMMANDS, ROUNDS = 60, 100, 3
--- a/tests/test_input_scheduler.py
+++ b/tests/test_input_scheduler.py
@@ -2,6 +2,9 @@
 
 import pytest
 from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from anisefront.frontends.grpc_server import GrpcFactory
 
 from anisefront.frontends.input_scheduler import (
     FIRST_TURN_BYTES,
@@ -12,6 +15,17 @@
 )
 
 
+HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+EMPTY_SETTINGS = b"\0\0\0\4\0\0\0\0\0"
+SETTINGS_ACK = b"\0\0\0\4\1\0\0\0\0"
+
+
+def transport_with_options(transport):
+    """Let a transport in memory accept the options of a socket."""
+    transport.setTcpNoDelay = transport.setTcpKeepAlive = lambda on: None
+    return transport
+
+
 class Connection:
     """A connection with input for so many turns, each of which takes `turn_s`."""
 
@@ -106,3 +120,17 @@
     made.clock.rightNow -= 100.0
     made.submit("b", 1)
     assert [name for name, _ in made.turns] == ["a", "a", "b"]
+
+
+def test_frames_of_a_grpc_connection_wait_for_their_turn(made):
+    """Guards against connections of `serve` that take an iteration each, as those of the RESP platform did."""
+    transport = StringTransport()
+    connection = GrpcFactory(made.clock, {}, input_scheduler=made.scheduler).buildProtocol(None)
+    connection.makeConnection(transport_with_options(transport))
+    transport.clear()
+    made.is_behind = True
+    connection.dataReceived(HTTP2_PREFACE + EMPTY_SETTINGS)
+    assert transport.value() == b"" and transport.producerState == "paused"
+    made.is_behind = False
+    made.iterate()
+    assert transport.value() == SETTINGS_ACK and transport.producerState == "producing"
