Pauses of a connection's reading are noted by hooks of Backpressure; names of turns and pauses

Four overrides of reading methods become two hooks that are called when a pause begins and when it ends.

--- a/anisefront/frontends/backpressure.py
+++ b/anisefront/frontends/backpressure.py
@@ -39,6 +39,7 @@
 
     def pause_reading(self) -> None:
         """Stop reading until `resume_reading`, as received data is still being processed. Calls nest."""
+        self.pause_began()
         self._read_pauses += 1
         self.transport.pauseProducing()
 
@@ -47,6 +48,13 @@
         self._read_pauses -= 1
         if self.reads and self.connected:
             self.transport.resumeProducing()
+            self.pause_ended()
+
+    def pause_began(self) -> None:
+        """Note that the client is not read from; may be called within a pause. For subclasses."""
+
+    def pause_ended(self) -> None:
+        """Note that the client is read from again. For subclasses."""
 
     def cancel_write_timeout(self) -> None:
         """Stop the timer: the write buffer has drained, or the connection is lost."""
@@ -62,6 +70,7 @@
         if self._write_buffer_full:
             return
         self._write_buffer_full = True
+        self.pause_began()
         self.transport.pauseProducing()
         self._write_timeout = self._reactor.callLater(self._write_timeout_s, self._on_write_timeout)
 
@@ -71,6 +80,7 @@
         self.cancel_write_timeout()
         if self.reads:
             self.transport.resumeProducing()
+            self.pause_ended()
 
     def stopProducing(self) -> None:
         """Do nothing: the transport is closing."""
--- a/anisefront/frontends/grpc_server.py
+++ b/anisefront/frontends/grpc_server.py
@@ -83,7 +83,7 @@
         self.factory.input_scheduler.submit(self)
 
     def take_turn(self, max_bytes: int) -> bool:
-        """Process up to so many bytes and write the immediate responses together; return whether bytes are left."""
+        """Process at most `max_bytes` and write the immediate responses together; return whether bytes are left."""
         data = bytes(self._received[:max_bytes])
         del self._received[:max_bytes]
         self._flush_scheduled = True  # it is written below
--- a/anisefront/frontends/input_scheduler.py
+++ b/anisefront/frontends/input_scheduler.py
@@ -30,7 +30,7 @@
     """A connection with received input."""
 
     def take_turn(self, max_bytes: int) -> bool:
-        """Process up to so many bytes of the received input, or one message; return whether some input is left."""
+        """Process at most `max_bytes` of the received input, or one message; return whether some input is left."""
 
     def begin_waiting(self) -> None:
         """Stop reading: the received input waits for a turn."""
--- a/anisefront/frontends/jsonrpc_frontend.py
+++ b/anisefront/frontends/jsonrpc_frontend.py
@@ -129,7 +129,7 @@
             self.factory.input_scheduler.submit(self)
 
     def take_turn(self, max_bytes: int) -> bool:
-        """Process lines of up to so many bytes, at least one; return whether some are left."""
+        """Process lines up to `max_bytes`, at least one; return whether some are left."""
         while self._unprocessed_lines and max_bytes > 0:
             line = self._unprocessed_lines.popleft()
             max_bytes -= len(line)
--- a/anisefront/gateway/event_batches.py
+++ b/anisefront/gateway/event_batches.py
@@ -128,7 +128,7 @@
         return len(self._queues)
 
     def is_behind(self) -> bool:
-        """Return whether so many requests wait that frontends should accept further ones later."""
+        """Return whether too many requests wait for frontends to accept further ones now."""
         return self._queues.waiting_requests >= MAX_WAITING_REQUESTS and not self.stopped
 
     def post(self, event: Event) -> None:
--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -160,7 +160,7 @@
             self.readConnectionLost()
             return False
         if self.input.buffered:
-            self._batch_commands += self._parse_part(max_bytes)
+            self._batch_commands += self._parse_slices(max_bytes)
             self._write_replies()
         if self._is_waiting:
             self._count_incoming()
@@ -169,14 +169,14 @@
         self._end_batch()
         return False
 
-    def _parse_part(self, max_bytes: int) -> int:
+    def _parse_slices(self, max_bytes: int) -> int:
         """Parse as many of the buffered bytes as a turn allows, and return how many commands they completed."""
         pause = self.input
         bytes_left_after = len(pause.buffered) - max_bytes
         self._turn_requests = 0
         commands = 0
         while pause.buffered:
-            data, self._arrived_ms = pause.take_part(SLICE_BYTES)
+            data, self._arrived_ms = pause.take_slice(SLICE_BYTES)
             commands += self._parse(data)
             is_used_up = len(pause.buffered) <= bytes_left_after or self._turn_requests >= TURN_REQUESTS
             if commands and is_used_up:
@@ -184,12 +184,12 @@
         return commands
 
     def _end_batch(self) -> None:
-        """Begin the pause that is due after what was received, if any."""
+        """Begin the pause that a long batch or an invalid command causes, if any."""
         if self._batch_commands > MAX_BATCH:
             self.input.long_batch_received()
         self._batch_commands = 0
         if not self._closing and self.reader.error is None:
-            self.input.begin_if_due()
+            self.input.begin_pending()
 
     def begin_waiting(self) -> None:
         """Stop reading until the buffered commands have had their turns."""
@@ -407,30 +407,18 @@
             self._unsent += len(data)
             self.frontend.unsent.reserve(len(data))
 
-    def pause_reading(self) -> None:
-        """Stop reading; what comes meanwhile counts as having arrived now."""
-        self._arrival.reading_paused()
-        super().pause_reading()
+    def pause_began(self) -> None:
+        """Count what comes from now on as having arrived now."""
+        self._arrival.pause_began()
 
-    def pauseProducing(self) -> None:
-        """Stop reading while the write buffer is full, likewise."""
-        self._arrival.reading_paused()
-        super().pauseProducing()
-
-    def resume_reading(self) -> None:
-        """Read again, unless another pause lasts."""
-        super().resume_reading()
-        self._reading_resumed()
+    def pause_ended(self) -> None:
+        """Count what is not in the socket yet from when it is read."""
+        self._arrival.pause_ended(self.transport.getHandle())
 
     def resumeProducing(self) -> None:
         """Release the bytes that the client has read, and read again."""
         self._release_unsent()
         super().resumeProducing()
-        self._reading_resumed()
-
-    def _reading_resumed(self) -> None:
-        if self.connected and self.reads:
-            self._arrival.reading_resumed(self.transport.getHandle())
 
     def _release_unsent(self) -> None:
         self.frontend.unsent.release(self._unsent)
--- a/anisefront/resp_gateway/input_arrival.py
+++ b/anisefront/resp_gateway/input_arrival.py
@@ -18,12 +18,12 @@
         self._now_ms = now_ms
         self._paused_at_ms: float | None = None  # the next bytes may have arrived since then
 
-    def reading_paused(self) -> None:
+    def pause_began(self) -> None:
         """Record that the connection is not read from now on, unless it was not read before."""
         if self._paused_at_ms is None:
             self._paused_at_ms = self._now_ms()
 
-    def reading_resumed(self, connection: socket.socket) -> None:
+    def pause_ended(self, connection: socket.socket) -> None:
         """Record that the connection is read again; what is not in its socket now arrives later."""
         if not _has_unread_bytes(connection):
             self._paused_at_ms = None
--- a/anisefront/resp_gateway/input_pause.py
+++ b/anisefront/resp_gateway/input_pause.py
@@ -53,7 +53,7 @@
         self._arrivals: deque[_Arrival] = deque()  # of the buffered bytes, oldest first
         self._reactor = reactor
         self._resume = resume
-        self._due_s = 0.0  # the pause that begins when nothing is buffered; 0 for none
+        self._pending_s = 0.0  # the pause that begins when nothing is buffered; 0 for none
         self._next_pause_s = PAUSE_S  # after an invalid command
         self._timer: Any = None
 
@@ -63,33 +63,33 @@
         return len(self.buffered) > MAX_BUFFERED
 
     def long_batch_received(self) -> None:
-        """Have a pause begin after a long batch, unless one is due or has begun."""
-        if not (self.active or self._due_s):
-            self._due_s = PAUSE_S
+        """Have a pause begin after a long batch, unless one is pending or has begun."""
+        if not (self.active or self._pending_s):
+            self._pending_s = PAUSE_S
 
     def invalid_command_received(self) -> None:
-        """Have a pause begin after an invalid command, twice as long as after the one before, unless one is due."""
-        if not (self.active or self._due_s):
-            self._due_s = self._next_pause_s
+        """Have a pause begin after an invalid command, twice as long as after the one before, unless one is pending."""
+        if not (self.active or self._pending_s):
+            self._pending_s = self._next_pause_s
             self._next_pause_s = min(MAX_PAUSE_S, 2 * self._next_pause_s)
 
     def valid_request_received(self) -> None:
         """Return to the shortest pause: the connection does not carry invalid commands alone."""
         self._next_pause_s = PAUSE_S
 
-    def begin_if_due(self) -> None:
-        """Pause parsing now if that is due."""
-        if self._due_s:
+    def begin_pending(self) -> None:
+        """Begin the pending pause, if any."""
+        if self._pending_s:
             self.active = True
-            self._timer = self._reactor.callLater(self._due_s, self._resume)
-            self._due_s = 0.0
+            self._timer = self._reactor.callLater(self._pending_s, self._resume)
+            self._pending_s = 0.0
 
     def buffer(self, data: bytes, arrived_ms: float) -> None:
         """Buffer bytes until they can be parsed."""
         self.buffered += data
         self._arrivals.append(_Arrival(len(data), arrived_ms))
 
-    def take_part(self, max_bytes: int) -> tuple[bytes, float]:
+    def take_slice(self, max_bytes: int) -> tuple[bytes, float]:
         """Remove and return the first bytes of the buffer, that arrived together, and when they did."""
         arrival = self._arrivals[0]
         size = min(max_bytes, arrival.size)
@@ -117,10 +117,10 @@
         self._timer = self._reactor.callLater(PAUSE_S, self._resume)
 
     def end(self, continue_reading: Callable[[], None]) -> None:
-        """End both stages, and a pause that is due."""
+        """End both stages, and drop a pending pause."""
         self.cancel_timer()
         self.active = False
-        self._due_s = 0.0
+        self._pending_s = 0.0
         if self.reading_paused:
             self.reading_paused = False
             continue_reading()
--- a/anisefront/resp_gateway/resp_frontend.py
+++ b/anisefront/resp_gateway/resp_frontend.py
@@ -50,7 +50,7 @@
         unsent: Bytes of replies written to connections whose write buffer is full.
         incoming: Bytes of incomplete commands and of input that waits to be parsed.
         input_scheduler: Decides when a connection's input is parsed.
-        read_bytes: Of one connection at once, so few that the input of all may wait to be parsed.
+        read_bytes: Of one connection at once; the input of all connections may wait within the cap on incoming bytes.
         descriptors: Connections that hold a descriptor, including those aborted in this event loop iteration.
         draining: Connections close once they are idle.
         latest_reply_ms: Deadlines are capped to this time on the request table's clock.
--- a/anisefront/resp_gateway/resp_requests.py
+++ b/anisefront/resp_gateway/resp_requests.py
@@ -123,7 +123,7 @@
         return request_id in self._ids
 
     def is_behind(self) -> bool:
-        """Tell whether so many submitted requests wait for the controller that further ones should come later."""
+        """Tell whether the controller has too many submitted requests waiting to be handed further ones now."""
         return self._request_table.batches.is_behind()
 
     def submit(
--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -5,7 +5,7 @@
 FOLDER is a checkout of another revision, which is measured in the same run. Twenty usual clients send a request a
 second each, with a deadline of a second, on connections that they keep. `late` counts replies that came half a second
 after the deadline or later, `longest_ms` is the longest wait for a reply. The flooding clients are those of
-`anisefront.testbed.flood`, with so many commands at once.
+`anisefront.testbed.flood`; a kind has the commands that each of them sends at once behind its colon.
 """
 
 from __future__ import annotations
