--- a/anisefront/resp_gateway/socket_state.py
+++ b/anisefront/resp_gateway/socket_state.py
@@ -5,8 +5,6 @@
 import select
 import socket
 
-CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-
 
 def has_unread_close(connection: socket.socket) -> bool:
     """Tell whether the peer has closed or reset the connection, also behind bytes that are unread.
@@ -24,7 +22,7 @@
 
 
 def _is_hung_up(connection: socket.socket) -> bool:
-    """Ask the system, as the first unread byte does not tell what is behind it."""
+    """Ask the system, as the first unread byte does not tell what is behind it. A reset is a hang-up too."""
     poller = select.poll()
-    poller.register(connection, CLOSED_EVENTS)
-    return any(events & CLOSED_EVENTS for _, events in poller.poll(0))
+    poller.register(connection, select.POLLRDHUP)
+    return any(events & select.POLLRDHUP for _, events in poller.poll(0))
