--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -156,7 +156,7 @@
 def test_drain_ends_before_the_kill_time_that_follows_from_the_settings(deadlines, kill_ms):
     reactor, instance, ended = draining(*deadlines)
     instance.request_table.open_requests = 1  # a request that never ends
-    assert instance.frontend.deadline_ms(1e6) <= kill_ms - 250
+    assert instance.frontend.deadline_ms(instance.clock(), 1e6) <= kill_ms - 250
     for _ in range(400):
         reactor.advance(0.01)
     assert ended and ended[0] <= kill_ms - 100 and instance._port is None
