Failing tests: answers late beside a few clients that send without a break, at a part of a core

- nameless-8: commands with an empty name, the shortest there are.
- In memory: input that passes a cap while its connection is paused is parsed at once, outside the turns.

--- a/tests/test_busy_connections.py
+++ b/tests/test_busy_connections.py
@@ -1,5 +1,6 @@
 """Requests beside paused input, floods and closes behind unread bytes of others; mostly on the real clock."""
 
+import asyncio
 import fcntl
 import json
 import socket
@@ -15,7 +16,9 @@
 from test_path import Running
 from test_node_wire import ASK, DO, WIRE_SETTINGS, endpoint_row
 
+from anisefront.frontends.input_scheduler import InputScheduler
 from anisefront.resp_gateway import input_pause, resp_codec
+from anisefront.testbed.usual_load import UsualLoad
 
 ALLOWED_OVER_S = 0.55  # after its deadline a request's reply still counts; 50 ms of it are for the sockets
 ALONE = [*ASK[:3], b"c=look,t=rated,d=480,units=1,spread=1,first=0"]  # a request to the only instance of its tier
@@ -28,7 +31,7 @@
     monkeypatch.setitem(WIRE_SETTINGS, "packages", [{"name": "rated", "perSecond": 5000.0, "storeSize": 5000.0}])
     worker = managed(Worker())
     discovery = managed(Discovery(endpoint_row("s1", worker.address)))
-    made = managed(GatewayProcess(managed.folder, discovery.address, endpoint_row("s1", worker.address), sockets=1024))
+    made = managed(GatewayProcess(managed.folder, discovery.address, endpoint_row("s1", worker.address), sockets=512))
     made.worker = worker
     return made
 
@@ -168,6 +171,48 @@
     assert flood.wait() == 0 and len(waits_s) > 5 * FLOOD_S and max(waits_s) < 1.0 + ALLOWED_OVER_S
 
 
+SHARE = (0.2, 100)  # of a core, in each period of so many milliseconds: on the platform instances have a part of a core
+USUAL_RATE = 80  # requests a second
+TIMES_MS = [250, 350, 600, 900]
+STREAMS = [("ping", 6), ("nameless", 8)]
+STREAM_S = 8
+
+
+def start_in_background(module, *arguments):
+    """Start a module of the test bed in a process of its own."""
+    command = [sys.executable, "-m", f"anisefront.testbed.{module}", *map(str, arguments)]
+    return subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL)
+
+
+@pytest.mark.parametrize(("kind", "clients"), STREAMS)
+def test_requests_are_answered_in_time_beside_a_few_clients_that_send_without_a_break(gateway, kind, clients):
+    """Guards against late answers beside clients of PINGs or of unsound commands, with a part of a core."""
+    limiter = start_in_background("processor_share", gateway.process.pid, *SHARE)
+    flood = start_in_background("stream_flood", gateway.port, kind, clients, STREAM_S)
+    load = UsualLoad(gateway.port, TIMES_MS)
+    asyncio.run(load.run(USUAL_RATE, STREAM_S))
+    limiter.terminate()
+    limiter.wait()
+    over_ms = [answer.over_ms for answer in load.answers]
+    assert flood.wait() == 0 and len(over_ms) > USUAL_RATE and max(over_ms) < ALLOWED_OVER_S * 1000
+
+
+@pytest.mark.parametrize("limits", [{}, {"max_incoming_bytes": 1000}], ids=["its own cap", "the cap of all"])
+def test_input_above_a_cap_is_rejected_in_turns(monkeypatch, limits):
+    """Guards against iterations that parse all that a few clients have sent, as soon as it passes a cap."""
+    harness = GatewayHarness(**limits)
+    client = harness.client()
+    harness.send(client, INVALID)
+    assert client.take().startswith(b"-ERR units")
+    with monkeypatch.context() as patch:
+        patch.setattr(InputScheduler, "_has_time", lambda scheduler: False)
+        harness.send(client, *map(command_with_id, range(1, 601)))
+        harness.reactor.advance(0)
+        assert client.take() == b"" and client.paused
+    harness.reactor.advance(0)
+    assert client.take() == b"-BUSY 250\r\n" * 600 and not harness.controller.arrivals
+
+
 SERVE_SETTINGS = """language 2
 gatekeeper 0 of 1 zone here
 listen grpc 127.0.0.1:0
