--- a/anisefront/resp_gateway/client_connection.py
+++ b/anisefront/resp_gateway/client_connection.py
@@ -109,7 +109,6 @@
         self._closing = False  # no request is accepted any more
         self._write_closed = False  # our half is closed
         self._is_waiting = False  # for a turn to process the buffered input
-        self._rejects_buffered = False  # the buffered input has passed a cap: its commands are rejected
         self._arrival = InputArrival(frontend.now_ms)
         self._arrived_ms = 0.0  # of the bytes that are parsed now
         self._turn_requests = 0  # submitted in this turn
@@ -178,7 +177,7 @@
         commands = 0
         while pause.buffered:
             data, self._arrived_ms = pause.take_slice(SLICE_BYTES)
-            commands += self._parse(data, self._rejects_buffered)
+            commands += self._parse(data)
             is_used_up = len(pause.buffered) <= bytes_left_after or self._turn_requests >= TURN_REQUESTS
             if commands and is_used_up:
                 break
@@ -186,10 +185,9 @@
 
     def _end_batch(self) -> None:
         """Begin the pause that a long batch or an invalid command causes, if any."""
-        if self._batch_commands > MAX_BATCH and not self._rejects_buffered:
+        if self._batch_commands > MAX_BATCH:
             self.input.long_batch_received()
         self._batch_commands = 0
-        self._rejects_buffered = False
         if not self._closing and self.reader.error is None:
             self.input.begin_pending()
 
@@ -207,13 +205,16 @@
             self.resume_reading()
 
     def discard_incoming(self) -> None:
-        """Reject the incomplete command when the rest of it has come."""
+        """Reject the commands that wait behind a pause, and the incomplete one when the rest of it has come."""
         self.frontend.counts["incoming_discarded"] += 1
+        if self.input.buffered:
+            self._reject_buffered()
         self.reader.discard_command()
         self._count_incoming()
 
     def _count_incoming(self) -> None:
-        self.frontend.incoming.update(self, self.reader.incomplete_bytes, len(self.input.buffered))
+        size = len(self.input.buffered) + self.reader.incomplete_bytes
+        self.frontend.incoming.update(self, size)
 
     def _discard_limit_reached(self) -> None:
         """Write the outstanding replies and close; abort the connection if as many bytes follow again."""
@@ -224,20 +225,19 @@
             self.fail_all()
 
     def _buffer_input(self, data: bytes) -> None:
-        """Buffer bytes received during a pause; on overflow stop reading, and reject the commands in the buffer."""
+        """Buffer bytes received during a pause; on overflow reject the commands in the buffer and stop reading."""
         self.input.buffer(data, self._arrived_ms)
-        if self.input.overflowed or self.frontend.incoming.is_over(len(data)):
+        if self.input.overflowed:
             self._reject_buffered()
 
     def _reject_buffered(self) -> None:
-        """Stop reading until the pause ends, and reject the buffered commands in turns."""
-        self.input.pause_reading(self.pause_reading)
-        self._rejects_buffered = True
-        self.frontend.input_scheduler.submit(self)
+        if self.input.active:
+            self.input.pause_reading(self.pause_reading)
+        self._process(self.input.take_buffered(), reject=True)
 
-    def _process(self, data: bytes) -> None:
+    def _process(self, data: bytes, reject: bool = False) -> None:
         """Parse bytes, handle each complete command and write the replies that are ready."""
-        self._parse(data)
+        self._parse(data, reject)
         self._write_replies()
 
     def _parse(self, data: bytes, reject: bool = False) -> int:
--- a/tests/test_connection_search.py
+++ b/tests/test_connection_search.py
@@ -62,7 +62,7 @@
 
 
 def drop_excess_commands(self, data, reject=False):
-    """Parse input as an earlier version did: drop commands beyond the limit and close the connection."""
+    """Process input as an earlier version did: drop commands beyond the limit and close the connection."""
     commands = self.reader.feed(data)
     if len(self.replies.pending) + len(commands) > client_connection.MAX_OPEN_COMMANDS:
         self._protocol_error(b"ERR")
@@ -90,9 +90,9 @@
         COMMAND(self, parts, reject)
 
 
-def allow_unlimited_replies(self):
+def allow_unlimited_replies(self, data, reject=False):
     with mock.patch.object(client_connection, "MAX_PENDING_REPLIES", 10**6):
-        WRITE_REPLIES(self)
+        return PROCESS(self, data, reject)
 
 
 def drop_pending_replies(self, line):
@@ -111,10 +111,10 @@
     self.replies.reserve(slot, len(parts[-1]))
 
 
-COMMAND, WRITE_REPLIES = ClientConnection._handle_command, ClientConnection._write_replies
+COMMAND, PROCESS = ClientConnection._handle_command, ClientConnection._process
 PROTOCOL_ERROR = ClientConnection._protocol_error
 GUARDS = [
-    (ClientConnection, "_parse", drop_excess_commands),
+    (ClientConnection, "_process", drop_excess_commands),
     (ClientConnection, "_buffer_input", drop_excess_input),
     (ClientConnection, "_buffer_input", buffer_without_limit),
     (ClientConnection, "_handle_command", allow_unlimited_commands),
@@ -126,7 +126,7 @@
     (CommandReader, "discard_command", lambda self: None),
     (ClientConnection, "_handle_ping", ignore_reservation),
     (ReplyQueue, "release", lambda self, slot: None),
-    (ClientConnection, "_write_replies", allow_unlimited_replies),
+    (ClientConnection, "_process", allow_unlimited_replies),
     (ClientConnection, "_write_ready", lambda self: None),
     (ClientConnection, "_cancel_all", lambda self: None),
     (ClientConnection, "_handle_request", without_closing_check(ClientConnection._handle_request)),
