The tests of floods have 1,024 descriptors again, the new ones 512 in a fixture of their own

A slip of this change: the fixture that the older tests of floods share had been left at 512, where 250 clients pass the cap on connections. Restored; the new tests keep the 512 with which they were measured.

--- a/tests/test_busy_connections.py
+++ b/tests/test_busy_connections.py
@@ -25,17 +25,29 @@
 INVALID = [*ASK[:3], ASK[3].replace(b"units=2", b"units=9")]
 
 
-@pytest.fixture
-def gateway(managed, monkeypatch):  # noqa: F811
+def start_gateway(managed, monkeypatch, sockets):  # noqa: F811
     """Start a gateway process with one worker and a wide quota."""
     monkeypatch.setitem(WIRE_SETTINGS, "packages", [{"name": "rated", "perSecond": 5000.0, "storeSize": 5000.0}])
     worker = managed(Worker())
-    discovery = managed(Discovery(endpoint_row("s1", worker.address)))
-    made = managed(GatewayProcess(managed.folder, discovery.address, endpoint_row("s1", worker.address), sockets=512))
+    row = endpoint_row("s1", worker.address)
+    discovery = managed(Discovery(row))
+    made = managed(GatewayProcess(managed.folder, discovery.address, row, sockets=sockets))
     made.worker = worker
     return made
 
 
+@pytest.fixture
+def gateway(managed, monkeypatch):  # noqa: F811
+    """A gateway process that can hold the connections of hundreds of clients."""
+    return start_gateway(managed, monkeypatch, sockets=1024)
+
+
+@pytest.fixture
+def small_gateway(managed, monkeypatch):  # noqa: F811
+    """A gateway process with half as many descriptors."""
+    return start_gateway(managed, monkeypatch, sockets=512)
+
+
 class Connection:
     """A client's connection that reads replies one by one."""
 
@@ -185,11 +197,11 @@
 
 
 @pytest.mark.parametrize(("kind", "clients"), STREAMS)
-def test_requests_are_answered_in_time_beside_a_few_clients_that_send_without_a_break(gateway, kind, clients):
+def test_requests_are_answered_in_time_beside_a_few_clients_that_send_without_a_break(small_gateway, kind, clients):
     """Guards against late answers beside clients of PINGs or of unsound commands, with a part of a core."""
-    limiter = start_in_background("processor_share", gateway.process.pid, *SHARE)
-    flood = start_in_background("stream_flood", gateway.port, kind, clients, STREAM_S)
-    load = UsualLoad(gateway.port, TIMES_MS)
+    limiter = start_in_background("processor_share", small_gateway.process.pid, *SHARE)
+    flood = start_in_background("stream_flood", small_gateway.port, kind, clients, STREAM_S)
+    load = UsualLoad(small_gateway.port, TIMES_MS)
     asyncio.run(load.run(USUAL_RATE, STREAM_S))
     limiter.terminate()
     limiter.wait()
