A watch that a slow discovery has not answered yet is kept, so that its list arrives

Cause: a watch without a line for 0.7 s was taken for broken, a third one closed the older of two, and the times never grew. Ruled out: reading the answer, and the connection, which discovery accepted at once.

Change: of the watches without an answer the oldest is kept for 6 s ("told at the latest 6 s after discovery had it and could be reached"), then longer; the newer one gives way to another, with 0.7 s, 1.4 s and 3 s. Connecting counts in this and has no limit of its own. Empty lines before the first object don't close an older watch. Two watches at most, as before; the first object closes all others. One connection and the choice among them are two modules now.

Related paths, by the same tests: after a closed and a silent watch, after SIGHUP, beside one that ends or is never answered, connections that come up late, answers in parts, the end of an outage.

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -11,7 +11,7 @@
 from twisted.internet import error
 from twisted.python.failure import Failure
 
-from anisefront.resp_gateway import discovery_watch
+from anisefront.resp_gateway import discovery_watch, watch_connection
 from anisefront.resp_gateway.endpoint_changes import EndpointDirectory
 from anisefront.resp_gateway.errors import DiscoveryError
 from anisefront.resp_gateway.watch_codec import WatchReader
@@ -24,14 +24,16 @@
     """Stand-in for discovery: connection n follows behavior n, later ones the last behavior.
 
     A behavior is called with the transport and the seconds since it was opened, at the start and every 50 ms, or is the
-    name of a failure to connect.
+    name of a failure to connect. Connections come up after `connect_delay_s`.
     """
 
+    connect_delay_s = 0.0
+
     def __init__(self, *behaviors):
         super().__init__()
         self.behaviors, self.transports = list(behaviors), []
-        self.reactor.tcpClients.clear()
-        self.watch._connecting.clientConnectionFailed(None, Failure(error.ConnectionRefusedError()))
+        first = self.reactor.tcpClients.pop()[2]
+        first.clientConnectionFailed(None, Failure(error.ConnectionRefusedError()))
         self.opened = 0
 
     def run(self, seconds, stop=lambda: False):
@@ -54,14 +56,21 @@
             self.reactor.callLater(timeout, factory.clientConnectionFailed, None, Failure(error.TimeoutError()))
         elif behavior == "refused":
             factory.clientConnectionFailed(None, Failure(error.ConnectionRefusedError()))
+        elif self.connect_delay_s >= timeout:
+            self._open("never", factory, timeout)
+        elif self.connect_delay_s:
+            self.reactor.callLater(self.connect_delay_s, self._connect, behavior, factory)
         else:
-            transport = Transport()
-            transport.behavior, transport.since = behavior, self.reactor.seconds()
-            transport.protocol = factory.buildProtocol(None)
-            if transport.protocol is not None:
-                transport.protocol.makeConnection(transport)
-                self.transports.append(transport)
-                behavior(transport, 0.0)
+            self._connect(behavior, factory)
+
+    def _connect(self, behavior, factory):
+        transport = Transport()
+        transport.behavior, transport.since = behavior, self.reactor.seconds()
+        transport.protocol = factory.buildProtocol(None)
+        if transport.protocol is not None:
+            transport.protocol.makeConnection(transport)
+            self.transports.append(transport)
+            behavior(transport, 0.0)
 
 
 def receive(transport, data):
@@ -134,7 +143,7 @@
 
 def test_watch_stays_open_during_an_outage_of_discovery():
     discovery = ScriptedDiscovery(stops_sending, sends_nothing)
-    discovery.run(discovery_watch.HEARTBEAT_TIMEOUT_S + discovery_watch.FIRST_LINE_TIMEOUT_S + 0.2)
+    discovery.run(watch_connection.HEARTBEAT_TIMEOUT_S + discovery_watch.FIRST_LINE_TIMEOUT_S + 0.2)
     for _ in range(80):
         discovery.run(0.1)
         live = [transport for transport in discovery.transports if not transport.aborted]
