A silent watch stays open until another connection is up beside it

Cause: with attempts to connect counted among the two watches, a silent one was closed for an attempt that may never come up. While discovery can't be reached it is the only watch that could receive the change that ends the outage.

Change: it is closed when another connection is up and two are wanted beside it. Two unanswered watches at most, as before.

--- a/anisefront/resp_gateway/discovery_watch.py
+++ b/anisefront/resp_gateway/discovery_watch.py
@@ -23,7 +23,7 @@
 MAX_ANSWER_TIMEOUT_S = 48.0
 ANSWER_TIMEOUT_MULTIPLIER = 2.0  # per watch that was closed unanswered: a slower answer arrives, though late
 BACKOFF_S = (0.1, 0.1, 0.2, 0.5)  # by attempts since the last line; attempts are cheap for the agent
-MAX_WATCHES = 2
+MAX_WATCHES = 2  # beside a silent one that no connection has replaced yet
 
 
 class DiscoveryWatch:
@@ -100,6 +100,11 @@
         """Return whether the connection is still wanted."""
         return connection in self.connections
 
+    def connection_up(self) -> None:
+        """Keep the number of open watches within its limit."""
+        if len(self.connections) > MAX_WATCHES:
+            self._close_replaced()
+
     def connection_live(self, connection: WatchConnection) -> None:
         """Close the watches that are not needed beside this one, which has sent a complete line.
 
@@ -153,27 +158,36 @@
         self._retry_call = None
         if self._stopped or not self._started:
             return
-        if len(self.connections) >= MAX_WATCHES:
-            self._abort([self._least_promising()])
+        self._make_room()
         self.attempts += 1
         connection = WatchConnection(self, self.reactor, self.address, self._first_line_timeout_s)
         self.connections.append(connection)
         connection.open()
 
-    def _least_promising(self) -> WatchConnection:
-        """Return the watch to close for another one; all are overdue.
+    def _make_room(self) -> None:
+        """Close a watch if there are too many for another one; all are overdue.
 
-        One that was answered and is silent now is broken. Of those without an answer the oldest is kept, since its
-        answer is due first, until its time is over.
+        Of those without an answer the oldest is kept until its time is over, since its answer is due first.
         """
-        for connection in self.connections:
-            if connection.answered:
-                return connection
-        oldest = self.connections[0]
+        self._close_replaced()
+        unanswered = [each for each in self.connections if not each.answered]
+        if len(unanswered) < MAX_WATCHES:
+            return
+        oldest = unanswered[0]
         if self.reactor.seconds() - oldest.opened_s < self._answer_timeout_s:
-            return self.connections[-1]
+            self._abort([unanswered[-1]])
+            return
         self._answer_timeout_s = min(self._answer_timeout_s * ANSWER_TIMEOUT_MULTIPLIER, MAX_ANSWER_TIMEOUT_S)
-        return oldest
+        self._abort([oldest])
+
+    def _close_replaced(self) -> None:
+        """Close a watch that fell silent, once another connection is up beside as many as may be open.
+
+        Until then it is kept: while discovery can't be reached it is the only one that may receive a change.
+        """
+        if len(self.connections) < MAX_WATCHES or all(each.answered or not each.is_up for each in self.connections):
+            return
+        self._abort([each for each in self.connections if each.answered])
 
     def _abort(self, connections: list[WatchConnection]) -> None:
         for connection in connections:
--- a/anisefront/resp_gateway/watch_connection.py
+++ b/anisefront/resp_gateway/watch_connection.py
@@ -37,6 +37,9 @@
     def on_version_reset(self) -> None:
         """Learn that discovery has restarted its version numbers."""
 
+    def connection_up(self) -> None:
+        """Learn that a connection was established."""
+
     def connection_live(self, connection: WatchConnection) -> None:
         """Learn that the connection has sent a complete line in time."""
 
@@ -83,6 +86,11 @@
         self._last_line_s = self.opened_s
         self._may_have_missed_change = False
 
+    @property
+    def is_up(self) -> bool:
+        """Whether the connection was established."""
+        return self.transport is not None
+
     def open(self) -> None:
         """Connect."""
         self._timer = self._reactor.callLater(self._first_line_timeout_s, self._timed_out)
@@ -93,7 +101,7 @@
     def abort(self) -> None:
         """Close the connection, or stop connecting."""
         self._cancel_timer()
-        if self.transport is not None:
+        if self.is_up:
             self.transport.abortConnection()
         else:
             self._connector.disconnect()
@@ -103,6 +111,7 @@
         host, port = self._address
         self._requested_version = self._owner.known_version()
         self.transport.write(encode_watch_request(self._requested_version, f"{host}:{port}"))
+        self._owner.connection_up()
 
     def dataReceived(self, data: bytes) -> None:
         """Hand on the changes, unless another watch has replaced this one."""
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -180,3 +180,19 @@
 
     discovery = SlowDiscovery(behave)
     assert discovery.run_until_received(60) <= 10 + BOUND_S
+
+
+def test_silent_watch_stays_open_while_no_connection_comes_up():
+    """Guards against an outage in which the one watch that may still receive a change is closed for attempts."""
+    discovery = SlowDiscovery(stops_sending, "never")
+    discovery.run(20)
+    silent = discovery.transports[0]
+    assert not silent.aborted
+    receive(silent, OBJECT)
+    assert len(discovery.changes) == 2
+
+
+def test_silent_watch_is_closed_once_two_others_are_open():
+    discovery = SlowDiscovery(stops_sending, sends_nothing)
+    discovery.run(5)
+    assert [each.aborted for each in discovery.transports] == [True, False, False]
