No attempt starts by a stored endpoint list while discovery may still answer

Cause: the configuration's list went to the policy as if it were current. Ruled out: the answer is applied when it arrives; the watch is opened before the socket listens.

Change: asking discovery and its first answer are events for the policy (endpoint_list_freshness.py). In between no attempt starts, and requests wait in their queues. It ends 6 s after discovery was asked ("told at the latest 6 s after discovery had it and could be reached"), so that an instance whose discovery is down serves. After a SIGHUP that moves discovery the list is current for 4 s ("counts 4 s later"); then the same. PING is answered as before. Log event endpoint_list_received.

--- a/anisefront/gateway/event_batches.py
+++ b/anisefront/gateway/event_batches.py
@@ -15,7 +15,14 @@
 from anisefront.gateway.interfaces import Timers
 from anisefront.gateway.process_stall import StallDetector
 from anisefront.gateway.timers import CoarseTimers
-from anisefront.policy.events import AttemptEnded, EndpointList, Event, PeerMessage
+from anisefront.policy.events import (
+    AttemptEnded,
+    EndpointList,
+    EndpointListConfirmed,
+    EndpointListRequested,
+    Event,
+    PeerMessage,
+)
 
 SLICE_EVENTS = 16  # events of each queue in one batch for the controller
 MAX_ITERATION_MS = 4.0  # time after which an iteration starts no further slice; a slice takes less than 1 ms
@@ -55,7 +62,7 @@
         Returns:
             Whether there was capacity. A dropped peer message counts as lost in the network: peers retry.
         """
-        if isinstance(event, EndpointList):
+        if isinstance(event, EndpointList | EndpointListRequested | EndpointListConfirmed):
             self._endpoint_lists.append(event)
         elif isinstance(event, AttemptEnded):
             self._attempt_ends.append(event)
--- a/anisefront/gateway/request_table.py
+++ b/anisefront/gateway/request_table.py
@@ -24,6 +24,8 @@
     AttemptResult,
     ClientDisconnected,
     EndpointList,
+    EndpointListConfirmed,
+    EndpointListRequested,
     EndpointStatus,
     PeerMessage,
     PeersUnreachable,
@@ -194,6 +196,14 @@
             self.endpoint_statuses = known if len(known) <= max_known else listed
         self.batches.post(endpoint_list)
 
+    def endpoints_requested(self, valid_for_ms: float) -> None:
+        """Record that discovery was asked for a list; the present one counts as current for this time."""
+        self.batches.post(EndpointListRequested(valid_for_ms))
+
+    def endpoints_confirmed(self) -> None:
+        """Record that discovery has responded, after `update_endpoints` if it sent changes."""
+        self.batches.post(EndpointListConfirmed())
+
     def change_settings(self, settings: Settings) -> None:
         """Apply changed settings to the requests that arrive from now on."""
         self.batches.post(settings)
--- a/anisefront/policy/controller.py
+++ b/anisefront/policy/controller.py
@@ -5,6 +5,7 @@
 
 - admission, queueing and load shedding: `admission`, `concurrency_limit`, `fuzzy_controller`;
 - quotas: `quota_borrower`, `quota_owner`;
+- whether attempts may start by the endpoint list: `endpoint_list_freshness`;
 - choice of an endpoint: `endpoint_selection`, `slow_start`, `outlier_detection`, `load_reports`;
 - retries and hedged requests: `retries`.
 """
@@ -26,6 +27,7 @@
 from anisefront.policy.attempt_tracker import AttemptTracker
 from anisefront.policy.concurrency_limit import ConcurrencyLimit
 from anisefront.policy.control_period import PERIOD_MS
+from anisefront.policy.endpoint_list_freshness import EndpointListFreshness
 from anisefront.policy.endpoint_registry import EndpointRegistry
 from anisefront.policy.endpoint_selection import EndpointSelection
 from anisefront.policy.endpoint_state import EndpointState
@@ -34,6 +36,8 @@
     AttemptEnded,
     ClientDisconnected,
     EndpointList,
+    EndpointListConfirmed,
+    EndpointListRequested,
     Event,
     PeerMessage,
     PeersUnreachable,
@@ -70,6 +74,7 @@
         self.plans: dict[str, Plan] = {}
         self.requests: dict[int, Request] = {}  # those without a final answer, by id
         self.timers = TimerQueue()
+        self.endpoint_list_freshness = EndpointListFreshness()
         self.response_times = ResponseTimes()
         self.concurrency_limit = ConcurrencyLimit(settings.gateways)
         self.admission = Admission(settings, self.concurrency_limit)
@@ -86,6 +91,8 @@
             AttemptEnded: self._on_attempt_ended,
             ClientDisconnected: self._on_client_disconnected,
             EndpointList: self._on_endpoint_list,
+            EndpointListConfirmed: self._on_endpoint_list_confirmed,
+            EndpointListRequested: self._on_endpoint_list_requested,
             PeerMessage: self._on_peer_message,
             PeersUnreachable: self._on_peers_unreachable,
             ResponseStarted: self._on_response_started,
@@ -116,7 +123,7 @@
         if self._left_service:
             self._retry_from_left_endpoints()
         self.timers.expire(self._on_timer)
-        if self.endpoints.ready or self.endpoints.warming_up:
+        if self._may_start_attempts() and (self.endpoints.ready or self.endpoints.warming_up):
             self.admission.dispatch_queued(now_ms, self._try_start_first_attempt)
         if self.outbox:
             self._flush_outbox()
@@ -199,6 +206,13 @@
         self._left_service += self.endpoints.update(self._now_ms, endpoint_list)
         self.concurrency_limit.update_limit(self.endpoints.capacity)
 
+    def _on_endpoint_list_requested(self, event: EndpointListRequested) -> None:
+        wait_until_ms = self.endpoint_list_freshness.record_request(self._now_ms, event.valid_for_ms)
+        self.timers.set(TimerKind.ENDPOINT_LIST_OVERDUE, wait_until_ms)
+
+    def _on_endpoint_list_confirmed(self, event: EndpointListConfirmed) -> None:
+        self.endpoint_list_freshness.record_response()
+
     def _on_peer_message(self, event: PeerMessage) -> None:
         """Process a peer's message; a malformed one, or one from an unknown sender, is dropped."""
         report = decode(event.data)
@@ -303,7 +317,7 @@
             self.quota_owner.refill_timer_fired(self._now_ms, subject)
         elif kind is TimerKind.SUBSCRIBE and self.settings.subscription_required:
             self._actions.append(Subscribe())
-        # An expired `OUTBOX_FLUSH` needs no handler: the outbox is flushed after each batch.
+        # Others need no handler: after each batch the outbox is flushed, and queued requests are dispatched.
 
     def _end_period(self) -> None:
         now_ms = self._now_ms
@@ -359,8 +373,13 @@
         self.retries.record_retry()
         return True
 
+    def _may_start_attempts(self) -> bool:
+        return not self.endpoint_list_freshness.is_outdated(self._now_ms)
+
     def _try_start_attempt(self, request: Request) -> bool:
         """Start an attempt, and return whether one was started."""
+        if not self._may_start_attempts():
+            return False
         expected_ms = self.response_times.expected_ms(request.request_class.name, request.size)
         action = self.attempts.start(self._now_ms, request, expected_ms)
         if action is None:
--- /dev/null
+++ b/anisefront/policy/endpoint_list_freshness.py
@@ -0,0 +1,48 @@
+"""Whether the endpoint list may be outdated while service discovery may still send a newer one.
+
+A gateway instance that starts has the list that its predecessor had. An endpoint of it may be draining, gone or
+restarted by now, and discovery counts that as known from the instance's first moment, or some time after the instance
+was moved to another discovery service. So no attempt starts by such a list until discovery has responded. It must not
+wait forever: discovery that is down responds when it is back, and the list is the best that there is until then.
+"""
+
+from __future__ import annotations
+
+import math
+
+RESPONSE_TIMEOUT_MS = 6000.0  # a change counts as known 6 s after discovery could be reached
+MAX_WAIT_MS = 2 * RESPONSE_TIMEOUT_MS  # from the first request, if others follow it before a response
+
+
+class EndpointListFreshness:
+    """The requests to discovery that have no response yet, and what follows from them for attempts."""
+
+    __slots__ = ("_outdated_from_ms", "_requested_ms", "_wait_until_ms")
+
+    def __init__(self) -> None:
+        """Start without a request: the list counts as current."""
+        self._requested_ms = -math.inf  # of the first request without a response
+        self._outdated_from_ms = math.inf
+        self._wait_until_ms = -math.inf
+
+    def record_request(self, now_ms: float, valid_for_ms: float) -> float:
+        """Record that discovery was asked for a list, and how long the present one counts as current.
+
+        Returns:
+            Until when attempts wait at most.
+        """
+        if now_ms >= self._wait_until_ms:
+            self._requested_ms = now_ms
+            self._outdated_from_ms = math.inf
+        self._outdated_from_ms = min(self._outdated_from_ms, now_ms + valid_for_ms)
+        self._wait_until_ms = min(now_ms + RESPONSE_TIMEOUT_MS, self._requested_ms + MAX_WAIT_MS)
+        return self._wait_until_ms
+
+    def record_response(self) -> None:
+        """Record that discovery has responded: the list is current."""
+        self._outdated_from_ms = math.inf
+        self._wait_until_ms = -math.inf
+
+    def is_outdated(self, now_ms: float) -> bool:
+        """Return whether the list may be outdated and a newer one may still come."""
+        return self._outdated_from_ms <= now_ms < self._wait_until_ms
--- a/anisefront/policy/events.py
+++ b/anisefront/policy/events.py
@@ -56,6 +56,22 @@
     failed: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointListRequested:
+    """Service discovery was asked for a list, by an instance that starts or moves to another discovery service.
+
+    Attributes:
+        valid_for_ms: How long the present list counts as current.
+    """
+
+    valid_for_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointListConfirmed:
+    """Service discovery has responded: the present list, or the one sent with it, is current."""
+
+
 @dataclass(frozen=True, slots=True)
 class PriorAttempts:
     """Attempts that a failed gateway instance had started for a request."""
@@ -157,6 +173,8 @@
 Event = (
     Settings
     | EndpointList
+    | EndpointListRequested
+    | EndpointListConfirmed
     | Arrival
     | ResponseStarted
     | AttemptEnded
--- a/anisefront/policy/timers.py
+++ b/anisefront/policy/timers.py
@@ -30,6 +30,7 @@
     DISPATCH_DEADLINE = auto()  # request id; later, an attempt could not end within the latency objective
     RESPONSE_DEADLINE = auto()  # request id; the final answer is due
     OUTBOX_FLUSH = auto()
+    ENDPOINT_LIST_OVERDUE = auto()
 
 
 # Expiry, serial, kind, subject: timers with the same expiry expire in the order in which they were set. A plain tuple
--- a/anisefront/resp_gateway/instance.py
+++ b/anisefront/resp_gateway/instance.py
@@ -46,6 +46,8 @@
 WRITE_MS = 300.0  # before SIGKILL: time left to write the last replies
 EXIT_MS = 100.0  # before SIGKILL: time left for the process to exit
 
+LIST_VALID_AFTER_RELOAD_MS = 4000.0  # what another discovery service has counts as known 4 s after SIGHUP
+
 REPORT_INTERVAL_S = 10.0
 COLLECT_INTERVAL_S = 2.0
 
@@ -82,10 +84,11 @@
             reactor,
             config.discovery,
             lambda: self.endpoint_directory.version,
-            self.apply_endpoint_change,
+            self._receive_endpoint_change,
             self._log_discovery_error,
             self.endpoint_directory.reset_version,
         )
+        self._list_requested_ms: float | None = None  # without a response yet
         self.collector = Collector(reactor, lambda: self.request_table.open_requests, COLLECT_INTERVAL_S)
         self._port: Any = None
         self._drain = Drain(reactor)
@@ -150,6 +153,7 @@
         config = self.config
         addresses: dict[str, str] = {}
         self.watch.start()
+        self._endpoints_requested(valid_for_ms=0.0)
         if self.peer_port is not None:
             host, port = config.peer_listen
             self.reactor.listenUDP(port, self.peer_port, interface=host, maxPacketSize=MAX_DATAGRAM_BYTES)
@@ -174,6 +178,22 @@
         for endpoint in applied.replaced:
             self.pool.close_idle(endpoint)
 
+    def _endpoints_requested(self, valid_for_ms: float) -> None:
+        self._list_requested_ms = self.clock()
+        self.request_table.endpoints_requested(valid_for_ms)
+
+    def _receive_endpoint_change(self, change: EndpointChange) -> None:
+        """Apply discovery's response; one without newer changes tells that the present list is current."""
+        self.apply_endpoint_change(change)
+        if self._list_requested_ms is None:
+            return
+        waited_ms = self.clock() - self._list_requested_ms
+        self._list_requested_ms = None
+        self.request_table.endpoints_confirmed()
+        self.log.info(
+            "endpoint_list_received", waited_ms=round(waited_ms), workers=len(self.endpoint_directory.entries)
+        )
+
     def _log_discovery_error(self, error: str) -> None:
         self.log.warning("discovery_fault", fault=error)
 
@@ -195,7 +215,8 @@
         if errors:
             self.log.error("config_not_taken", faults=errors)
             return False
-        self.watch.change_address(config.discovery)
+        if self.watch.change_address(config.discovery):
+            self._endpoints_requested(LIST_VALID_AFTER_RELOAD_MS)
         if config.settings != before:
             self.frontend.commands = CommandMapper(config.settings)
             self.request_table.change_settings(config.settings)
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -110,6 +110,8 @@
 class GatewayProcess:
     """Gateway instance in a process of its own."""
 
+    settings = WIRE_SETTINGS | {"balancers": 1, "myNumber": 0}
+
     def __init__(self, folder, discovery, *known, **limits):
         self.launch(folder, discovery, *known, **limits)
         self.wait_until_up()
@@ -117,11 +119,10 @@
     def launch(self, folder, discovery, *known, **limits):
         """Write the configuration and start the process."""
         self.port, self.file = free_port(), folder / "config.json"
-        settings = WIRE_SETTINGS | {"balancers": 1, "myNumber": 0}
         self.config = config_document(
             listen=f"127.0.0.1:{self.port}",
             discovery=discovery,
-            settings=settings,
+            settings=self.settings,
             peers=[],
             peer_listen=None,
             known=change_document(41, *known, snapshot=True),
