--- a/tests/test_slow_discovery_processes.py
+++ b/tests/test_slow_discovery_processes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import signal
+import socket
 import time
 
 import pytest
@@ -10,6 +11,8 @@
 from test_node_loopback import Discovery, GatewayProcess, Worker, managed, send_request  # noqa: F401
 from test_node_wire import WIRE_SETTINGS, change_document, endpoint_row
 
+from anisefront.resp_gateway import resp_codec
+
 GRACE_S = 0.25  # in which a draining worker may still get requests
 SLACK_S = 0.05  # "each time limit is 50 ms longer"
 PATIENT_MS = 4800
@@ -135,3 +138,21 @@
     gateway.wait_for_log("endpoint_list_received")
     assert send_request(gateway.client(), 1) == b"value for %016x" % 1
     assert not old.received
+
+
+def test_requests_that_wait_for_the_first_list_are_answered_before_a_shutdown_ends(managed):  # noqa: F811
+    old = managed(Worker())
+    discovery = managed(SlowDiscovery())
+    discovery.answer_delay_s = 60.0
+    gateway = managed(PatientGateway(managed.folder, discovery.address, endpoint_row("s1", old.address)))
+    waiting = [socket.create_connection(("127.0.0.1", gateway.port), timeout=5) for _ in range(5)]
+    for number, connection in enumerate(waiting):
+        terms = b"c=look,t=rated,d=%d,units=1,spread=1,first=0" % PATIENT_MS
+        command = [b"Q.ASK", b"00000000b4d65521", b"%016x" % number, terms]
+        connection.sendall(resp_codec.encode_command(command))
+    time.sleep(0.2)
+    gateway.process.send_signal(signal.SIGTERM)
+    assert all(connection.recv(100).startswith(b"-") for connection in waiting)
+    assert gateway.process.wait(5) == 0 and not old.received
+    for connection in waiting:
+        connection.close()
