The soak's slow discovery answers late too, and the benchmark of floods has a discovery

The soak's fault "slow discovery" delayed changes only; it delays answers to watches now.

benchmarks/floods.py started an instance without a discovery service, which waits 6 s before it serves; it has a stand-in now, and its clients' terms stand once. The peek at a socket's unread bytes stands once, in socket_state.py. The tests' stand-in for discovery has the delay of its answers itself, so that its response is written once.

144 tests of the frontend, floods, leaving clients and slow discovery pass.

--- a/anisefront/resp_gateway/input_arrival.py
+++ b/anisefront/resp_gateway/input_arrival.py
@@ -9,6 +9,8 @@
 import socket
 from collections.abc import Callable
 
+from anisefront.resp_gateway.socket_state import has_unread_bytes
+
 
 class InputArrival:
     """Arrival of the bytes that are read next."""
@@ -25,7 +27,7 @@
 
     def pause_ended(self, connection: socket.socket) -> None:
         """Record that the connection is read again; what is not in its socket now arrives later."""
-        if not _has_unread_bytes(connection):
+        if not has_unread_bytes(connection):
             self._paused_at_ms = None
 
     def bytes_read(self) -> float:
@@ -33,10 +35,3 @@
         arrived_ms = self._now_ms() if self._paused_at_ms is None else self._paused_at_ms
         self._paused_at_ms = None
         return arrived_ms
-
-
-def _has_unread_bytes(connection: socket.socket) -> bool:
-    try:
-        return bool(connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-    except OSError:
-        return False
--- a/anisefront/testbed/soak/discovery.py
+++ b/anisefront/testbed/soak/discovery.py
@@ -59,14 +59,14 @@
 
 
 class Agent:
-    """Discovery agent of one instance: it answers watches at once with the list it has, unless it is down."""
+    """Discovery agent of one instance: it answers watches with the list it has, unless it is down."""
 
     def __init__(self, discovery: Discovery, number: int) -> None:
         """Serve the instance with this number."""
         self.number, self.view = number, dict[str, str]()  # statuses delivered to the instance, by worker
         self.rows: dict[str, dict[str, Any]] = {}  # rows of the list by worker, as the agent has it
         self.index = 0
-        self.delay_s = 0.0  # until the agent receives a change; changes keep their order
+        self.delay_s = 0.0  # until the agent receives a change, or answers a call; changes keep their order
         self._next_change_s = 0.0
         self._delivered: set[tuple[str, str]] = set()
         self._discovery = discovery
@@ -143,6 +143,8 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             await reader.readuntil(b"\r\n\r\n")
+            if await _is_closed_within(self.delay_s, reader):
+                return
             writer.write(RESPONSE_HEAD)
             self._watchers.add(writer)
             if self._is_down:
@@ -168,6 +170,16 @@
                     _write(writer, b"\n")
 
 
+async def _is_closed_within(delay_s: float, reader: asyncio.StreamReader) -> bool:
+    """Wait, and return whether the instance closed the watch meanwhile."""
+    if not delay_s:
+        return False
+    try:
+        return not await asyncio.wait_for(reader.read(1024), delay_s)
+    except TimeoutError:
+        return False
+
+
 def _write(writer: asyncio.StreamWriter, line: bytes) -> None:
     if not writer.is_closing():
         writer.write(b"%x\r\n%b\r\n" % (len(line), line))
--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -29,6 +29,7 @@
 DEADLINE_S = 1.0
 LATE_S = DEADLINE_S + 0.5
 WORK_S = 0.02
+HEARTBEAT_S = 2.0  # of a watch while nothing changes
 TERMS = b"c=look,t=rated,d=1000,units=1,spread=1,first=0"
 KINDS = (
     "invalid:300",
@@ -57,6 +58,32 @@
         self._transport.write(b"*3\r\n" + encode_bulk(b"value " + request_id) + b"$-1\r\n" + encode_bulk(b"util=0.2"))
 
 
+class DiscoveryConnection(asyncio.Protocol):
+    """A watch of discovery, whose list does not change."""
+
+    def __init__(self, known: dict[str, Any]) -> None:
+        """Answer with this list."""
+        self._known = known
+
+    def connection_made(self, transport: Any) -> None:
+        """Start without a request."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answer the request, which comes in one piece."""
+        self._transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self._send_line(json.dumps(self._known).encode())
+        self._send_heartbeat()
+
+    def _send_heartbeat(self) -> None:
+        if not self._transport.is_closing():
+            self._send_line(b"")
+            asyncio.get_running_loop().call_later(HEARTBEAT_S, self._send_heartbeat)
+
+    def _send_line(self, line: bytes) -> None:
+        self._transport.write(b"%x\r\n%b\n\r\n" % (len(line) + 1, line))
+
+
 def free_port() -> int:
     """Return a port that is free now."""
     with socket.socket() as sock:
@@ -64,19 +91,24 @@
         return sock.getsockname()[1]
 
 
-def configuration(port: int, worker_port: int) -> dict[str, Any]:
-    """Return the configuration of an instance that is alone and has one worker; discovery is not there."""
+def endpoint_list(worker_port: int) -> dict[str, Any]:
+    """Return discovery's list of one worker."""
     endpoint = {"name": "s1", "address": f"127.0.0.1:{worker_port}", "zone": "a", "type": "m", "group": 0}
     endpoint |= {"status": "active", "weight": 1.0, "since_ms": 0}
+    return {"index": 1, "snapshot": True, "endpoints": [endpoint]}
+
+
+def configuration(port: int, discovery_port: int, known: dict[str, Any]) -> dict[str, Any]:
+    """Return the configuration of an instance that is alone and has one worker."""
     look = {"name": "look", "aimMs": 750.0, "deadlineMs": 2000.0, "worth": 3.0, "repeat": "retryable"}
     return {
         "name": "n0",
         "listen": f"127.0.0.1:{port}",
-        "discovery": f"127.0.0.1:{free_port()}",
+        "discovery": f"127.0.0.1:{discovery_port}",
         "seed": "1",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 2048},
         "peers": [],
-        "known": {"index": 1, "snapshot": True, "endpoints": [endpoint]},
+        "known": known,
         "settings": {
             "balancers": 1,
             "myNumber": 0,
@@ -117,11 +149,7 @@
         reader, writer = self._streams
         self._sent += 1
         request_id = b"%08x%08x" % (self._number + 1, self._sent)
-        writer.write(
-            encode_command(
-                [b"Q.ASK", b"%016x" % self._number, request_id, b"c=look,t=rated,d=1000,units=1,spread=1,first=0"]
-            )
-        )
+        writer.write(encode_command([b"Q.ASK", b"%016x" % self._number, request_id, TERMS]))
         try:
             line = await reader.readuntil(b"\r\n")
             if line.startswith(b"$"):
@@ -153,7 +181,9 @@
     port = free_port()
     with tempfile.TemporaryDirectory() as temporary:
         file = Path(temporary) / "config.json"
-        file.write_text(json.dumps(configuration(port, worker.sockets[0].getsockname()[1])))
+        known = endpoint_list(worker.sockets[0].getsockname()[1])
+        discovery = await loop.create_server(lambda: DiscoveryConnection(known), "127.0.0.1", 0)
+        file.write_text(json.dumps(configuration(port, discovery.sockets[0].getsockname()[1], known)))
         instance = subprocess.Popen(
             [sys.executable, "-m", "anisefront", "node"],
             cwd=folder,
@@ -168,6 +198,7 @@
             instance.kill()
             instance.wait()
             worker.close()
+            discovery.close()
 
 
 async def flooded(port: int, kind: str, clients: int, seconds: float) -> dict[str, Any]:
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -73,7 +73,9 @@
 
 
 class Discovery(_ThreadedServer):
-    """Discovery that sends its list to each new watch, and then the published changes."""
+    """Discovery that sends its list to each new watch after a delay, and then the published changes."""
+
+    answer_delay_s = 0.0
 
     def __init__(self, *rows):
         self.index, self.rows, self.connections, self.requests = 50, list(rows), [], []
@@ -81,6 +83,7 @@
 
     def _serve(self, connection):
         self.requests.append(connection.recv(4096))
+        time.sleep(self.answer_delay_s)
         connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self._send_change(connection, change_document(self.index, *self.rows, snapshot=True))
         self.connections.append(connection)
--- a/tests/test_slow_discovery_processes.py
+++ b/tests/test_slow_discovery_processes.py
@@ -20,19 +20,7 @@
 
 
 class SlowDiscovery(Discovery):
-    """Discovery that answers each call late; its list is the one that it has when it answers."""
-
-    answer_delay_s = 0.0
-
-    def _serve(self, connection):
-        self.requests.append(connection.recv(4096))
-        time.sleep(self.answer_delay_s)
-        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        self._send_change(connection, change_document(self.index, *self.rows, snapshot=True))
-        self.connections.append(connection)
-        while True:
-            time.sleep(0.5)
-            connection.sendall(b"1\r\n\n\r\n")
+    """Discovery some of whose watches were closed before they were answered."""
 
     def publish(self, *rows):
         """Send a change of these endpoints to all watches that are still open."""
