--- a/anisefront/resp_gateway/discovery_watch.py
+++ b/anisefront/resp_gateway/discovery_watch.py
@@ -82,7 +82,7 @@
         if address == self.address:
             return False
         self.address = address
-        self._reset_patience()
+        self._reset_timeouts()
         self._last_error = ""
         self.on_version_reset()  # another service numbers its versions independently
         self._close_all()
@@ -108,9 +108,9 @@
     def connection_live(self, connection: WatchConnection) -> None:
         """Close the watches that are not needed beside this one, which has sent a complete line.
 
-        Lines before its first object tell nothing of the endpoints, so an older watch that may send them is kept.
+        Lines before its first object hold no endpoints, so an older watch that may send them is kept.
         """
-        self._reset_patience()
+        self._reset_timeouts()
         self._cancel_retry()
         position = self.connections.index(connection)
         older = self.connections[:position]
@@ -142,7 +142,7 @@
     def _backoff_s(self) -> float:
         return BACKOFF_S[min(self.attempts, len(BACKOFF_S) - 1)]
 
-    def _reset_patience(self) -> None:
+    def _reset_timeouts(self) -> None:
         self.attempts = 0
         self._first_line_timeout_s = FIRST_LINE_TIMEOUT_S
         self._answer_timeout_s = ANSWER_TIMEOUT_S
@@ -158,16 +158,16 @@
         self._retry_call = None
         if self._stopped or not self._started:
             return
-        self._make_room()
+        self._close_for_another()
         self.attempts += 1
         connection = WatchConnection(self, self.reactor, self.address, self._first_line_timeout_s)
         self.connections.append(connection)
         connection.open()
 
-    def _make_room(self) -> None:
+    def _close_for_another(self) -> None:
         """Close a watch if there are too many for another one; all are overdue.
 
-        Of those without an answer the oldest is kept until its time is over, since its answer is due first.
+        Of those without an answer the oldest is kept until its time is over, since it is answered first.
         """
         self._close_replaced()
         unanswered = [each for each in self.connections if not each.answered]
--- a/anisefront/resp_gateway/instance.py
+++ b/anisefront/resp_gateway/instance.py
@@ -183,7 +183,7 @@
         self.request_table.endpoints_requested(valid_for_ms)
 
     def _receive_endpoint_change(self, change: EndpointChange) -> None:
-        """Apply discovery's response; one without newer changes tells that the present list is current."""
+        """Apply discovery's response; one without newer changes confirms the present list."""
         self.apply_endpoint_change(change)
         if self._list_requested_ms is None:
             return
