--- a/anisefront/policy/controller.py
+++ b/anisefront/policy/controller.py
@@ -50,8 +50,8 @@
 from anisefront.policy.quota_borrower import QuotaBorrower, QuotaDecision
 from anisefront.policy.quota_owner import QuotaOwner
 from anisefront.policy.quota_router import QuotaRouter
-from anisefront.policy.request import Request
-from anisefront.policy.response_times import ResponseTimes, size_of
+from anisefront.policy.request import Request, new_request
+from anisefront.policy.response_times import ResponseTimes
 from anisefront.policy.retries import RetryPolicy
 from anisefront.policy.settings import Plan, RequestClass, Settings
 from anisefront.policy.slow_start import SlowStart
@@ -74,7 +74,7 @@
         self.plans: dict[str, Plan] = {}
         self.requests: dict[int, Request] = {}  # those without a final answer, by id
         self.timers = TimerQueue()
-        self.endpoint_list_freshness = EndpointListFreshness()
+        self.endpoint_list_freshness = EndpointListFreshness(self.timers)
         self.response_times = ResponseTimes()
         self.concurrency_limit = ConcurrencyLimit(settings.gateways)
         self.admission = Admission(settings, self.concurrency_limit)
@@ -91,8 +91,8 @@
             AttemptEnded: self._on_attempt_ended,
             ClientDisconnected: self._on_client_disconnected,
             EndpointList: self._on_endpoint_list,
-            EndpointListConfirmed: self._on_endpoint_list_confirmed,
-            EndpointListRequested: self._on_endpoint_list_requested,
+            EndpointListConfirmed: self.endpoint_list_freshness.on_confirmed,
+            EndpointListRequested: self.endpoint_list_freshness.on_requested,
             PeerMessage: self._on_peer_message,
             PeersUnreachable: self._on_peers_unreachable,
             ResponseStarted: self._on_response_started,
@@ -123,7 +123,7 @@
         if self._left_service:
             self._retry_from_left_endpoints()
         self.timers.expire(self._on_timer)
-        if self._may_start_attempts() and (self.endpoints.ready or self.endpoints.warming_up):
+        if not self.endpoint_list_freshness.is_outdated and (self.endpoints.ready or self.endpoints.warming_up):
             self.admission.dispatch_queued(now_ms, self._try_start_first_attempt)
         if self.outbox:
             self._flush_outbox()
@@ -206,13 +206,6 @@
         self._left_service += self.endpoints.update(self._now_ms, endpoint_list)
         self.concurrency_limit.update_limit(self.endpoints.capacity)
 
-    def _on_endpoint_list_requested(self, event: EndpointListRequested) -> None:
-        wait_until_ms = self.endpoint_list_freshness.record_request(self._now_ms, event.valid_for_ms)
-        self.timers.set(TimerKind.ENDPOINT_LIST_OVERDUE, wait_until_ms)
-
-    def _on_endpoint_list_confirmed(self, event: EndpointListConfirmed) -> None:
-        self.endpoint_list_freshness.record_response()
-
     def _on_peer_message(self, event: PeerMessage) -> None:
         """Process a peer's message; a malformed one, or one from an unknown sender, is dropped."""
         report = decode(event.data)
@@ -244,17 +237,7 @@
             self._actions.append(answer_unaccepted(arrival, request_class, claim))
             return
         self._arrivals += 1
-        request = Request(
-            arrival,
-            request_class,
-            plan,
-            claim,
-            self._now_ms,
-            self._now_ms + request_class.latency_objective_ms,
-            request_class.priority_weight * plan.priority_multiplier,
-            self._arrivals,
-            size_of(arrival.units),
-        )
+        request = new_request(self._now_ms, arrival, request_class, plan, claim, self._arrivals)
         self.requests[arrival.id] = request
         self._set_deadlines(request)
         if arrival.prior_attempts is not None:
@@ -373,12 +356,9 @@
         self.retries.record_retry()
         return True
 
-    def _may_start_attempts(self) -> bool:
-        return not self.endpoint_list_freshness.is_outdated(self._now_ms)
-
     def _try_start_attempt(self, request: Request) -> bool:
         """Start an attempt, and return whether one was started."""
-        if not self._may_start_attempts():
+        if self.endpoint_list_freshness.is_outdated:
             return False
         expected_ms = self.response_times.expected_ms(request.request_class.name, request.size)
         action = self.attempts.start(self._now_ms, request, expected_ms)
--- a/anisefront/policy/request.py
+++ b/anisefront/policy/request.py
@@ -7,6 +7,7 @@
 from anisefront.policy.customer_account import CustomerAccount
 from anisefront.policy.endpoint_state import EndpointState
 from anisefront.policy.events import Arrival, AttemptResult
+from anisefront.policy.response_times import size_of
 from anisefront.policy.settings import Plan, RequestClass
 
 
@@ -123,3 +124,20 @@
     def answer_by_ms(self) -> float:
         """Return the time until which a response is useful: the deadline or the end of the latency objective."""
         return min(self.arrival.deadline_at_ms, self.objective_at_ms)
+
+
+def new_request(
+    now_ms: float, arrival: Arrival, request_class: RequestClass, plan: Plan, claim: QuotaClaim, sequence: int
+) -> Request:
+    """Return the state of a request that has just been accepted."""
+    return Request(
+        arrival,
+        request_class,
+        plan,
+        claim,
+        arrived_ms=now_ms,
+        objective_at_ms=now_ms + request_class.latency_objective_ms,
+        priority_weight=request_class.priority_weight * plan.priority_multiplier,
+        sequence=sequence,
+        size=size_of(arrival.units),
+    )
--- a/anisefront/policy/timers.py
+++ b/anisefront/policy/timers.py
@@ -41,30 +41,30 @@
 class TimerQueue:
     """The timers that have not expired."""
 
-    __slots__ = ("pending", "_actions", "_now_ms", "_serial")
+    __slots__ = ("now_ms", "pending", "_actions", "_serial")
 
     def __init__(self) -> None:
         """Start without timers."""
         self.pending: list[_Timer] = []  # a heap
         self._actions: list[Action] = []
-        self._now_ms = 0.0
+        self.now_ms = 0.0
         self._serial = 0
 
     def begin_batch(self, now_ms: float, actions: list[Action]) -> None:
         """Set the current time, and the list to which new timers append their actions."""
-        self._now_ms = now_ms
+        self.now_ms = now_ms
         self._actions = actions
 
     def set(self, kind: TimerKind, expires_ms: float, subject: int = NO_SUBJECT) -> None:
         """Set a timer."""
         self._serial += 1
         heapq.heappush(self.pending, (expires_ms, self._serial, kind, subject))
-        self._actions.append(SetTimer(max(0.0, expires_ms - self._now_ms), TIMER_NAME))
+        self._actions.append(SetTimer(max(0.0, expires_ms - self.now_ms), TIMER_NAME))
 
     def expire(self, handle: Callable[[TimerKind, int], None]) -> None:
         """Remove the expired timers, and call the handler with the kind and subject of each."""
         pending = self.pending
-        limit_ms = self._now_ms + CLOCK_RESOLUTION_MS
+        limit_ms = self.now_ms + CLOCK_RESOLUTION_MS
         while pending and pending[0][0] <= limit_ms:
             _, _, kind, subject = heapq.heappop(pending)
             handle(kind, subject)
--- a/tests/test_endpoint_list_freshness.py
+++ b/tests/test_endpoint_list_freshness.py
@@ -18,6 +18,7 @@
     TimerFired,
 )
 from anisefront.policy.response_times import max_queueing_ms
+from anisefront.policy.timers import TimerQueue
 
 STORED = EndpointList(tuple(Endpoint(f"s{n}", "z0", 0, EndpointStatus.READY) for n in range(2)))
 CURRENT = EndpointList((Endpoint("s0", "z0", 0, EndpointStatus.DRAINING), STORED.endpoints[1]))
@@ -122,11 +123,17 @@
     assert {endpoint for moment, endpoint in instance.attempts if moment > 4500} == {"s1"}
 
 
-def test_list_is_current_without_a_request():
-    freshness = EndpointListFreshness()
-    assert not freshness.is_outdated(START_MS)
-    freshness.record_request(START_MS, 0.0)
-    assert freshness.is_outdated(START_MS) and freshness.is_outdated(START_MS + RESPONSE_TIMEOUT_MS - 1)
-    assert not freshness.is_outdated(START_MS + RESPONSE_TIMEOUT_MS)
-    freshness.record_request(START_MS + 2 * MAX_WAIT_MS, VALID_AFTER_RELOAD_MS)
-    assert not freshness.is_outdated(START_MS + 2 * MAX_WAIT_MS)
+def test_list_is_current_without_a_request_and_after_the_wait():
+    timers = TimerQueue()
+    freshness = EndpointListFreshness(timers)
+
+    def is_outdated(after_ms):
+        timers.begin_batch(START_MS + after_ms, [])
+        return freshness.is_outdated
+
+    assert not is_outdated(0.0)
+    freshness.on_requested(EndpointListRequested(0.0))
+    assert is_outdated(0.0) and is_outdated(RESPONSE_TIMEOUT_MS - 1) and not is_outdated(RESPONSE_TIMEOUT_MS)
+    assert not is_outdated(2 * MAX_WAIT_MS)
+    freshness.on_requested(EndpointListRequested(VALID_AFTER_RELOAD_MS))
+    assert not is_outdated(2 * MAX_WAIT_MS)
