Clients of the soak open no connection while the load is paused

Seen: soak 705, 40 s, beside other work (load 11): two answers without a request, "a command did not come whole in time".

Cause, by reading: during the fault "quiet" a client whose connection ended connects again and sends nothing, and an instance closes a connection without a command after a second, with that line. The seed has two such pauses. A new connection sends at once now, and none is opened in a pause. The auditor is as it was.

--- a/anisefront/testbed/soak/clients.py
+++ b/anisefront/testbed/soak/clients.py
@@ -73,15 +73,20 @@
             asyncio.get_running_loop().call_later(delay_s, self.retries.append, request)
 
     async def run_connection(self) -> None:
-        """Send load on one connection, reconnecting whenever it ends, until the generator is stopped."""
+        """Send load on one connection, reconnecting whenever it ends, until the generator is stopped.
+
+        A new connection sends at once, since an instance closes one without a command after a second.
+        """
         while not self.is_stopped:
-            connection = await self.connect()
+            connection = None if self.is_paused else await self.connect()
             if connection is None:
                 await asyncio.sleep(0.05)
                 continue
+            is_new = True
             while connection.is_open and not self.is_stopped:
-                if not self.is_paused:
+                if is_new or not self.is_paused:
                     connection.send(self.rng.choice(PIPELINE_DEPTHS))
+                is_new = False
                 await asyncio.sleep(self.rng.expovariate(1 / MEAN_PAUSE_S))
                 connection.check_timeout()
         while any(connection.pending for connection in self.connections):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,14 +1,19 @@
 """Planned restarts under load: a short soak from a seed, and the detection of each fault that the auditor looks for."""
 
+import asyncio
 import multiprocessing
+import random
 import subprocess
 import sys
 from concurrent.futures import ProcessPoolExecutor
 
 import pytest
 
+from anisefront.testbed.records import Record
+from anisefront.testbed.soak import platform
 from anisefront.testbed.soak.__main__ import failure, run_soak
 from anisefront.testbed.soak.audit import SoakAuditor
+from anisefront.testbed.soak.clients import LoadGenerator
 
 SEED, SECONDS = 1, 8.0
 NO_FAULTS = {}
@@ -106,3 +111,20 @@
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split()
     assert [name for name in loaded if name.startswith("anisefront.") and ".testbed" not in name] == []
     assert "anisefront.testbed.soak.audit" in loaded
+
+
+def test_load_generator_opens_no_connection_while_it_is_paused():
+    """Guards against clients that connect and send nothing, so that an instance's error line counts as a breach."""
+    opened = []
+
+    async def play():
+        server = await asyncio.start_server(lambda reader, writer: opened.append(writer), platform.instance_host(), 0)
+        port = server.sockets[0].getsockname()[1]
+        generator = LoadGenerator(Record(None), random.Random(1), [port], {0}, is_paused=True)
+        sending = asyncio.ensure_future(generator.run_connection())
+        await asyncio.sleep(0.2)
+        sending.cancel()
+        server.close()
+
+    asyncio.run(play())
+    assert not opened
