--- a/anisefront/testbed/soak/run.py
+++ b/anisefront/testbed/soak/run.py
@@ -29,6 +29,7 @@
 STATE_TIMEOUT_S = 12.0  # an instance logs its state at shorter intervals
 MEASURE_INTERVAL_S = 0.5
 EVENT_LOOP_GRACE_S = 0.2  # for the event loop to process closed sockets and list updates
+NEW_CONNECTIONS_S = (0.2, 0.4)  # after SIGTERM, for which clients still open connections
 DISCOVERY_OUTAGE_S = (2.0, 6.0)  # at most discovery.DELIVERY_DEADLINE_S, after which changes count as delivered
 IDLE_CONNECTIONS = 150  # more than an instance holds
 SIGNAL_SERIES = ("term", "hup hup term", "term hup", "term term", "hup while reading", "term while starting")
@@ -319,9 +320,6 @@
         self.scenario_counts[series] += 1
         self.records["day"].write("restart", number=node.number, series=series)
         term_ms = await self._send_signals(node, series, rng)
-        asyncio.get_running_loop().call_later(
-            rng.uniform(0.2, 0.4), self.load_generator.ready_instances.discard, node.number
-        )
         await node.wait_for_exit(term_ms)
         if series == "term while starting":
             self._spawn(node)
@@ -342,6 +340,9 @@
                 await asyncio.sleep(rng.choice((0.0, 0.01, 0.1)))
         term_ms = now_ms()
         node.signal(signal.SIGTERM)
+        asyncio.get_running_loop().call_later(
+            rng.uniform(*NEW_CONNECTIONS_S), self.load_generator.ready_instances.discard, node.number
+        )
         if series == "hup while reading":
             await asyncio.sleep(rng.uniform(0.0, 0.05))
             node.finish_reload()
